--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# Another interpreter that has the pinned packages: make PYTHON=... test
+ifndef PYTHON
+PYTHON = .venv/bin/python
+VENV = .venv/ready
+endif
+PATHS = src tests examples
+export PYTHONPATH := $(CURDIR)/src
+
+.PHONY: venv run test lint format
+
+venv: .venv/ready
+
+.venv/ready: requirements-dev.txt requirements.txt pyproject.toml
+	python3.11 -m venv .venv
+	.venv/bin/python -m pip install --quiet -r requirements-dev.txt
+	.venv/bin/python -m pip install --quiet --no-deps -e .
+	touch .venv/ready
+
+run: $(VENV)
+	$(PYTHON) -m camphorlink.cli.dev
+
+test: $(VENV)
+	$(PYTHON) -m pytest
+
+lint: $(VENV)
+	$(PYTHON) -m ruff format --check $(PATHS)
+	$(PYTHON) -m ruff check $(PATHS)
+	$(PYTHON) -m flake8 $(PATHS)
+	$(PYTHON) -m mypy
+
+format: $(VENV)
+	$(PYTHON) -m ruff format $(PATHS)
+	$(PYTHON) -m ruff check --fix $(PATHS)
--- /dev/null
+++ b/src/camphorlink/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line programs, one module each."""
--- /dev/null
+++ b/src/camphorlink/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that may change between releases; import from the package root."""
--- /dev/null
+++ b/src/camphorlink/internal/core/process/__init__.py
@@ -0,0 +1,1 @@
+"""Core parts that live as long as the process."""
--- /dev/null
+++ b/src/camphorlink/internal/core/process/messages.py
@@ -0,0 +1,162 @@
+"""Messages into the entry core, and the effects that it asks for.
+
+A shell turns what happens outside into messages, hands them over with the
+time, and carries out the effects.  Both sides are plain data, so they can
+be recorded, replayed and compared.
+"""
+
+from typing import NamedTuple
+
+from camphorlink.internal.core.request.identifiers import SubmissionId
+from camphorlink.internal.core.request.job import Answer, Job, Payload
+from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.core.version.manifest import Manifest
+
+
+class Ticket(NamedTuple):
+    """One try of one task at one backend server.
+
+    Attributes:
+        submission_id: Text form of the submission's identifier.
+        position: Position of the task in its job.
+        attempt: Number of the try, from 1.
+        backend: Name of the backend server.
+    """
+
+    submission_id: str
+    position: int
+    attempt: int
+    backend: str
+
+
+class Submit(NamedTuple):
+    """A caller, or another entry VM for it, submits a job.
+
+    Attributes:
+        submission_id: Names the home that alone may start the job.
+        job: What is to be run.
+        caller: Number of the request that waits for the answer.
+    """
+
+    submission_id: SubmissionId
+    job: Job
+    caller: int
+
+
+class Leave(NamedTuple):
+    """A request stopped waiting; its submission goes on."""
+
+    submission_id: str
+    caller: int
+
+
+class Cancel(NamedTuple):
+    """A caller gives up a submission."""
+
+    submission_id: str
+
+
+class TaskFinished(NamedTuple):
+    """A backend server answered with a result."""
+
+    ticket: Ticket
+    task_result: Payload
+
+
+class TaskFailed(NamedTuple):
+    """A backend server ran the task and reports that it failed."""
+
+    ticket: Ticket
+    detail: str
+
+
+class TaskNotStarted(NamedTuple):
+    """There is proof that this try never started."""
+
+    ticket: Ticket
+    reason: Reason
+
+
+class TaskLost(NamedTuple):
+    """It can't be told whether this try started or finished."""
+
+    ticket: Ticket
+    reason: Reason
+
+
+class VersionInForce(NamedTuple):
+    """A version of the configuration has come into force."""
+
+    version: int
+    manifest: Manifest
+
+
+class Drain(NamedTuple):
+    """A planned stop begins: nothing new is admitted."""
+
+
+class Tick(NamedTuple):
+    """Time has passed; timers that are due are called."""
+
+
+Message = (
+    Submit
+    | Leave
+    | Cancel
+    | TaskFinished
+    | TaskFailed
+    | TaskNotStarted
+    | TaskLost
+    | VersionInForce
+    | Drain
+    | Tick
+)
+
+
+class StartTask(NamedTuple):
+    """Send a task to a backend server, once.
+
+    Attributes:
+        ticket: Comes back with what became of the try.
+        address: IP number and port of the backend server.
+        service: Service that is to run the task.
+        task_id: The caller's name for the task.
+        payload: What the task works on.
+        timeout_s: Seconds after which the try counts as lost.
+    """
+
+    ticket: Ticket
+    address: str
+    service: str
+    task_id: str
+    payload: Payload
+    timeout_s: float
+
+
+class Deliver(NamedTuple):
+    """Give one waiting request its answer.
+
+    Attributes:
+        caller: Number of the request, as its ``Submit`` had it.
+        submission_id: The submission that was asked for.
+        answer: The whole answer.
+    """
+
+    caller: int
+    submission_id: str
+    answer: Answer
+
+
+class CountReason(NamedTuple):
+    """Add one to a counter of refusals or retries.
+
+    Attributes:
+        counter: Name of the counter family.
+        reason: Label of the counter.
+    """
+
+    counter: str
+    reason: str
+
+
+Effect = StartTask | Deliver | CountReason
--- /dev/null
+++ b/src/camphorlink/internal/core/request/reasons.py
@@ -0,0 +1,64 @@
+"""Reason codes of refusals and failures, with the advice for the caller.
+
+Codes are part of the callers' interface and of the counters' labels: they
+are added to, never renamed.
+"""
+
+import enum
+
+
+class Reason(enum.Enum):
+    """Why a submission, or one try of a task, did not go through."""
+
+    BAD_JOB = 'bad-job'
+    BAD_IDENTIFIER = 'bad-identifier'
+    NO_MANIFEST = 'no-manifest'
+    UNKNOWN_SERVICE = 'unknown-service'
+    UNKNOWN_TEAM = 'unknown-team'
+    IDENTIFIER_EXPIRED = 'identifier-expired'
+    ANSWER_GONE = 'answer-gone'
+    OTHER_JOB = 'other-job'
+    HOME_UNREACHABLE = 'home-unreachable'
+    HOME_GONE = 'home-gone'
+    DRAINING = 'draining'
+    TABLE_FULL = 'table-full'
+    QUEUE_FULL = 'queue-full'
+    DEADLINE_PASSED = 'deadline-passed'
+    DEADLINE_UNREACHABLE = 'deadline-unreachable'
+    NO_BACKEND = 'no-backend'
+    CANCELLED = 'cancelled'
+    TASK_FAILED = 'task-failed'
+    TASK_LOST = 'task-lost'
+    CONNECT_FAILED = 'connect-failed'
+    BACKEND_BUSY = 'backend-busy'
+    BACKEND_LEAVING = 'backend-leaving'
+    CONNECTION_LOST = 'connection-lost'
+    TASK_TIMEOUT = 'task-timeout'
+
+
+_NEXT_STEP_BY_REASON = {
+    Reason.BAD_JOB: 'correct the job as the faults say, then submit it',
+    Reason.BAD_IDENTIFIER: 'ask for an identifier: POST /v1/submission-ids',
+    Reason.NO_MANIFEST: 'submit again later: this VM has no manifest yet',
+    Reason.UNKNOWN_SERVICE: 'name a service of the manifest in force',
+    Reason.UNKNOWN_TEAM: 'name a team of the manifest in force',
+    Reason.IDENTIFIER_EXPIRED: 'find out by other means whether the job ran',
+    Reason.ANSWER_GONE: 'the job has ended; its answer is no longer held',
+    Reason.OTHER_JOB: 'use a new identifier for another job',
+    Reason.HOME_UNREACHABLE: 'ask again later under the same identifier',
+    Reason.HOME_GONE: 'the VM that held the job is gone; check what it did',
+    Reason.DRAINING: 'submit it to another entry VM, which mints its own',
+    Reason.TABLE_FULL: 'submit it again after the given delay',
+    Reason.QUEUE_FULL: 'submit it again after the given delay',
+    Reason.DEADLINE_PASSED: 'look at the fate of each task',
+    Reason.DEADLINE_UNREACHABLE: 'allow more time, or submit it later',
+    Reason.NO_BACKEND: 'submit it to another zone, or later',
+    Reason.CANCELLED: 'nothing: it was cancelled on request',
+    Reason.TASK_FAILED: 'look at the failed task before you submit anew',
+    Reason.TASK_LOST: 'find out by other means whether the task ran',
+}
+
+
+def next_step(reason: Reason) -> str:
+    """Tells a caller in one line what to do about ``reason``."""
+    return _NEXT_STEP_BY_REASON.get(reason, 'look at the fate of each task')
--- /dev/null
+++ b/src/camphorlink/internal/shell/__init__.py
@@ -0,0 +1,1 @@
+"""Thin shells that tie the core to sockets, clocks and files."""
--- /dev/null
+++ b/src/camphorlink/internal/shell/connection/log_client.py
@@ -0,0 +1,139 @@
+"""Client of the platform's log service: append records, read from offsets."""
+
+from types import TracebackType
+from typing import Any, NamedTuple
+
+import aiohttp
+import orjson
+
+from camphorlink.errors import AppendUncertainError, LogServiceError
+
+REQUEST_TIMEOUT_S = 5.0
+MS_PER_S = 1000
+
+
+class StoredRecord(NamedTuple):
+    """A record as the log service keeps it.
+
+    Attributes:
+        offset: Position in its stream.
+        appended_ms: Time of the append, ms since the epoch.
+        record: The record itself.
+    """
+
+    offset: int
+    appended_ms: int
+    record: Any
+
+
+class Page(NamedTuple):
+    """Consecutive records of a stream.
+
+    Attributes:
+        records: In the order of their offsets.
+        earliest_offset: First offset that is still kept.
+        next_offset: Offset that the next append will get.
+    """
+
+    records: tuple[StoredRecord, ...]
+    earliest_offset: int
+    next_offset: int
+
+
+class LogClient:
+    """Appends to streams and reads them, over HTTP."""
+
+    def __init__(self, base_url: str) -> None:
+        """Names the service, such as ``http://127.0.0.1:9300``."""
+        self._base_url = base_url
+
+    async def __aenter__(self) -> 'LogClient':
+        """Opens the pool of connections."""
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S),
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def append(self, stream: str, records: list[Any]) -> int:
+        """Appends records next to each other.
+
+        Returns:
+            Offset of the first one.
+
+        Raises:
+            AppendUncertainError: They may or may not have been appended.
+            LogServiceError: They were certainly not appended.
+        """
+        url = f'{self._base_url}/v1/streams/{stream}/records'
+        body = orjson.dumps({'records': records})
+        try:
+            async with self._session.post(url, data=body) as response:
+                status, answer = response.status, await response.read()
+        except aiohttp.ClientConnectorError as exc:
+            raise LogServiceError(f'log service out of reach: {exc}') from exc
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise AppendUncertainError(f'append unanswered: {exc}') from exc
+        if status != aiohttp.http.HTTPStatus.OK:
+            raise LogServiceError(f'append refused with status {status}')
+        return int(orjson.loads(answer)['first_offset'])
+
+    async def read(
+        self,
+        stream: str,
+        from_offset: int,
+        wait_s: float = 0.0,
+    ) -> Page:
+        """Reads records from an offset on, waiting for the first one.
+
+        Args:
+            stream: Name of the stream.
+            from_offset: First offset of interest.
+            wait_s: Longest time to wait for a record, in seconds.
+
+        Raises:
+            LogServiceError: The service gave no usable answer.
+        """
+        url = f'{self._base_url}/v1/streams/{stream}/records'
+        query = {
+            'from': str(from_offset),
+            'wait_ms': str(int(wait_s * MS_PER_S)),
+        }
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S + wait_s)
+        try:
+            return await self._get_page(url, query, timeout)
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise LogServiceError(f'log service out of reach: {exc}') from exc
+        except (KeyError, TypeError, ValueError) as exc:
+            raise LogServiceError(f'unreadable answer: {exc}') from exc
+
+    async def _get_page(
+        self,
+        url: str,
+        query: dict[str, str],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Page:
+        request = self._session.get(url, params=query, timeout=timeout)
+        async with request as response:
+            response.raise_for_status()
+            answer = orjson.loads(await response.read())
+        return Page(
+            records=tuple(
+                StoredRecord(
+                    entry['offset'],
+                    entry['appended_ms'],
+                    entry['record'],
+                )
+                for entry in answer['records']
+            ),
+            earliest_offset=answer['earliest_offset'],
+            next_offset=answer['next_offset'],
+        )
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -0,0 +1,115 @@
+"""Runs an entry core on the event loop: time and messages in, effects out."""
+
+import asyncio
+import itertools
+from functools import singledispatchmethod
+from types import TracebackType
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.core.request.identifiers import SubmissionId
+from camphorlink.internal.core.request.job import Answer, Job
+from camphorlink.internal.shell.connection.backend_client import BackendClient
+from camphorlink.internal.shell.process.metrics import Metrics
+
+
+class CoreHost:
+    """Feeds one core and carries out what it asks for."""
+
+    def __init__(
+        self,
+        core: EntryCore,
+        backend_client: BackendClient,
+        metrics: Metrics,
+    ) -> None:
+        """Binds the core to the running loop."""
+        self.core = core
+        self._loop = asyncio.get_running_loop()
+        self._backend_client = backend_client
+        self._metrics = metrics
+        self._callers = itertools.count()
+        self._answer_by_caller: dict[int, asyncio.Future[Answer]] = {}
+        self._sends: set[asyncio.Task[None]] = set()
+        self._wake: asyncio.TimerHandle | None = None
+
+    def __enter__(self) -> 'CoreHost':
+        """Takes ownership of the sends that will be in flight."""
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops the timer and whatever is still being sent."""
+        if self._wake is not None:
+            self._wake.cancel()
+        for send in self._sends:
+            send.cancel()
+
+    def post(self, message: messages.Message) -> None:
+        """Hands one message to the core and carries out its effects."""
+        for effect in self.core.handle(message, self._loop.time()):
+            self._carry_out(effect)
+        self._arm_timer()
+
+    async def submit(self, submission_id: SubmissionId, job: Job) -> Answer:
+        """Submits a job and waits for its whole answer.
+
+        A caller that goes away cancels only this wait, never the job.
+        """
+        caller = next(self._callers)
+        answer: asyncio.Future[Answer] = self._loop.create_future()
+        self._answer_by_caller[caller] = answer
+        started_s = self._loop.time()
+        try:
+            self.post(messages.Submit(submission_id, job, caller))
+            return await answer
+        finally:
+            self._stop_waiting(str(submission_id), caller)
+            self._metrics.response_s.observe({}, self._loop.time() - started_s)
+
+    def _stop_waiting(self, submission_id: str, caller: int) -> None:
+        answer = self._answer_by_caller.pop(caller)
+        if answer.cancelled():
+            self.post(messages.Leave(submission_id, caller))
+
+    @singledispatchmethod
+    def _carry_out(self, effect: messages.Effect) -> None:
+        raise TypeError(effect)
+
+    @_carry_out.register
+    def _start_task(self, effect: messages.StartTask) -> None:
+        self._metrics.starts.inc({'service': effect.service})
+        send = self._loop.create_task(self._send(effect))
+        self._sends.add(send)
+        send.add_done_callback(self._sends.discard)
+
+    @_carry_out.register
+    def _deliver(self, effect: messages.Deliver) -> None:
+        self._metrics.answers.inc({'outcome': effect.answer.outcome.value})
+        waiter = self._answer_by_caller.get(effect.caller)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(effect.answer)
+
+    @_carry_out.register
+    def _count_reason(self, effect: messages.CountReason) -> None:
+        self._metrics.count_reason(effect.counter, effect.reason)
+
+    async def _send(self, start: messages.StartTask) -> None:
+        self.post(await self._backend_client.run_task(start))
+
+    def _arm_timer(self) -> None:
+        due_s = self.core.timers.next_due_s()
+        if self._wake is not None:
+            if not self._wake.cancelled() and self._wake.when() == due_s:
+                return
+            self._wake.cancel()
+            self._wake = None
+        if due_s is not None:
+            self._wake = self._loop.call_at(due_s, self._tick)
+
+    def _tick(self) -> None:
+        self._wake = None
+        self.post(messages.Tick())
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -0,0 +1,121 @@
+"""An entry VM's process: owns everything, from its start to a clean stop."""
+
+import asyncio
+import contextlib
+import random
+import time
+from types import TracebackType
+
+from aiohttp import web
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.core.request.identifiers import new_home
+from camphorlink.internal.core.version.acceptance import ConfigState
+from camphorlink.internal.shell.connection.backend_client import BackendClient
+from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.process.core_host import CoreHost
+from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.metrics import Metrics
+from camphorlink.internal.shell.process.operators_api import OperatorsApi
+from camphorlink.internal.shell.process.settings import EntrySettings, Listen
+from camphorlink.internal.shell.request.callers_api import CallersApi
+from camphorlink.internal.shell.version.config_tail import ConfigTail
+
+DRAIN_POLL_S = 0.05
+
+
+class EntryDaemon:
+    """Everything that one entry VM runs, as one context manager."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        """Takes checked settings; nothing starts before the context does."""
+        self.settings = settings
+        self.callers_port = 0
+        self.operators_port = 0
+        self._log = PartLog('daemon', settings.vm)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> 'EntryDaemon':
+        """Starts all parts, the callers' interface last."""
+        rng = random.SystemRandom()
+        settings = self.settings
+        metrics = Metrics()
+        log_client = await self._stack.enter_async_context(
+            LogClient(settings.log_service),
+        )
+        backend_client = await self._stack.enter_async_context(BackendClient())
+        self.host = self._stack.enter_context(
+            CoreHost(self._build_core(rng), backend_client, metrics),
+        )
+        tail = ConfigTail(
+            log_client,
+            self._install,
+            PartLog('config', settings.vm),
+        )
+        self._stack.enter_context(_BackgroundTask(tail.run()))
+        operators = OperatorsApi(self.host, metrics, tail)
+        self.operators_port = await self._serve(
+            operators.build_app(),
+            settings.operators,
+        )
+        callers = CallersApi(self.host, rng)
+        self.callers_port = await self._serve(
+            callers.build_app(),
+            settings.callers,
+        )
+        self._log.info('started', extra={'home': str(self.host.core.home)})
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Drains what is in flight, then stops all parts."""
+        await self.drain()
+        await self._stack.aclose()
+        self._log.info('stopped')
+
+    async def drain(self) -> None:
+        """Admits nothing new and waits for the answers that are due."""
+        self.host.post(messages.Drain())
+        loop = asyncio.get_running_loop()
+        give_up_s = loop.time() + self.settings.drain_s
+        while not self.host.core.is_idle and loop.time() < give_up_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    def _build_core(self, rng: random.Random) -> EntryCore:
+        settings = self.settings
+        loop = asyncio.get_running_loop()
+        return EntryCore(
+            home=new_home(settings.zone, settings.vm, rng),
+            wall_offset_s=time.time() - loop.time(),
+            max_entries=settings.max_remembered,
+        )
+
+    def _install(self, state: ConfigState) -> None:
+        self.host.post(messages.VersionInForce(state.version, state.manifest))
+
+    async def _serve(self, app: web.Application, listen: Listen) -> int:
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, listen.ip, listen.port)
+        await site.start()
+        return int(runner.addresses[0][1])
+
+
+class _BackgroundTask:
+    """Runs a coroutine for as long as the context is open."""
+
+    def __init__(self, coroutine) -> None:  # type: ignore[no-untyped-def]
+        self._coroutine = coroutine
+
+    def __enter__(self) -> asyncio.Task[None]:
+        self._task = asyncio.get_running_loop().create_task(self._coroutine)
+        return self._task
+
+    def __exit__(self, *exc_info: object) -> None:
+        self._task.cancel()
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/operators_api.py
@@ -0,0 +1,79 @@
+"""What operators and their probes may ask of an entry VM, over HTTP."""
+
+from http import HTTPStatus
+
+from aiohttp import web
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.shell.process.core_host import CoreHost
+from camphorlink.internal.shell.process.metrics import Metrics
+from camphorlink.internal.shell.request.responses import json_response
+from camphorlink.internal.shell.version.config_tail import ConfigTail
+
+
+class OperatorsApi:
+    """Handlers of the operators' interface."""
+
+    def __init__(
+        self,
+        host: CoreHost,
+        metrics: Metrics,
+        tail: ConfigTail,
+    ) -> None:
+        """Shows one core, its counters and its configuration."""
+        self._host = host
+        self._metrics = metrics
+        self._tail = tail
+
+    def build_app(self) -> web.Application:
+        """Returns the application with all routes of the interface."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get('/healthz', self.health),
+                web.get('/readyz', self.readiness),
+                web.get('/metrics', self.show_metrics),
+                web.get('/v1/config', self.show_config),
+                web.post('/v1/drain', self.drain),
+            ]
+        )
+        return app
+
+    async def health(self, request: web.Request) -> web.Response:
+        """Says that the loop turns."""
+        return json_response({'healthy': True})
+
+    async def readiness(self, request: web.Request) -> web.Response:
+        """Says whether the balancer may send callers here."""
+        core = self._host.core
+        is_ready = core.version > 0 and not core.is_draining
+        status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        document = {
+            'ready': is_ready,
+            'version': core.version,
+            'draining': core.is_draining,
+        }
+        return json_response(document, status)
+
+    async def show_metrics(self, request: web.Request) -> web.Response:
+        """Writes counters and histograms for Prometheus."""
+        accept = request.headers.getall('Accept', [])
+        body, headers = self._metrics.render(accept)
+        return web.Response(body=body, headers=headers)
+
+    async def show_config(self, request: web.Request) -> web.Response:
+        """Tells which version is in force and how far the stream was read."""
+        core = self._host.core
+        return json_response(
+            {
+                'home': str(core.home),
+                'version': core.version,
+                'digest': core.manifest.digest,
+                'next_offset': self._tail.state.next_offset,
+            }
+        )
+
+    async def drain(self, request: web.Request) -> web.Response:
+        """Begins a planned stop: nothing new is admitted."""
+        self._host.post(messages.Drain())
+        return json_response({'draining': True}, HTTPStatus.ACCEPTED)
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/programs.py
@@ -0,0 +1,39 @@
+"""What all daemons have in common: the loop, signals, and a clean stop."""
+
+import os
+from contextlib import AbstractAsyncContextManager
+from typing import Any
+
+import aiomisc
+
+# uvloop opens an io_uring in every loop unless it is told not to before the
+# loop is made; the machines that this runs on forbid it.
+os.environ['UV_USE_IO_URING'] = '0'
+
+#: The pool is never used; aiomisc asks for one thread at the least.
+POOL_THREADS = 1
+
+
+class ContextService(aiomisc.Service):
+    """Runs an asynchronous context manager as a service of the process."""
+
+    owned: AbstractAsyncContextManager[Any]
+
+    async def start(self) -> None:
+        """Enters the context."""
+        await self.owned.__aenter__()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Leaves the context, which drains what is in flight."""
+        await self.owned.__aexit__(None, None, None)
+
+
+def run_until_stopped(*contexts: AbstractAsyncContextManager[Any]) -> None:
+    """Runs contexts on one loop until SIGTERM or SIGINT, then leaves them."""
+    services = [ContextService(owned=context) for context in contexts]
+    with aiomisc.entrypoint(
+        *services,
+        log_config=False,
+        pool_size=POOL_THREADS,
+    ) as loop:
+        loop.run_forever()
--- /dev/null
+++ b/src/camphorlink/internal/shell/request/__init__.py
@@ -0,0 +1,1 @@
+"""Shells that live as long as one request."""
--- /dev/null
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -0,0 +1,115 @@
+"""What callers may ask of an entry VM, over HTTP."""
+
+import asyncio
+import random
+import time
+from http import HTTPStatus
+
+from aiohttp import web
+
+from camphorlink.errors import IdentifierError, JobError
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.request.identifiers import (
+    SubmissionId,
+    mint_submission_id,
+    parse_submission_id,
+)
+from camphorlink.internal.core.request.job import not_run
+from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.shell.process.core_host import CoreHost
+from camphorlink.internal.shell.request.job_documents import read_job
+from camphorlink.internal.shell.request.responses import (
+    ID_HEADER,
+    answer_response,
+    faults_response,
+    json_response,
+    problem_response,
+)
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+class CallersApi:
+    """Handlers of the callers' interface."""
+
+    def __init__(self, host: CoreHost, rng: random.Random) -> None:
+        """Serves submissions with one core."""
+        self._host = host
+        self._rng = rng
+
+    def build_app(self) -> web.Application:
+        """Returns the application with all routes of the interface."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.add_routes(
+            [
+                web.post('/v1/submission-ids', self.issue_id),
+                web.post('/v1/submissions', self.submit_new),
+                web.put('/v1/submissions/{id}', self.submit_named),
+                web.get('/v1/submissions/{id}', self.show),
+                web.delete('/v1/submissions/{id}', self.cancel),
+            ]
+        )
+        return app
+
+    async def issue_id(self, request: web.Request) -> web.Response:
+        """Issues an identifier whose home is this VM."""
+        submission_id = self._mint()
+        return json_response(
+            {'submission_id': str(submission_id)},
+            HTTPStatus.CREATED,
+        )
+
+    async def submit_new(self, request: web.Request) -> web.Response:
+        """Runs a job under an identifier minted for this delivery."""
+        return await self._run(request, self._mint())
+
+    async def submit_named(self, request: web.Request) -> web.Response:
+        """Runs a job under the caller's identifier, or joins its run."""
+        try:
+            submission_id = parse_submission_id(request.match_info['id'])
+        except IdentifierError as exc:
+            return problem_response(not_run(Reason.BAD_IDENTIFIER, str(exc)))
+        return await self._run(request, submission_id)
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Tells what is known of a submission, without waiting."""
+        run = self._host.core.table.find(request.match_info['id'])
+        if run is None:
+            return json_response({'known': False}, HTTPStatus.NOT_FOUND)
+        return json_response(
+            {
+                'known': True,
+                'open': run.is_open,
+                'outcome': run.answer.outcome.value if run.answer else None,
+                'tasks': {
+                    task: fate.value
+                    for task, fate in run.fates_by_task().items()
+                },
+            }
+        )
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Gives up a submission; its waiting tasks never start."""
+        self._host.post(messages.Cancel(request.match_info['id']))
+        return json_response({'cancelled': True}, HTTPStatus.ACCEPTED)
+
+    def _mint(self) -> SubmissionId:
+        return mint_submission_id(self._host.core.home, time.time(), self._rng)
+
+    async def _run(
+        self,
+        request: web.Request,
+        submission_id: SubmissionId,
+    ) -> web.Response:
+        key = str(submission_id)
+        headers = {ID_HEADER: key}
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            detail = f'a body may have {MAX_BODY_BYTES} bytes'
+            return problem_response(not_run(Reason.BAD_JOB, detail), headers)
+        try:
+            job = read_job(body, asyncio.get_running_loop().time())
+        except JobError as exc:
+            return faults_response(Reason.BAD_JOB, exc.faults, headers)
+        return answer_response(key, await self._host.submit(submission_id, job))
--- /dev/null
+++ b/src/camphorlink/internal/shell/request/job_documents.py
@@ -0,0 +1,101 @@
+"""Jobs as callers write them in JSON, checked and typed."""
+
+import hashlib
+from typing import Annotated, Any, NotRequired
+
+from pydantic import ConfigDict, Field, TypeAdapter
+from typing_extensions import TypedDict
+
+from camphorlink.errors import Fault, JobError
+from camphorlink.internal.core.process.documents import check_shape, parse_json
+from camphorlink.internal.core.request.job import (
+    MAX_TASKS_PER_JOB,
+    Job,
+    TaskSpec,
+)
+from camphorlink.internal.core.version.manifest import canonical_bytes
+
+MAX_DEADLINE_MS = 300_000
+MS_PER_S = 1000
+
+_STRICT = ConfigDict(extra='forbid', strict=True)
+_Name = Annotated[str, Field(min_length=1, max_length=64)]
+_Ms = Annotated[float, Field(gt=0, le=MAX_DEADLINE_MS, strict=False)]
+
+
+class TaskDocument(TypedDict):
+    """A task as its caller writes it."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    id: _Name
+    payload: Any
+    task_class: NotRequired[_Name]
+    declared_ms: NotRequired[_Ms]
+
+
+class JobDocument(TypedDict):
+    """A job as its caller writes it."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    service: _Name
+    team: _Name
+    deadline_ms: _Ms
+    idempotent: NotRequired[bool]
+    tasks: Annotated[
+        list[TaskDocument],
+        Field(min_length=1, max_length=MAX_TASKS_PER_JOB),
+    ]
+
+
+_ADAPTER: TypeAdapter[JobDocument] = TypeAdapter(JobDocument)
+
+
+def read_job(body: bytes, now: float) -> Job:
+    """Reads and checks the body of a submission.
+
+    Args:
+        body: JSON bytes.
+        now: Core time in seconds, from which the deadline counts.
+
+    Raises:
+        JobError: With every fault found.
+    """
+    document = parse_json(body, JobError)
+    typed = check_shape(_ADAPTER, document, JobError)
+    _check_task_ids(typed)
+    return Job(
+        service=typed['service'],
+        team=typed['team'],
+        tasks=tuple(_build_task(entry) for entry in typed['tasks']),
+        deadline_s=now + typed['deadline_ms'] / MS_PER_S,
+        idempotent=typed.get('idempotent', False),
+        digest=_digest(document),
+    )
+
+
+def _digest(document: dict[str, Any]) -> str:
+    # A resubmission may allow a different time, and is still the same job.
+    timeless = {**document, 'deadline_ms': 0}
+    return hashlib.sha256(canonical_bytes(timeless)).hexdigest()
+
+
+def _check_task_ids(typed: JobDocument) -> None:
+    seen: set[str] = set()
+    faults: list[Fault] = []
+    for index, entry in enumerate(typed['tasks']):
+        if entry['id'] in seen:
+            path = f'$.tasks[{index}].id'
+            expected = 'name each task of a job differently'
+            faults.append(Fault(path, repr(entry['id']), expected))
+        seen.add(entry['id'])
+    if faults:
+        raise JobError(faults)
+
+
+def _build_task(entry: TaskDocument) -> TaskSpec:
+    return TaskSpec(
+        task_id=entry['id'],
+        payload=entry['payload'],
+        task_class=entry.get('task_class', 'default'),
+        declared_ms=entry.get('declared_ms'),
+    )
--- /dev/null
+++ b/src/camphorlink/internal/shell/version/__init__.py
@@ -0,0 +1,1 @@
+"""Shells that live as long as one version of the configuration."""
--- /dev/null
+++ b/src/camphorlink/standin/backend.py
@@ -0,0 +1,118 @@
+"""Stand-in for a backend server: runs tasks that sleep, and fails at will."""
+
+import asyncio
+import collections
+import enum
+from typing import Any, NamedTuple
+
+import orjson
+from aiohttp import web
+
+MS_PER_S = 1000
+DEFAULT_WORK_MS = 100
+
+
+class Mode(enum.Enum):
+    """How a backend server behaves."""
+
+    NORMAL = 'normal'
+    FAIL_ALL = 'fail-all'
+    SILENT = 'silent'
+    REFUSE = 'refuse'
+    LEAVING = 'leaving'
+    CLOSE = 'close'
+
+
+class BackendSettings(NamedTuple):
+    """What a stand-in backend server is like.
+
+    Attributes:
+        slots: Tasks that run at once; one more is refused.
+        speed: Factor by which it is faster than the declared work.
+        mode: How it behaves.
+    """
+
+    slots: int = 8
+    speed: float = 1.0
+    mode: Mode = Mode.NORMAL
+
+
+class BackendServer:
+    """Runs tasks whose payload says how many ms of work they are."""
+
+    def __init__(self, settings: BackendSettings) -> None:
+        """Starts idle."""
+        self.settings = settings
+        self.starts_by_reference: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.running = 0
+
+    def build_app(self) -> web.Application:
+        """Returns the application with all routes of a backend server."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.post('/v1/tasks', self.run_task),
+                web.get('/standin/starts', self.show_starts),
+                web.put('/standin/mode', self.switch_mode),
+            ]
+        )
+        return app
+
+    async def run_task(self, request: web.Request) -> web.Response:
+        """Runs one task, or refuses it with a typed refusal."""
+        payload = orjson.loads(await request.read())
+        mode = self.settings.mode
+        if mode is Mode.REFUSE or self.running >= self.settings.slots:
+            return _refusal('busy')
+        if mode is Mode.LEAVING:
+            return _refusal('leaving')
+        self.starts_by_reference[request.headers['Task-Reference']] += 1
+        self.running += 1
+        try:
+            return await self._work(request, payload)
+        finally:
+            self.running -= 1
+
+    async def show_starts(self, request: web.Request) -> web.Response:
+        """Tells how often each task was started here."""
+        return _json(dict(self.starts_by_reference))
+
+    async def switch_mode(self, request: web.Request) -> web.Response:
+        """Changes how the server behaves from now on."""
+        mode = Mode(orjson.loads(await request.read())['mode'])
+        self.settings = self.settings._replace(mode=mode)
+        return _json({'mode': mode.value})
+
+    async def _work(self, request: web.Request, payload: Any) -> web.Response:
+        mode = self.settings.mode
+        if mode is Mode.CLOSE and request.transport is not None:
+            request.transport.close()
+        if mode is Mode.SILENT:
+            await asyncio.Event().wait()
+        if mode is Mode.FAIL_ALL:
+            return web.Response(status=500, text='this server fails all')
+        work_ms = _work_ms(payload)
+        await asyncio.sleep(work_ms / MS_PER_S / self.settings.speed)
+        return _json({'echo': payload, 'work_ms': work_ms})
+
+
+def _work_ms(payload: Any) -> float:
+    if isinstance(payload, dict):
+        return float(payload.get('work_ms', DEFAULT_WORK_MS))
+    return DEFAULT_WORK_MS
+
+
+def _refusal(code: str) -> web.Response:
+    return web.Response(
+        status=503,
+        headers={'Task-Started': 'no', 'Refusal-Code': code},
+    )
+
+
+def _json(document: Any) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(document),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/src/camphorlink/standin/local_site.py
@@ -0,0 +1,141 @@
+"""A whole site on loopback: platform, two zones, entry VMs, backend servers.
+
+Everything runs in one process on one loop and on free ports, so that a
+newcomer sees the path of a job with a single command.
+"""
+
+import asyncio
+import contextlib
+from types import TracebackType
+from typing import Any, NamedTuple
+
+from camphorlink.internal.core.version.acceptance import (
+    approval_record,
+    proposal_record,
+)
+from camphorlink.internal.core.version.manifest import digest_document
+from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.process.daemon import EntryDaemon
+from camphorlink.internal.shell.process.settings import EntrySettings, Listen
+from camphorlink.internal.shell.version.config_tail import CONFIG_STREAM
+from camphorlink.standin.backend import BackendServer, BackendSettings
+from camphorlink.standin.log_service import LogService
+from camphorlink.standin.servers import LocalServer
+
+LOOPBACK = '127.0.0.1'
+KEEP_RECORDS = 10_000
+READY_POLL_S = 0.02
+READY_TIMEOUT_S = 10.0
+SLOTS = 8
+CONNECTIONS = 64
+ZONES = ('larissa', 'volos')
+SPEEDS = (1.0, 2.0, 4.0)
+
+
+class SiteShape(NamedTuple):
+    """How large a local site is.
+
+    Attributes:
+        zones: Names of the availability zones.
+        entries_per_zone: Entry VMs in each zone.
+        backend_speeds: Speeds of the backend servers of each zone.
+    """
+
+    zones: tuple[str, ...] = ZONES
+    entries_per_zone: int = 1
+    backend_speeds: tuple[float, ...] = SPEEDS
+
+
+class LocalSite:
+    """Starts and stops a whole site as one context manager."""
+
+    def __init__(self, shape: SiteShape) -> None:
+        """Takes the shape; nothing starts before the context does."""
+        self.shape = shape
+        self.daemons: list[EntryDaemon] = []
+        self.backends_by_name: dict[str, BackendServer] = {}
+        self.log_service = LogService(KEEP_RECORDS)
+        self.log_url = ''
+        self._address_by_backend: dict[str, str] = {}
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> 'LocalSite':
+        """Starts platform, backend servers and entry VMs, in that order."""
+        address = await self._serve(self.log_service.build_app())
+        self.log_url = f'http://{address}'
+        for zone in self.shape.zones:
+            await self._start_backends(zone)
+        await self._publish()
+        for zone in self.shape.zones:
+            await self._start_entries(zone)
+        await asyncio.wait_for(self._await_ready(), READY_TIMEOUT_S)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops everything, entry VMs first."""
+        await self._stack.aclose()
+
+    def manifest_document(self) -> dict[str, Any]:
+        """Writes the manifest of the site's backend servers."""
+        return {
+            'schema': 1,
+            'services': {'caster': {'max_task_ms': 10_000}},
+            'backends': {
+                name: {
+                    'address': address,
+                    'zone': name.split('-', 1)[0],
+                    'slots': SLOTS,
+                    'connections': CONNECTIONS,
+                    'services': ['caster'],
+                }
+                for name, address in self._address_by_backend.items()
+            },
+            'teams': {'surveyors': {}},
+        }
+
+    async def _start_backends(self, zone: str) -> None:
+        for number, speed in enumerate(self.shape.backend_speeds):
+            name = f'{zone}-runner-{number}'
+            server = BackendServer(BackendSettings(SLOTS, speed))
+            self.backends_by_name[name] = server
+            address = await self._serve(server.build_app())
+            self._address_by_backend[name] = address
+
+    async def _start_entries(self, zone: str) -> None:
+        for number in range(self.shape.entries_per_zone):
+            settings = EntrySettings(
+                zone=zone,
+                vm=f'{zone}-entry-{number}',
+                callers=Listen(LOOPBACK, 0),
+                operators=Listen(LOOPBACK, 0),
+                log_service=self.log_url,
+            )
+            daemon = EntryDaemon(settings)
+            await self._stack.enter_async_context(daemon)
+            self.daemons.append(daemon)
+
+    async def _publish(self) -> None:
+        document = self.manifest_document()
+        async with LogClient(self.log_url) as log_client:
+            await log_client.append(
+                CONFIG_STREAM,
+                [
+                    proposal_record(0, document),
+                    approval_record(0, digest_document(document)),
+                ],
+            )
+
+    async def _await_ready(self) -> None:
+        while any(daemon.host.core.version == 0 for daemon in self.daemons):
+            await asyncio.sleep(READY_POLL_S)
+
+    async def _serve(self, app: Any) -> str:
+        server = await self._stack.enter_async_context(
+            LocalServer(app, LOOPBACK, 0),
+        )
+        return server.address
--- /dev/null
+++ b/src/camphorlink/standin/log_service.py
@@ -0,0 +1,142 @@
+"""Stand-in for the platform's log service: streams of records with offsets.
+
+Records live in memory.  Retention, outages, slowness and answers lost after
+the write can be switched on, since the real service has them all.
+"""
+
+import asyncio
+import collections
+import time
+from typing import Any, NamedTuple
+
+import orjson
+from aiohttp import web
+
+MS_PER_S = 1000
+MAX_PAGE_RECORDS = 500
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+class StoredRecord(NamedTuple):
+    """A record with its position and the time of its append."""
+
+    offset: int
+    appended_ms: int
+    record: Any
+
+
+class Faults(NamedTuple):
+    """What is wrong with the service at the moment.
+
+    Attributes:
+        down: Answers every request with status 503.
+        delay_s: Seconds by which every request is held up.
+        lose_answers: Drops the connection after each append.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: bool = False
+
+
+class LogService:
+    """Append-only streams, served over HTTP."""
+
+    def __init__(self, keep_records: int) -> None:
+        """Keeps the newest ``keep_records`` of each stream."""
+        self.faults = Faults()
+        self.appends = 0
+        self._records_by_stream: dict[str, collections.deque[StoredRecord]] = (
+            collections.defaultdict(
+                lambda: collections.deque(maxlen=keep_records),
+            )
+        )
+        self._next_offset_by_stream: dict[str, int] = collections.defaultdict(
+            int
+        )
+        self._appended = asyncio.Condition()
+
+    def build_app(self) -> web.Application:
+        """Returns the application with all routes of the service."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.add_routes(
+            [
+                web.post('/v1/streams/{stream}/records', self.append),
+                web.get('/v1/streams/{stream}/records', self.read),
+                web.put('/standin/faults', self.switch_faults),
+            ]
+        )
+        return app
+
+    async def append(self, request: web.Request) -> web.Response:
+        """Appends the records of one request next to each other."""
+        await self._suffer()
+        stream = request.match_info['stream']
+        records = orjson.loads(await request.read())['records']
+        first_offset = self._next_offset_by_stream[stream]
+        now_ms = int(time.time() * MS_PER_S)
+        for number, record in enumerate(records):
+            self._records_by_stream[stream].append(
+                StoredRecord(first_offset + number, now_ms, record),
+            )
+        self._next_offset_by_stream[stream] += len(records)
+        self.appends += 1
+        async with self._appended:
+            self._appended.notify_all()
+        if self.faults.lose_answers and request.transport is not None:
+            request.transport.close()
+        return _json({'first_offset': first_offset})
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Returns records from an offset on, waiting for the first one."""
+        await self._suffer()
+        stream = request.match_info['stream']
+        from_offset = int(request.query.get('from', '0'))
+        wait_s = int(request.query.get('wait_ms', '0')) / MS_PER_S
+        await self._await_offset(stream, from_offset, wait_s)
+        await self._suffer()
+        kept = self._records_by_stream[stream]
+        next_offset = self._next_offset_by_stream[stream]
+        page = [stored for stored in kept if stored.offset >= from_offset]
+        return _json(
+            {
+                'records': [
+                    stored._asdict() for stored in page[:MAX_PAGE_RECORDS]
+                ],
+                'earliest_offset': kept[0].offset if kept else next_offset,
+                'next_offset': next_offset,
+            }
+        )
+
+    async def switch_faults(self, request: web.Request) -> web.Response:
+        """Switches faults on and off."""
+        self.faults = Faults(**orjson.loads(await request.read()))
+        return _json(self.faults._asdict())
+
+    async def _await_offset(
+        self,
+        stream: str,
+        offset: int,
+        wait_s: float,
+    ) -> None:
+        async with self._appended:
+            waiting = self._appended.wait_for(
+                lambda: self._next_offset_by_stream[stream] > offset,
+            )
+            try:
+                await asyncio.wait_for(waiting, wait_s)
+            except TimeoutError:
+                return
+
+    async def _suffer(self) -> None:
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            raise web.HTTPServiceUnavailable
+
+
+def _json(document: Any) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(document),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/tests/core/test_acceptance.py
@@ -0,0 +1,67 @@
+"""Acceptance is a pure function of the stream's prefix."""
+
+from camphorlink.internal.core.version.acceptance import (
+    ConfigState,
+    Verdict,
+    approval_record,
+    fold_record,
+    proposal_record,
+)
+
+
+def manifest_of(team):
+    return {'schema': 1, 'services': {}, 'backends': {}, 'teams': {team: {}}}
+
+
+def fold_all(records):
+    state, verdicts = ConfigState(), []
+    for offset, record in enumerate(records):
+        step = fold_record(state, offset, record)
+        state = step.state
+        verdicts.append(step.verdict)
+    return state, verdicts
+
+
+def test_the_first_of_two_racing_approvals_wins():
+    first = proposal_record(0, manifest_of('a'))
+    second = proposal_record(0, manifest_of('b'))
+    state, verdicts = fold_all(
+        [
+            first,
+            second,
+            approval_record(0, second['digest']),
+            approval_record(0, first['digest']),
+        ]
+    )
+    assert verdicts[-2:] == [Verdict.ACCEPTED, Verdict.STALE_BASE]
+    assert set(state.manifest.teams_by_name) == {'b'}
+    assert state.version == 1
+
+
+def test_unreadable_records_are_passed_over():
+    good = proposal_record(0, manifest_of('a'))
+    state, verdicts = fold_all(
+        [
+            None,
+            'text',
+            {'kind': 'proposed'},
+            {**good, 'digest': '0' * 64},
+            good,
+            approval_record(0, good['digest']),
+        ]
+    )
+    assert verdicts == [
+        Verdict.UNREADABLE,
+        Verdict.UNREADABLE,
+        Verdict.UNREADABLE,
+        Verdict.WRONG_DIGEST,
+        Verdict.PROPOSED,
+        Verdict.ACCEPTED,
+    ]
+    assert state.version == 1
+
+
+def test_a_record_that_was_folded_in_changes_nothing():
+    good = proposal_record(0, manifest_of('a'))
+    state, _verdicts = fold_all([good, approval_record(0, good['digest'])])
+    assert fold_record(state, 0, good) == (state, Verdict.REPEATED)
--- /dev/null
+++ b/tests/core/test_purity.py
@@ -0,0 +1,47 @@
+"""The core opens no socket, reads no clock and draws no unseeded chance."""
+
+import ast
+from pathlib import Path
+
+import camphorlink.internal.core as core
+
+FORBIDDEN = {
+    'aiohttp', 'aiomisc', 'asyncio', 'datetime', 'logging', 'os', 'pathlib',
+    'secrets', 'select', 'selectors', 'signal', 'socket', 'ssl', 'subprocess',
+    'threading', 'time', 'uuid', 'uvloop', 'websockets',
+}  # fmt: skip
+
+
+def imported_names(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module or ''
+
+
+def test_core_imports_nothing_impure():
+    root = Path(core.__file__).parent
+    paths = sorted(root.rglob('*.py'))
+    assert len(paths) > 10
+    offences = [
+        f'{path.relative_to(root)}: {name}'
+        for path in paths
+        for name in imported_names(path)
+        if name.split('.')[0] in FORBIDDEN
+        or name.startswith('camphorlink.internal.shell')
+    ]
+    assert offences == []
+
+
+def test_core_calls_no_module_level_random():
+    root = Path(core.__file__).parent
+    for path in sorted(root.rglob('*.py')):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and isinstance(
+                node.func,
+                ast.Attribute,
+            ):
+                owner = node.func.value
+                is_random = isinstance(owner, ast.Name) and owner.id == 'random'
+                assert not is_random, f'{path}: random.{node.func.attr}'
--- /dev/null
+++ b/tests/nocover/test_whole_path.py
@@ -0,0 +1,79 @@
+"""The whole path: caller, entry VM, backend servers and log service."""
+
+import asyncio
+
+import pytest
+
+from camphorlink import NotRunError
+from camphorlink.client import Client
+from camphorlink.standin.local_site import LocalSite, SiteShape
+
+
+def run(coroutine):
+    return asyncio.run(coroutine)
+
+
+def job_of(count, **changes):
+    job = {
+        'service': 'caster',
+        'team': 'surveyors',
+        'deadline_ms': 5000,
+        'tasks': [
+            {'id': f't{number}', 'payload': {'work_ms': 5, 'n': number}}
+            for number in range(count)
+        ],
+    }
+    return {**job, **changes}
+
+
+def urls_of(site):
+    return [f'http://127.0.0.1:{entry.callers_port}' for entry in site.daemons]
+
+
+def starts_of(site):
+    total = {}
+    for backend in site.backends_by_name.values():
+        for reference, count in backend.starts_by_reference.items():
+            total[reference] = total.get(reference, 0) + count
+    return total
+
+
+def test_every_task_runs_once_and_the_answer_is_whole():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site, Client(urls_of(site)) as cli:
+            results = await cli.submit(job_of(40))
+            return results, starts_of(site)
+
+    results, starts = run(scenario())
+    assert {key: value['echo']['n'] for key, value in results.items()} == {
+        f't{number}': number for number in range(40)
+    }
+    assert len(starts) == 40
+    assert set(starts.values()) == {1}
+
+
+def test_a_resubmission_joins_and_starts_nothing_twice():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site, Client(urls_of(site)) as cli:
+            named = await cli._issue_id()
+            answers = await asyncio.gather(
+                *(cli.submit_named(named, job_of(10)) for _ in range(5)),
+            )
+            return answers, starts_of(site)
+
+    answers, starts = run(scenario())
+    assert all(answer == answers[0] for answer in answers)
+    assert len(starts) == 10
+    assert set(starts.values()) == {1}
+
+
+def test_an_unknown_service_is_refused_as_not_run():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site, Client(urls_of(site)) as cli:
+            with pytest.raises(NotRunError) as caught:
+                await cli.submit(job_of(1, service='nobody'))
+            return caught.value, starts_of(site)
+
+    refusal, starts = run(scenario())
+    assert refusal.reason == 'unknown-service'
+    assert starts == {}
