Links between entry VMs: typed CBOR messages over websockets

Cause: forwarding, membership and lending all need one way to talk to peers. Change: peer messages as named tuples, a checked codec, links that drop what waited for a lost connection, the member view, and effects to send and to explain.

--- a/src/camphorlink/errors.py
+++ b/src/camphorlink/errors.py
@@ -68,6 +68,10 @@
     """
 
 
+class PeerMessageError(CamphorlinkError):
+    """A frame from another entry VM is no message of a known kind."""
+
+
 class OutcomeError(CamphorlinkError):
     """Base of the errors that end a submission without a whole answer."""
 
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -5,6 +5,7 @@
 
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.answer_desk import AnswerDesk
+from camphorlink.internal.core.process.members import MemberView
 from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.admission import refuse_job
 from camphorlink.internal.core.request.home_table import HomeTable
@@ -44,6 +45,7 @@
         self.table = HomeTable(max_entries)
         self.version = 0
         self.manifest: Manifest = EMPTY_MANIFEST
+        self.view = MemberView()
         self.is_draining = False
         self._wall_offset_s = wall_offset_s
         self._scheduler = Scheduler(home.zone)
@@ -152,6 +154,14 @@
         self.manifest = message.manifest
         self._scheduler.install(message.manifest)
 
+    @_apply.register
+    def _members_changed(self, message: messages.MembersChanged) -> None:
+        self.view = message.view
+
+    @_apply.register
+    def _peer_said(self, message: messages.PeerSaid) -> None:
+        """Nothing that peers say concerns the core yet."""
+
     @_apply.register
     def _drain(self, message: messages.Drain) -> None:
         self.is_draining = True
--- a/src/camphorlink/internal/core/process/messages.py
+++ b/src/camphorlink/internal/core/process/messages.py
@@ -5,9 +5,15 @@
 be recorded, replayed and compared.
 """
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
-from camphorlink.internal.core.request.identifiers import SubmissionId
+from camphorlink.internal.core.connection.peer_messages import PeerMessage
+from camphorlink.internal.core.process.members import MemberView
+from camphorlink.internal.core.request.identifiers import (
+    Home,
+    SubmissionId,
+)
 from camphorlink.internal.core.request.job import Answer, Job, Payload
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.version.manifest import Manifest
@@ -91,6 +97,24 @@
     manifest: Manifest
 
 
+class MembersChanged(NamedTuple):
+    """The view of the entry VMs has changed."""
+
+    view: MemberView
+
+
+class PeerSaid(NamedTuple):
+    """Another entry VM sent a message.
+
+    Attributes:
+        peer: The process that sent it.
+        message: What it said.
+    """
+
+    peer: Home
+    message: PeerMessage
+
+
 class Drain(NamedTuple):
     """A planned stop begins: nothing new is admitted."""
 
@@ -108,6 +132,8 @@
     | TaskNotStarted
     | TaskLost
     | VersionInForce
+    | MembersChanged
+    | PeerSaid
     | Drain
     | Tick
 )
@@ -159,4 +185,30 @@
     reason: str
 
 
-Effect = StartTask | Deliver | CountReason
+class SendPeer(NamedTuple):
+    """Send a message to another entry VM; it may get lost.
+
+    Attributes:
+        address: IP number and port of the peer's links.
+        message: What to say.
+    """
+
+    address: str
+    message: PeerMessage
+
+
+class Explain(NamedTuple):
+    """Record a decision, so that an outcome can be explained afterwards.
+
+    Attributes:
+        submission_id: The submission that the decision is about.
+        event: What was decided, such as ``placed`` or ``refused``.
+        facts: Why, as plain JSON values by name.
+    """
+
+    submission_id: str
+    event: str
+    facts: Mapping[str, str | float | None]
+
+
+Effect = StartTask | Deliver | CountReason | SendPeer | Explain
--- a/src/camphorlink/internal/shell/process/core_host.py
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -10,6 +10,8 @@
 from camphorlink.internal.core.request.identifiers import SubmissionId
 from camphorlink.internal.core.request.job import Answer, Job
 from camphorlink.internal.shell.connection.backend_client import BackendClient
+from camphorlink.internal.shell.connection.peer_links import PeerLinks
+from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.metrics import Metrics
 
 
@@ -24,6 +26,8 @@
     ) -> None:
         """Binds the core to the running loop."""
         self.core = core
+        self.links: PeerLinks | None = None
+        self._decisions = PartLog('decisions', core.home.vm)
         self._loop = asyncio.get_running_loop()
         self._backend_client = backend_client
         self._metrics = metrics
@@ -97,6 +101,18 @@
     def _count_reason(self, effect: messages.CountReason) -> None:
         self._metrics.count_reason(effect.counter, effect.reason)
 
+    @_carry_out.register
+    def _send_peer(self, effect: messages.SendPeer) -> None:
+        if self.links is not None:
+            self.links.send(effect.address, effect.message)
+
+    @_carry_out.register
+    def _explain(self, effect: messages.Explain) -> None:
+        self._decisions.debug(
+            effect.event,
+            extra={'submission_id': effect.submission_id, **effect.facts},
+        )
+
     async def _send(self, start: messages.StartTask) -> None:
         self.post(await self._backend_client.run_task(start))
 
--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -8,12 +8,14 @@
 
 from aiohttp import web
 
+from camphorlink.internal.core.connection.peer_messages import PeerMessage
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.entry_core import EntryCore
-from camphorlink.internal.core.request.identifiers import new_home
+from camphorlink.internal.core.request.identifiers import Home, new_home
 from camphorlink.internal.core.version.acceptance import ConfigState
 from camphorlink.internal.shell.connection.backend_client import BackendClient
 from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.connection.peer_links import PeerLinks
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.metrics import Metrics
@@ -33,6 +35,7 @@
         self.settings = settings
         self.callers_port = 0
         self.operators_port = 0
+        self.peers_port = 0
         self._log = PartLog('daemon', settings.vm)
         self._stack = contextlib.AsyncExitStack()
 
@@ -54,6 +57,15 @@
             PartLog('config', settings.vm),
         )
         self._stack.enter_context(_BackgroundTask(tail.run()))
+        self.host.links = await self._stack.enter_async_context(
+            PeerLinks(
+                self.host.core.home,
+                settings.peers,
+                self._hear_peer,
+                PartLog('links', settings.vm),
+            ),
+        )
+        self.peers_port = self.host.links.port
         operators = OperatorsApi(self.host, metrics, tail)
         self.operators_port = await self._serve(
             operators.build_app(),
@@ -98,6 +110,9 @@
     def _install(self, state: ConfigState) -> None:
         self.host.post(messages.VersionInForce(state.version, state.manifest))
 
+    def _hear_peer(self, peer: Home, message: PeerMessage) -> None:
+        self.host.post(messages.PeerSaid(peer, message))
+
     async def _serve(self, app: web.Application, listen: Listen) -> int:
         runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await runner.setup()
--- a/src/camphorlink/internal/shell/process/settings.py
+++ b/src/camphorlink/internal/shell/process/settings.py
@@ -35,6 +35,7 @@
     vm: _Name
     callers: ListenDocument
     operators: ListenDocument
+    peers: ListenDocument
     log_service: Annotated[str, Field(pattern=r'^http://[0-9.]+:\d{1,5}$')]
     max_remembered: NotRequired[Annotated[int, Field(ge=100, le=1_000_000)]]
     drain_s: NotRequired[Annotated[float, Field(ge=0, le=300, strict=False)]]
@@ -60,6 +61,7 @@
         vm: Name of this VM, unique in its zone.
         callers: Where callers submit jobs.
         operators: Where health, metrics and operators' calls are served.
+        peers: Where other entry VMs send their messages.
         log_service: Base URL of the platform's log service.
         max_remembered: Submissions that are remembered.
         drain_s: Longest time that a planned stop waits, in seconds.
@@ -69,6 +71,7 @@
     vm: str
     callers: Listen
     operators: Listen
+    peers: Listen
     log_service: str
     max_remembered: int = DEFAULT_MAX_ENTRIES
     drain_s: float = DEFAULT_DRAIN_S
@@ -103,6 +106,7 @@
         vm=typed['vm'],
         callers=_build_listen(typed['callers']),
         operators=_build_listen(typed['operators']),
+        peers=_build_listen(typed['peers']),
         log_service=typed['log_service'],
         max_remembered=typed.get('max_remembered', DEFAULT_MAX_ENTRIES),
         drain_s=typed.get('drain_s', DEFAULT_DRAIN_S),
--- a/src/camphorlink/standin/local_site.py
+++ b/src/camphorlink/standin/local_site.py
@@ -113,6 +113,7 @@
                 vm=f'{zone}-entry-{number}',
                 callers=Listen(LOOPBACK, 0),
                 operators=Listen(LOOPBACK, 0),
+                peers=Listen(LOOPBACK, 0),
                 log_service=self.log_url,
             )
             daemon = EntryDaemon(settings)
