camphorlink-standin and a process harness for tests

Cause: daemons and stand-ins ran in one process only; failure tests of a process that dies, stops or drains had nothing to stand on.

--- a/src/camphorlink/cli/entry.py
+++ b/src/camphorlink/cli/entry.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import click
+import orjson
 
 from camphorlink.errors import SettingsError
 from camphorlink.internal.shell.process.daemon import EntryDaemon
@@ -14,6 +15,23 @@
 EXIT_BAD_SETTINGS = 2
 
 
+class AnnouncedDaemon(EntryDaemon):
+    """A daemon that prints its addresses when it serves."""
+
+    async def __aenter__(self) -> 'AnnouncedDaemon':
+        """Starts all parts, then says in one JSON line where they listen."""
+        await super().__aenter__()
+        settings = self.settings
+        addresses = {
+            'callers': f'{settings.callers.ip}:{self.callers_port}',
+            'operators': f'{settings.operators.ip}:{self.operators_port}',
+            'peers': f'{settings.peers.ip}:{self.peers_port}',
+        }
+        click.echo(orjson.dumps(addresses))
+        sys.stdout.flush()
+        return self
+
+
 @click.command()
 @click.option(
     '--settings',
@@ -32,7 +50,7 @@
             click.echo(f'{settings_path}: {fault}', err=True)
         sys.exit(EXIT_BAD_SETTINGS)
     start_logs(log_level)
-    run_until_stopped(EntryDaemon(settings))
+    run_until_stopped(AnnouncedDaemon(settings))
 
 
 if __name__ == '__main__':
--- a/src/camphorlink/standin/backend.py
+++ b/src/camphorlink/standin/backend.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import enum
+import os
 from typing import Any, NamedTuple
 
 import orjson
@@ -10,6 +11,9 @@
 
 MS_PER_S = 1000
 DEFAULT_WORK_MS = 100
+#: A slow server takes this many times as long as its speed says.
+SLOWDOWN = 10.0
+EXIT_CRASHED = 70
 
 
 class Mode(enum.Enum):
@@ -21,6 +25,8 @@
     REFUSE = 'refuse'
     LEAVING = 'leaving'
     CLOSE = 'close'
+    SLOW = 'slow'
+    CRASH = 'crash'
 
 
 class BackendSettings(NamedTuple):
@@ -87,6 +93,8 @@
 
     async def _work(self, request: web.Request, payload: Any) -> web.Response:
         mode = self.settings.mode
+        if mode is Mode.CRASH:
+            os._exit(EXIT_CRASHED)
         if mode is Mode.CLOSE and request.transport is not None:
             request.transport.close()
         if mode is Mode.SILENT:
@@ -94,7 +102,10 @@
         if mode is Mode.FAIL_ALL:
             return web.Response(status=500, text='this server fails all')
         work_ms = _work_ms(payload)
-        await asyncio.sleep(work_ms / MS_PER_S / self.settings.speed)
+        speed = self.settings.speed
+        if mode is Mode.SLOW:
+            speed /= SLOWDOWN
+        await asyncio.sleep(work_ms / MS_PER_S / speed)
         return _json({'echo': payload, 'work_ms': work_ms})
 
 
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,284 @@
+"""Starts daemons and stand-ins as processes of their own, on loopback.
+
+Every process is ended by its id when its context closes.  Each wait has a
+bound, after which the test fails with the process's log.
+"""
+
+import contextlib
+import http.client
+import json
+import os
+import select
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from camphorlink.internal.core.version.acceptance import (
+    approval_record,
+    proposal_record,
+)
+from camphorlink.internal.core.version.manifest import digest_document
+
+SOURCE = Path(__file__).parents[1] / 'src'
+LOOPBACK = '127.0.0.1'
+FREE_PORT = {'ip': LOOPBACK, 'port': 0}
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.02
+
+
+class Response(NamedTuple):
+    """What came back over HTTP; the body is decoded when it is JSON."""
+
+    status: int
+    headers: dict
+    body: object
+
+
+def call(method, address, path, document=None, headers=None, timeout_s=30.0):
+    """Sends one request to ``ip:port``; bytes go out as they are."""
+    body = document
+    if document is not None and not isinstance(document, bytes):
+        body = json.dumps(document).encode()
+    sent = {'Content-Type': 'application/json', **(headers or {})}
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    with contextlib.closing(connection):
+        connection.request(method, path, body=body, headers=sent)
+        answer = connection.getresponse()
+        raw = answer.read()
+    received = {key.lower(): text for key, text in answer.getheaders()}
+    if 'json' in received.get('content-type', ''):
+        raw = json.loads(raw)
+    return Response(answer.status, received, raw)
+
+
+def wait_until(condition, timeout_s=START_TIMEOUT_S, what='condition'):
+    """Polls until ``condition()`` is true, and returns what it returned."""
+    give_up = time.monotonic() + timeout_s
+    while time.monotonic() < give_up:
+        found = condition()
+        if found:
+            return found
+        time.sleep(POLL_S)
+    raise AssertionError(f'not within {timeout_s} s: {what}')
+
+
+class Program:
+    """One process of ``python -m MODULE``; its first line says where."""
+
+    def __init__(self, directory, name, module, arguments):
+        self.name = name
+        self.log_path = Path(directory) / f'{name}.log'
+        self._command = [sys.executable, '-m', module, *arguments]
+        self.addresses = {}
+
+    def __enter__(self):
+        with self.log_path.open('ab') as log:
+            self.process = subprocess.Popen(
+                self._command,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                env={**os.environ, 'PYTHONPATH': str(SOURCE)},
+            )
+        try:
+            self.addresses = json.loads(self._first_line())
+        except BaseException:
+            self.kill()
+            raise
+        return self
+
+    def __exit__(self, *exc_info):
+        if self.process.poll() is None:
+            self.stop()
+        self.process.stdout.close()
+
+    @property
+    def address(self):
+        return self.addresses['address']
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def stop(self):
+        """Ends the process with SIGTERM and returns its exit code."""
+        self.process.terminate()
+        try:
+            return self.process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            raise
+
+    def kill(self):
+        """Ends the process at once, as a VM that dies."""
+        self.process.kill()
+        return self.process.wait(STOP_TIMEOUT_S)
+
+    def log(self):
+        return self.log_path.read_text()
+
+    def _first_line(self):
+        ready, _, _ = select.select(
+            [self.process.stdout], [], [], START_TIMEOUT_S
+        )
+        line = self.process.stdout.readline() if ready else b''
+        if not line:
+            raise AssertionError(f'{self.name} did not start:\n{self.log()}')
+        return line
+
+
+def write_settings(directory, name, document):
+    path = Path(directory) / f'{name}.json'
+    path.write_text(json.dumps(document))
+    return path
+
+
+def entry_program(directory, name, settings):
+    """An entry VM; ``addresses`` has callers, operators and peers."""
+    path = write_settings(directory, name, settings)
+    return Program(
+        directory,
+        name,
+        'camphorlink.cli.entry',
+        ['--settings', str(path)],
+    )
+
+
+def standin_program(directory, name, kind, settings):
+    """A stand-in of the kind ``backend`` or ``log-service``."""
+    path = write_settings(directory, name, settings)
+    return Program(
+        directory,
+        name,
+        'camphorlink.cli.standin',
+        [kind, '--settings', str(path)],
+    )
+
+
+class ProcessSite:
+    """A log service, backend servers and entry VMs, each a process.
+
+    Attributes:
+        log: The log service's program.
+        backends: Programs of backend servers by name.
+        entries: Programs of entry VMs by name.
+    """
+
+    def __init__(
+        self,
+        directory,
+        zones=('larissa',),
+        entries_per_zone=1,
+        speeds=(1.0,),
+        slots=8,
+        entry_changes=None,
+        manifest_changes=None,
+    ):
+        self.directory = directory
+        self.zones = zones
+        self.entries_per_zone = entries_per_zone
+        self.speeds = speeds
+        self.slots = slots
+        self.entry_changes = entry_changes or {}
+        self.manifest_changes = manifest_changes or {}
+        self.backends = {}
+        self.entries = {}
+        self._stack = contextlib.ExitStack()
+
+    def __enter__(self):
+        try:
+            self._start()
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stack.close()
+
+    def start_backend(self, name, **changes):
+        settings = {'listen': FREE_PORT, 'slots': self.slots, **changes}
+        program = standin_program(self.directory, name, 'backend', settings)
+        self.backends[name] = self._stack.enter_context(program)
+        return program
+
+    def start_entry(self, zone, vm, **changes):
+        settings = {
+            'zone': zone,
+            'vm': vm,
+            'callers': FREE_PORT,
+            'operators': FREE_PORT,
+            'peers': FREE_PORT,
+            'log_service': f'http://{self.log.address}',
+            **self.entry_changes,
+            **changes,
+        }
+        program = entry_program(self.directory, vm, settings)
+        self.entries[vm] = self._stack.enter_context(program)
+        return program
+
+    def manifest(self):
+        """The manifest of the backend servers that run now."""
+        return {
+            'schema': 1,
+            'services': {'caster': {'max_task_ms': 10_000}},
+            'backends': {
+                name: {
+                    'address': program.address,
+                    'zone': name.split('-', 1)[0],
+                    'slots': self.slots,
+                    'connections': 64,
+                    'services': ['caster'],
+                }
+                for name, program in self.backends.items()
+            },
+            'teams': {'surveyors': {}},
+            **self.manifest_changes,
+        }
+
+    def publish(self, document=None, base_version=0):
+        """Proposes and approves a manifest through the log service."""
+        document = self.manifest() if document is None else document
+        records = [
+            proposal_record(base_version, document),
+            approval_record(base_version, digest_document(document)),
+        ]
+        path = '/v1/streams/config/records'
+        answer = call('POST', self.log.address, path, {'records': records})
+        assert answer.status == 200, answer
+
+    def await_ready(self):
+        for program in self.entries.values():
+            wait_until(
+                lambda program=program: is_ready(program),
+                what=f'{program.name} ready',
+            )
+
+    def starts_by_reference(self):
+        """How often each task was started, over all backend servers."""
+        total = {}
+        for program in self.backends.values():
+            starts = call('GET', program.address, '/standin/starts').body
+            for reference, count in starts.items():
+                total[reference] = total.get(reference, 0) + count
+        return total
+
+    def _start(self):
+        settings = {'listen': FREE_PORT}
+        self.log = self._stack.enter_context(
+            standin_program(self.directory, 'log', 'log-service', settings),
+        )
+        for zone in self.zones:
+            for number, speed in enumerate(self.speeds):
+                self.start_backend(f'{zone}-runner-{number}', speed=speed)
+        self.publish()
+        for zone in self.zones:
+            for number in range(self.entries_per_zone):
+                self.start_entry(zone, f'{zone}-entry-{number}')
+        self.await_ready()
+
+
+def is_ready(program):
+    answer = call('GET', program.addresses['operators'], '/readyz')
+    return answer.status == 200
