--- a/src/camphorlink/cli/standin.py
+++ b/src/camphorlink/cli/standin.py
@@ -75,7 +75,12 @@
     with _exit_on_faults(settings_path):
         typed = read_document(settings_path, LOG_SERVICE_ADAPTER)
     service = LogService(typed.get('keep_records', DEFAULT_KEEP_RECORDS))
-    service.faults = Faults()._replace(**dict(typed.get('faults', {})))
+    faults = typed.get('faults', {})
+    service.faults = Faults(
+        down=faults.get('down', False),
+        delay_s=faults.get('delay_s', 0),
+        lose_answers=faults.get('lose_answers', False),
+    )
     _serve(service.build_app(), typed['listen'])
 
 
