Home table with budgets, and relays between entry VMs

Cause: the table scanned all entries to evict and to say whether it was idle, kept whole payloads, took a refused job's run for memory, said "not run" to an identifier from the future whose later copy could start, and a submission of another home was answered "unknown" without being sent on. Change: answers under a byte budget, then endings (outcome and reason), then the floor, in buckets of a second of issue time; refusals are endings; a refusal below the floor says "not run" only where nothing that ran was forgotten. A report that comes twice or for an earlier try is passed over. Jobs, probes, answers and cancellations travel between entry VMs under their identifier, with a deadline that shrinks. Conclusion: eviction and idleness cost O(1); only the home's own word says "not run".

--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -4,18 +4,20 @@
 from functools import singledispatchmethod
 
 from camphorlink.internal.core.process import messages
-from camphorlink.internal.core.process.answer_desk import AnswerDesk
 from camphorlink.internal.core.process.members import MemberView
+from camphorlink.internal.core.process.submissions import Submissions
 from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.admission import refuse_job
-from camphorlink.internal.core.request.home_table import HomeTable
-from camphorlink.internal.core.request.identifiers import Home, SubmissionId
-from camphorlink.internal.core.request.job import (
-    Answer,
-    Job,
-    not_run,
-    unknown,
+from camphorlink.internal.core.request.home_table import (
+    DEFAULT_ANSWER_BYTES,
+    FULL_RETRY_S,
+    HomeTable,
+    TableLimits,
 )
+from camphorlink.internal.core.request.identifiers import (
+    Home,
+)
+from camphorlink.internal.core.request.job import Answer, Job, not_run
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.request.scheduler import Scheduler, WaitingTask
@@ -32,24 +34,35 @@
         home: Home,
         wall_offset_s: float,
         max_entries: int,
+        answer_bytes: int = DEFAULT_ANSWER_BYTES,
     ) -> None:
         """Starts without a manifest.
 
         Args:
             home: Identity of this process.
             wall_offset_s: Wall-clock time less core time, in seconds.
-            max_entries: Submissions that the table may remember.
+            max_entries: Submissions that the table may remember with their
+                answers.
+            answer_bytes: Memory of the answers that are held, in bytes.
         """
         self.home = home
         self.timers = Timers()
-        self.table = HomeTable(max_entries)
+        self._submissions = Submissions(
+            home,
+            self.timers,
+            wall_offset_s,
+            TableLimits(max_entries, answer_bytes),
+            self._admit,
+        )
+        self.tables = self._submissions.tables
+        self.table = self.tables.own
+        self.post = self._submissions.post
         self.version = 0
         self.manifest: Manifest = EMPTY_MANIFEST
-        self.view = MemberView()
         self.is_draining = False
         self._wall_offset_s = wall_offset_s
         self._scheduler = Scheduler(home.zone)
-        self._desk = AnswerDesk(self.timers)
+        self._desk = self._submissions.desk
         self._now = 0.0
 
     def handle(
@@ -61,51 +74,33 @@
         self._now = now
         self._apply(message)
         starts = self._scheduler.start_tasks(now)
-        return [*self._desk.take_effects(), *starts]
+        return [
+            *self._desk.take_effects(),
+            *starts,
+            *self.post.take_effects(),
+        ]
+
+    def wall_s(self, now: float) -> float:
+        """Returns wall-clock time in seconds since the epoch.
+
+        It follows the core's own clock, so that a step of the machine's
+        clock moves no issue window.
+        """
+        return now + self._wall_offset_s
+
+    @property
+    def view(self) -> MemberView:
+        """The entry VMs as this one knows them."""
+        return self.post.view
 
     @property
     def is_idle(self) -> bool:
         """Whether every submission has its answer."""
-        return not self.table.open_runs()
+        return self._submissions.is_idle
 
     @singledispatchmethod
     def _apply(self, message: messages.Message) -> None:
-        raise TypeError(message)
-
-    @_apply.register
-    def _submit(self, message: messages.Submit) -> None:
-        known = self.table.find(str(message.submission_id))
-        if known is not None:
-            self._desk.join(known, message)
-            return
-        refusal = self._refuse_identifier(message.submission_id)
-        if refusal is not None:
-            self._desk.refuse(message, refusal)
-            return
-        run = self.table.open_run(
-            message.submission_id,
-            message.job,
-            self.version,
-        )
-        refusal = self._refuse_job(message.job)
-        if refusal is not None:
-            run.answer = refusal
-            self._desk.refuse(message, refusal)
-            return
-        self._desk.wait(run, message.caller)
-        self._scheduler.queue_job(run)
-
-    @_apply.register
-    def _leave(self, message: messages.Leave) -> None:
-        run = self.table.find(message.submission_id)
-        if run is not None and message.caller in run.waiting_callers:
-            run.waiting_callers.remove(message.caller)
-
-    @_apply.register
-    def _cancel(self, message: messages.Cancel) -> None:
-        run = self.table.find(message.submission_id)
-        if run is not None:
-            self._desk.deliver(run, run.close(Reason.CANCELLED))
+        self._submissions.handle(message, self._now)
 
     @_apply.register
     def _finished(self, message: messages.TaskFinished) -> None:
@@ -130,6 +125,8 @@
         if run is None:
             return
         run.mark_not_started(ticket.position)
+        if not run.is_open:
+            return
         if ticket.attempt >= MAX_ATTEMPTS:
             self._desk.deliver(run, run.close(message.reason))
             return
@@ -154,14 +151,6 @@
         self.manifest = message.manifest
         self._scheduler.install(message.manifest)
 
-    @_apply.register
-    def _members_changed(self, message: messages.MembersChanged) -> None:
-        self.view = message.view
-
-    @_apply.register
-    def _peer_said(self, message: messages.PeerSaid) -> None:
-        """Nothing that peers say concerns the core yet."""
-
     @_apply.register
     def _drain(self, message: messages.Drain) -> None:
         self.is_draining = True
@@ -170,17 +159,26 @@
     def _tick(self, message: messages.Tick) -> None:
         self.timers.advance(self._now)
 
-    def _refuse_identifier(self, submission_id: SubmissionId) -> Answer | None:
-        if submission_id.home != self.home:
-            return unknown(Reason.HOME_UNREACHABLE)
-        wall_s = self._now + self._wall_offset_s
-        return self.table.refusal(submission_id, wall_s)
+    def _admit(self, message: messages.Submit, table: HomeTable) -> None:
+        refusal = self._refuse_job(message.job)
+        if refusal is not None:
+            table.refuse(message.submission_id, refusal)
+            self._desk.refuse(message, refusal)
+            return
+        run = table.open_run(message.submission_id, message.job, self.version)
+        self._desk.wait(run, message.caller)
+        self._scheduler.queue_job(run)
 
     def _refuse_job(self, job: Job) -> Answer | None:
         if self.is_draining:
             return not_run(Reason.DRAINING)
+        if self.table.is_full:
+            return not_run(Reason.TABLE_FULL, retry_after_s=FULL_RETRY_S)
         return refuse_job(job, self.manifest, self._now)
 
     def _end(self, ticket: messages.Ticket) -> JobRun | None:
         self._scheduler.end_task(ticket, self._now)
-        return self.table.find(ticket.submission_id)
+        run = self.tables.find_run(ticket.submission_id)
+        if run is None or not run.awaits(ticket.position, ticket.attempt):
+            return None
+        return run
--- a/src/camphorlink/internal/core/process/messages.py
+++ b/src/camphorlink/internal/core/process/messages.py
@@ -41,12 +41,13 @@
     Attributes:
         submission_id: Names the home that alone may start the job.
         job: What is to be run.
-        caller: Number of the request that waits for the answer.
+        caller: Number of the request that waits for the answer, or the
+            entry VM that sent the job on.
     """
 
     submission_id: SubmissionId
     job: Job
-    caller: int
+    caller: int | Home
 
 
 class Leave(NamedTuple):
--- /dev/null
+++ b/src/camphorlink/internal/core/process/peer_desk.py
@@ -0,0 +1,154 @@
+"""What other entry VMs say about submissions, and the replies to it."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+from camphorlink.errors import IdentifierError
+from camphorlink.internal.core.connection import peer_messages as peers
+from camphorlink.internal.core.process.messages import Submit
+from camphorlink.internal.core.process.peer_post import PeerPost
+from camphorlink.internal.core.request.home_tables import HomeTables
+from camphorlink.internal.core.request.identifiers import (
+    Home,
+    SubmissionId,
+    parse_submission_id,
+)
+from camphorlink.internal.core.request.job import Answer
+from camphorlink.internal.core.request.relay_documents import (
+    HomeStatus,
+    relay_answer,
+    relayed_job,
+)
+from camphorlink.internal.core.request.relays import Relays
+
+
+class HomeCalls(NamedTuple):
+    """What the desk asks of the core that it is part of.
+
+    Attributes:
+        submit: Takes a submission whose home this is.
+        cancel: Cancels a submission by the text form of its identifier.
+    """
+
+    submit: Callable[[Submit], None]
+    cancel: Callable[[str], None]
+
+
+class PeerDesk:
+    """Hears messages of other entry VMs."""
+
+    def __init__(
+        self,
+        post: PeerPost,
+        tables: HomeTables,
+        relays: Relays,
+        calls: HomeCalls,
+        wall_offset_s: float,
+    ) -> None:
+        """Binds the parts that the messages concern."""
+        self._post = post
+        self._tables = tables
+        self._relays = relays
+        self._calls = calls
+        self._wall_offset_s = wall_offset_s
+        self._peer = post.home
+        self._now = 0.0
+
+    def hear(self, peer: Home, message: peers.PeerMessage, now: float) -> None:
+        """Takes one message of ``peer`` at core time ``now``.
+
+        A message that makes no sense, such as one of a later release, is
+        passed over; who sent it asks again.
+        """
+        self._peer = peer
+        self._now = now
+        try:
+            self._apply(message)
+        except (IdentifierError, ValueError):
+            return
+
+    @singledispatchmethod
+    def _apply(self, message: peers.PeerMessage) -> None:
+        """Passes over what concerns other parts."""
+
+    @_apply.register
+    def _relay_job(self, message: peers.RelayJob) -> None:
+        submission_id = parse_submission_id(message.submission_id)
+        if not self._answers_for(submission_id):
+            self._say_status(message, self._foreign_status(submission_id.home))
+            return
+        wall_s = self._now + self._wall_offset_s
+        job = relayed_job(message, self._now, wall_s)
+        self._calls.submit(Submit(submission_id, job, self._peer))
+
+    @_apply.register
+    def _relay_probe(self, message: peers.RelayProbe) -> None:
+        submission_id = parse_submission_id(message.submission_id)
+        if not self._answers_for(submission_id):
+            self._say_status(message, self._foreign_status(submission_id.home))
+            return
+        answer = self._known_answer(submission_id, message.digest)
+        if answer is None:
+            self._say_status(message, self._home_status(message))
+            return
+        said = relay_answer(message.submission_id, message.digest, answer)
+        self._post.send(self._peer, said)
+
+    @_apply.register
+    def _relay_answer(self, message: peers.RelayAnswer) -> None:
+        self._relays.hear_answer(message)
+
+    @_apply.register
+    def _relay_status(self, message: peers.RelayStatus) -> None:
+        self._relays.hear_status(self._peer, message, self._now)
+
+    @_apply.register
+    def _relay_cancel(self, message: peers.RelayCancel) -> None:
+        submission_id = parse_submission_id(message.submission_id)
+        if self._answers_for(submission_id):
+            self._calls.cancel(message.submission_id)
+
+    def _answers_for(self, submission_id: SubmissionId) -> bool:
+        table = self._tables.find(submission_id.home)
+        if table is None:
+            return False
+        if not self._tables.is_sealed(submission_id.home):
+            return True
+        return table.find(str(submission_id)) is not None
+
+    def _foreign_status(self, home: Home) -> HomeStatus:
+        if self._tables.is_sealed(home):
+            return HomeStatus.SEALED
+        return HomeStatus.NOT_HOME
+
+    def _known_answer(
+        self,
+        submission_id: SubmissionId,
+        digest: str,
+    ) -> Answer | None:
+        run = self._tables.find_run(str(submission_id))
+        if run is not None:
+            return run.answer if run.job.digest == digest else None
+        table = self._tables.by_home[submission_id.home]
+        return table.refusal(submission_id, self._now + self._wall_offset_s)
+
+    def _home_status(self, message: peers.RelayProbe) -> HomeStatus:
+        run = self._tables.find_run(message.submission_id)
+        if run is None or run.job.digest != message.digest:
+            # The job itself is needed: to start it, or to refuse it.
+            return HomeStatus.UNSEEN
+        run.waiting_callers[self._peer] = None
+        return HomeStatus.OPEN
+
+    def _say_status(
+        self,
+        message: peers.RelayJob | peers.RelayProbe,
+        status: HomeStatus,
+    ) -> None:
+        said = peers.RelayStatus(
+            message.submission_id,
+            message.digest,
+            status.value,
+        )
+        self._post.send(self._peer, said)
--- /dev/null
+++ b/src/camphorlink/internal/core/process/submissions.py
@@ -0,0 +1,143 @@
+"""What callers and other entry VMs ask about submissions, and who answers.
+
+Composes the parts that concern submissions as such: the tables, the relays
+to other homes and the messages of peers.  Whether a new job is admitted and
+how its tasks are placed is the business of the core around it.
+"""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.answer_desk import AnswerDesk
+from camphorlink.internal.core.process.peer_desk import HomeCalls, PeerDesk
+from camphorlink.internal.core.process.peer_post import PeerPost
+from camphorlink.internal.core.process.timers import Timers
+from camphorlink.internal.core.request.home_table import HomeTable, TableLimits
+from camphorlink.internal.core.request.home_tables import HomeTables
+from camphorlink.internal.core.request.identifiers import (
+    Home,
+    SubmissionId,
+    parse_submission_id,
+)
+from camphorlink.internal.core.request.job import not_run
+from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.core.request.relays import Relays
+from camphorlink.internal.core.request.successions import Successions
+
+Admit = Callable[[messages.Submit, HomeTable], None]
+
+
+class Submissions:
+    """Finds the process that may start a submission, or its answer."""
+
+    def __init__(
+        self,
+        home: Home,
+        timers: Timers,
+        wall_offset_s: float,
+        limits: TableLimits,
+        admit: Admit,
+    ) -> None:
+        """Starts with an empty table of ``home``.
+
+        Args:
+            home: Identity of this process.
+            timers: Timer service of the core.
+            wall_offset_s: Wall-clock time less core time, in seconds.
+            limits: Bounds of the memory of each table.
+            admit: Takes a submission that its table has never seen.
+        """
+        self.post = PeerPost(home)
+        self.desk = AnswerDesk(timers, self.post)
+        self.tables = HomeTables(home, limits)
+        self.successions = Successions()
+        self.relays = Relays(
+            self.post,
+            self.desk,
+            timers,
+            self.successions,
+            wall_offset_s,
+        )
+        self._peers = PeerDesk(
+            self.post,
+            self.tables,
+            self.relays,
+            HomeCalls(self._submit, self._cancel_text),
+            wall_offset_s,
+        )
+        self._admit = admit
+        self._wall_offset_s = wall_offset_s
+        self._now = 0.0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether every submission, sent on or not, has its answer."""
+        return self.tables.open_count + len(self.relays) == 0
+
+    def handle(self, message: messages.Message, now: float) -> None:
+        """Takes one message at core time ``now``."""
+        self._now = now
+        self._apply(message)
+
+    @singledispatchmethod
+    def _apply(self, message: messages.Message) -> None:
+        raise TypeError(message)
+
+    @_apply.register
+    def _submit(self, message: messages.Submit) -> None:
+        submission_id = message.submission_id
+        table = self.tables.find(submission_id.home)
+        if table is None:
+            self.relays.submit(message, self._now)
+            return
+        known = table.find(str(submission_id))
+        if known is not None:
+            self.desk.join(known, message)
+            return
+        refusal = table.refusal(submission_id, self._wall_s())
+        if refusal is not None:
+            self.desk.refuse(message, refusal)
+        elif self.tables.is_sealed(submission_id.home):
+            self.relays.submit(message, self._now)
+        else:
+            self._admit(message, table)
+
+    @_apply.register
+    def _leave(self, message: messages.Leave) -> None:
+        run = self.tables.find_run(message.submission_id)
+        if run is not None:
+            run.waiting_callers.pop(message.caller, None)
+        self.relays.leave(message.submission_id, message.caller)
+
+    @_apply.register
+    def _cancel(self, message: messages.Cancel) -> None:
+        self._cancel_text(message.submission_id)
+
+    @_apply.register
+    def _members_changed(self, message: messages.MembersChanged) -> None:
+        self.post.install(message.view)
+        self.relays.hear_view(self._now)
+
+    @_apply.register
+    def _peer_said(self, message: messages.PeerSaid) -> None:
+        self._peers.hear(message.peer, message.message, self._now)
+
+    def _cancel_text(self, text: str) -> None:
+        run = self.tables.find_run(text)
+        if run is None:
+            self._cancel_unseen(parse_submission_id(text))
+        else:
+            self.desk.deliver(run, run.close(Reason.CANCELLED))
+
+    def _cancel_unseen(self, submission_id: SubmissionId) -> None:
+        home = submission_id.home
+        table = self.tables.find(home)
+        if table is None or self.tables.is_sealed(home):
+            self.relays.cancel(str(submission_id), home, self._now)
+        elif table.refusal(submission_id, self._wall_s()) is None:
+            # A copy that is still on its way must not start any more.
+            table.refuse(submission_id, not_run(Reason.CANCELLED))
+
+    def _wall_s(self) -> float:
+        return self._now + self._wall_offset_s
--- a/src/camphorlink/internal/core/request/home_table.py
+++ b/src/camphorlink/internal/core/request/home_table.py
@@ -1,42 +1,100 @@
-"""What a home remembers of the submissions that only it may start."""
+"""What a home remembers of the submissions that only it may start.
 
-from camphorlink.internal.core.request.identifiers import MS_PER_S, SubmissionId
-from camphorlink.internal.core.request.job import Answer, Job, not_run, unknown
+Three stages, each cheaper than the one before: an open run, a run with its
+whole answer, and an *ending*, which is the outcome and its reason alone.
+Answers are the first to go when memory is short, then endings, oldest issue
+time first; whenever an ending goes, the floor rises above its issue time, so
+that nothing forgotten can ever be taken for new.
+"""
+
+import heapq
+from collections import deque
+from typing import NamedTuple
+
+from camphorlink.internal.core.request.identifiers import (
+    MS_PER_S,
+    NONCE_BITS,
+    SubmissionId,
+    parse_submission_id,
+)
+from camphorlink.internal.core.request.job import (
+    Answer,
+    Job,
+    Outcome,
+    not_run,
+    unknown,
+)
 from camphorlink.internal.core.request.job_run import JobRun
+from camphorlink.internal.core.request.payload_size import answer_bytes
 from camphorlink.internal.core.request.reasons import Reason
 
 #: An identifier older than this is refused for good, in seconds.
 ISSUE_WINDOW_S = 600.0
 #: How far the clock of an issuer may run ahead, in seconds.
 MAX_CLOCK_SKEW_S = 60.0
+DEFAULT_ANSWER_BYTES = 32 * 1024 * 1024
+DEFAULT_MAX_ENDINGS = 100_000
+FULL_RETRY_S = 1.0
+
+
+class TableLimits(NamedTuple):
+    """Bounds of a table's memory.
+
+    Attributes:
+        max_entries: Runs, open or with their answer.
+        answer_bytes: Memory of the answers that are held, in bytes.
+        max_endings: Submissions of which only the outcome is remembered.
+    """
+
+    max_entries: int
+    answer_bytes: int = DEFAULT_ANSWER_BYTES
+    max_endings: int = DEFAULT_MAX_ENDINGS
+
+
+class Ending(NamedTuple):
+    """What is left of a submission whose answer is not held.
+
+    Attributes:
+        outcome: How it ended.
+        reason: Why, or ``None`` if it completed.
+    """
+
+    outcome: Outcome
+    reason: Reason | None
 
 
 class HomeTable:
     """Bounded memory of submissions, by identifier.
 
     A refusal is remembered like an answer: once a caller was told that a
-    submission was not run, a late copy of it must not start either.  What
-    was evicted is older than the issue window, or makes the floor rise, so
-    it can't be taken for new.
+    submission was not run, a late copy of it must not start either.
     """
 
-    def __init__(self, max_entries: int) -> None:
-        """Starts empty, with room for ``max_entries`` submissions."""
-        self._max_entries = max_entries
+    def __init__(self, limits: TableLimits) -> None:
+        """Starts empty, with room as ``limits`` say."""
+        self.limits = limits
+        self.endings = Endings(limits.max_endings)
+        self.open_count = 0
+        self.held_bytes = 0
         self._run_by_id: dict[str, JobRun] = {}
-        self._floor_ms = 0
+        self._closed: deque[JobRun] = deque()
 
     def __len__(self) -> int:
         return len(self._run_by_id)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether one more open run would pass the bound."""
+        return self.open_count >= self.limits.max_entries
+
     def find(self, submission_id: str) -> JobRun | None:
-        """Returns what is remembered of a submission."""
+        """Returns the run of a submission, open or with its answer."""
         return self._run_by_id.get(submission_id)
 
     def refusal(
         self, submission_id: SubmissionId, wall_s: float
     ) -> Answer | None:
-        """Says why an identifier that is not in the table may not start.
+        """Says why an identifier that has no run here may not start.
 
         Args:
             submission_id: An identifier whose home this is.
@@ -45,12 +103,16 @@
         Returns:
             The answer for its caller, or ``None`` if it may start.
         """
-        oldest_ms = (wall_s - ISSUE_WINDOW_S) * MS_PER_S
-        if submission_id.issued_ms < max(oldest_ms, self._floor_ms):
-            return unknown(Reason.IDENTIFIER_EXPIRED)
+        ending = self.endings.find(submission_id)
+        if ending is not None:
+            return _ended_answer(ending)
+        oldest_ms = oldest_issue_ms(wall_s)
+        if submission_id.issued_ms < max(oldest_ms, self.endings.floor_ms):
+            return self._expired(submission_id)
         newest_ms = (wall_s + MAX_CLOCK_SKEW_S) * MS_PER_S
         if submission_id.issued_ms > newest_ms:
-            return not_run(Reason.BAD_IDENTIFIER, 'issued in the future')
+            # Not "not run": a copy that arrives later may be in time.
+            return unknown(Reason.BAD_IDENTIFIER, 'issued in the future')
         return None
 
     def open_run(
@@ -60,23 +122,149 @@
         version: int,
     ) -> JobRun:
         """Remembers a submission before any of its tasks may start."""
-        run = JobRun(str(submission_id), job, version)
+        run = JobRun(str(submission_id), job, version, self._note_closed)
         self._run_by_id[run.submission_id] = run
-        self._evict()
+        self.open_count += 1
         return run
 
+    def refuse(self, submission_id: SubmissionId, answer: Answer) -> None:
+        """Remembers that a submission was refused and must never start."""
+        self.endings.add(submission_id, Ending(answer.outcome, answer.reason))
+
     def open_runs(self) -> list[JobRun]:
         """Lists the submissions whose answer is still to come."""
         return [run for run in self._run_by_id.values() if run.is_open]
 
-    def _evict(self) -> None:
-        surplus = len(self._run_by_id) - self._max_entries
-        if surplus <= 0:
+    def closed_runs(self) -> list[JobRun]:
+        """Lists the submissions whose answer is held, oldest answer first."""
+        return list(self._closed)
+
+    def restore(self, submission_id: SubmissionId, run: JobRun) -> None:
+        """Takes over a run that ended at another home."""
+        self._run_by_id[str(submission_id)] = run
+        self.open_count += 1
+        self._note_closed(run)
+
+    def _note_closed(self, run: JobRun) -> None:
+        self.open_count -= 1
+        if run.answer is not None:
+            run.held_bytes = answer_bytes(run.answer)
+        self.held_bytes += run.held_bytes
+        self._closed.append(run)
+        while self._closed and self._is_over_budget():
+            self._forget_answer(self._closed.popleft())
+
+    def _is_over_budget(self) -> bool:
+        is_long = len(self._closed) > self.limits.max_entries
+        return is_long or self.held_bytes > self.limits.answer_bytes
+
+    def _forget_answer(self, run: JobRun) -> None:
+        self.held_bytes -= run.held_bytes
+        self._run_by_id.pop(run.submission_id)
+        if run.answer is not None:
+            ending = Ending(run.answer.outcome, run.answer.reason)
+            self.endings.add(parse_submission_id(run.submission_id), ending)
+
+    def _expired(self, submission_id: SubmissionId) -> Answer:
+        if submission_id.issued_ms >= self.endings.ran_floor_ms:
+            # Nothing that ran was forgotten from this time on, and the
+            # floor never sinks: so it has not run, and never will.
+            return not_run(Reason.IDENTIFIER_EXPIRED)
+        return unknown(Reason.IDENTIFIER_EXPIRED)
+
+
+class Endings:
+    """Outcomes of submissions by identifier, the oldest forgotten first.
+
+    They are kept in buckets of one second of issue time, so that forgetting
+    costs O(1) for each ending, and a heap of buckets stays as short as the
+    issue window.
+    """
+
+    def __init__(self, max_endings: int) -> None:
+        """Starts empty, with the floor at the epoch."""
+        self.floor_ms = 0
+        self.ran_floor_ms = 0
+        self._max_endings = max_endings
+        self._ending_by_key: dict[int, Ending] = {}
+        self._keys_by_second: dict[int, list[int]] = {}
+        self._seconds: list[int] = []
+        self._shared: dict[Ending, Ending] = {}
+
+    def __len__(self) -> int:
+        return len(self._ending_by_key)
+
+    def find(self, submission_id: SubmissionId) -> Ending | None:
+        """Returns how a submission ended, if that is remembered."""
+        return self._ending_by_key.get(_key_of(submission_id))
+
+    def add(self, submission_id: SubmissionId, ending: Ending) -> None:
+        """Remembers how a submission ended; the first time counts."""
+        self.add_key(_key_of(submission_id), ending)
+
+    def add_key(self, key: int, ending: Ending) -> None:
+        """Remembers an ending under the number form of its identifier."""
+        if key in self._ending_by_key:
             return
-        closed = [
-            key for key, run in self._run_by_id.items() if not run.is_open
-        ]
-        for key in closed[:surplus]:
-            self._run_by_id.pop(key)
-            issued_ms = int(key.rsplit('.', 1)[1][:12], 16)
-            self._floor_ms = max(self._floor_ms, issued_ms + 1)
+        shared = self._shared.setdefault(ending, ending)
+        self._ending_by_key[key] = shared
+        second = _issued_ms(key) // MS_PER_S
+        if second not in self._keys_by_second:
+            self._keys_by_second[second] = []
+            heapq.heappush(self._seconds, second)
+        self._keys_by_second[second].append(key)
+        while len(self._ending_by_key) > self._max_endings:
+            self._forget_second(heapq.heappop(self._seconds))
+
+    def raise_floor(self, floor_ms: int) -> None:
+        """Refuses from now on what was issued before ``floor_ms``."""
+        self.floor_ms = max(self.floor_ms, floor_ms)
+
+    def raise_ran_floor(self, floor_ms: int) -> None:
+        """Notes that something issued before ``floor_ms`` was forgotten."""
+        self.ran_floor_ms = max(self.ran_floor_ms, floor_ms)
+        self.raise_floor(floor_ms)
+
+    def all_by_key(self) -> dict[int, Ending]:
+        """Returns every ending by the number form of its identifier."""
+        return dict(self._ending_by_key)
+
+    def _forget_second(self, second: int) -> None:
+        for key in self._keys_by_second.pop(second):
+            ending = self._ending_by_key.pop(key)
+            above_ms = _issued_ms(key) + 1
+            if ending.outcome is Outcome.NOT_RUN:
+                self.raise_floor(above_ms)
+            else:
+                self.raise_ran_floor(above_ms)
+
+
+def oldest_issue_ms(wall_s: float) -> int:
+    """Returns the issue time below which an identifier has expired."""
+    return int((wall_s - ISSUE_WINDOW_S) * MS_PER_S)
+
+
+def _ended_answer(ending: Ending) -> Answer:
+    if ending.outcome is Outcome.NOT_RUN:
+        return not_run(ending.reason or Reason.ANSWER_GONE)
+    cause = f': {ending.reason.value}' if ending.reason else ''
+    detail = f'it ended as {ending.outcome.value}{cause}'
+    if ending.outcome is Outcome.FAILED:
+        return Answer(
+            Outcome.FAILED,
+            {},
+            reason=Reason.ANSWER_GONE,
+            detail=detail,
+        )
+    return unknown(Reason.ANSWER_GONE, detail)
+
+
+def _key_of(submission_id: SubmissionId) -> int:
+    return (submission_id.issued_ms << NONCE_BITS) | int(
+        submission_id.nonce,
+        16,
+    )
+
+
+def _issued_ms(key: int) -> int:
+    return key >> NONCE_BITS
--- a/src/camphorlink/internal/core/request/job.py
+++ b/src/camphorlink/internal/core/request/job.py
@@ -108,6 +108,16 @@
     )
 
 
-def unknown(reason: Reason, detail: str = '') -> Answer:
+def unknown(
+    reason: Reason,
+    detail: str = '',
+    retry_after_s: float | None = None,
+) -> Answer:
     """Builds the answer for a job whose fate can't be told from here."""
-    return Answer(Outcome.UNKNOWN, {}, reason=reason, detail=detail)
+    return Answer(
+        Outcome.UNKNOWN,
+        {},
+        reason=reason,
+        detail=detail,
+        retry_after_s=retry_after_s,
+    )
--- a/src/camphorlink/internal/core/request/job_run.py
+++ b/src/camphorlink/internal/core/request/job_run.py
@@ -1,5 +1,8 @@
 """Progress of one submission at its home, from admission to its answer."""
 
+from collections.abc import Callable
+
+from camphorlink.internal.core.request.identifiers import Home
 from camphorlink.internal.core.request.job import (
     Answer,
     Fate,
@@ -9,6 +12,11 @@
 )
 from camphorlink.internal.core.request.reasons import Reason
 
+_UNSETTLED = frozenset((Fate.RUNNING, Fate.UNKNOWN))
+
+#: Who waits for an answer: a request by its number, or another entry VM.
+Waiter = int | Home
+
 
 class JobRun:
     """Collects what becomes of each task and assembles the whole answer.
@@ -18,14 +26,30 @@
     explain the submission, and never the answer.
     """
 
-    def __init__(self, submission_id: str, job: Job, version: int) -> None:
-        """Opens the run of ``job`` under a configuration version."""
+    def __init__(
+        self,
+        submission_id: str,
+        job: Job,
+        version: int,
+        on_closed: Callable[['JobRun'], None] | None = None,
+    ) -> None:
+        """Opens the run of ``job`` under a configuration version.
+
+        Args:
+            submission_id: Text form of the identifier.
+            job: What is to be run.
+            version: Configuration version in force.
+            on_closed: Called once, as soon as the run has its answer.
+        """
         self.submission_id = submission_id
         self.job = job
         self.version = version
         self.answer: Answer | None = None
-        self.waiting_callers: list[int] = []
+        self.waiting_callers: dict[Waiter, None] = {}
         self.fates = [Fate.NOT_STARTED for _ in job.tasks]
+        self.held_bytes = 0
+        self._on_closed = on_closed
+        self._attempts = bytearray(len(job.tasks))
         self._results: list[Payload] = [None for _ in job.tasks]
         self._finished = 0
 
@@ -37,6 +61,16 @@
     def mark_started(self, index: int) -> None:
         """Notes that a task was sent to a back end."""
         self.fates[index] = Fate.RUNNING
+        self._attempts[index] += 1
+
+    def awaits(self, index: int, attempt: int) -> bool:
+        """Whether this very try of a task is the one that is running.
+
+        A report that comes twice, or for an earlier try, must not start the
+        task again.
+        """
+        is_running = self.fates[index] in _UNSETTLED
+        return is_running and self._attempts[index] == attempt
 
     def mark_not_started(self, index: int) -> None:
         """Notes proof that the last try of a task was not started."""
@@ -47,12 +81,14 @@
         if self.fates[index] is Fate.FINISHED:
             return None
         self.fates[index] = Fate.FINISHED
+        if not self.is_open:
+            return None
         self._results[index] = task_result
         self._finished += 1
-        if not self.is_open or self._finished < len(self.fates):
+        if self._finished < len(self.fates):
             return None
-        self.answer = Answer(Outcome.COMPLETE, self._results_by_task())
-        return self.answer
+        answer = Answer(Outcome.COMPLETE, self._results_by_task())
+        return self._settle(answer)
 
     def fail_task(self, index: int, detail: str) -> Answer | None:
         """Notes that a task ran and failed; the job fails with it."""
@@ -77,8 +113,7 @@
         """
         if not self.is_open:
             return None
-        self._results = [None for _ in self.fates]
-        self.answer = Answer(
+        answer = Answer(
             self._outcome(),
             {},
             reason=reason,
@@ -86,7 +121,7 @@
             detail=detail,
             retry_after_s=retry_after_s,
         )
-        return self.answer
+        return self._settle(answer)
 
     def fates_by_task(self) -> dict[str, Fate]:
         """Tells the fate of each task; one still running counts unknown."""
@@ -95,6 +130,17 @@
             for task, fate in zip(self.job.tasks, self.fates, strict=True)
         }
 
+    def _settle(self, answer: Answer) -> Answer:
+        self.answer = answer
+        self._results = []
+        # No task starts any more, so nobody needs the payloads.
+        self.job = self.job._replace(
+            tasks=tuple(task._replace(payload=None) for task in self.job.tasks),
+        )
+        if self._on_closed is not None:
+            self._on_closed(self)
+        return answer
+
     def _outcome(self) -> Outcome:
         kinds = set(self.fates)
         if kinds == {Fate.NOT_STARTED}:
--- a/src/camphorlink/internal/core/request/reasons.py
+++ b/src/camphorlink/internal/core/request/reasons.py
@@ -20,6 +20,7 @@
     OTHER_JOB = 'other-job'
     HOME_UNREACHABLE = 'home-unreachable'
     HOME_GONE = 'home-gone'
+    RELAYS_FULL = 'relays-full'
     DRAINING = 'draining'
     TABLE_FULL = 'table-full'
     QUEUE_FULL = 'queue-full'
@@ -47,6 +48,7 @@
     Reason.OTHER_JOB: 'use a new identifier for another job',
     Reason.HOME_UNREACHABLE: 'ask again later under the same identifier',
     Reason.HOME_GONE: 'the VM that held the job is gone; check what it did',
+    Reason.RELAYS_FULL: 'ask again after the given delay, same identifier',
     Reason.DRAINING: 'submit it to another entry VM, which mints its own',
     Reason.TABLE_FULL: 'submit it again after the given delay',
     Reason.QUEUE_FULL: 'submit it again after the given delay',
--- /dev/null
+++ b/src/camphorlink/internal/core/request/relays.py
@@ -0,0 +1,286 @@
+"""Submissions of other homes that are sent on to them, and their answers.
+
+Nothing here ever starts a task, so a job may be sent again as often as
+needed: its home recognises the identifier.  And nothing here may say "not
+run", for an earlier copy may have reached the home by another way; only the
+home's own word is passed on.
+"""
+
+import zlib
+from collections.abc import Callable
+
+from camphorlink.internal.core.connection.peer_messages import (
+    RelayAnswer,
+    RelayCancel,
+    RelayProbe,
+    RelayStatus,
+)
+from camphorlink.internal.core.process.answer_desk import AnswerDesk
+from camphorlink.internal.core.process.members import Member, MemberState
+from camphorlink.internal.core.process.messages import Submit
+from camphorlink.internal.core.process.peer_post import PeerPost
+from camphorlink.internal.core.process.timers import TimerKey, Timers
+from camphorlink.internal.core.request.identifiers import Home
+from camphorlink.internal.core.request.job import Answer, unknown
+from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.core.request.relay_documents import (
+    HomeStatus,
+    relay_job,
+    relayed_answer,
+)
+from camphorlink.internal.core.request.successions import Successions
+
+MAX_RELAYS = 2000
+FULL_RETRY_S = 1.0
+#: First wait for a sign of the home, doubled with each try, in seconds.
+FIRST_PROBE_S = 0.5
+MAX_PROBE_S = 4.0
+#: A home that was silent for this long is given up, in seconds.
+SILENCE_S = 5.0
+#: Time on top of the deadline in which the home's answer may come, seconds.
+ANSWER_GRACE_S = 0.2
+UNREACHABLE_RETRY_S = 2.0
+#: Share of a delay that differs from one submission to another.
+JITTER_SHARE = 0.5
+_JITTER_STEPS = 1024
+
+
+class Relay:
+    """One submission on its way to its home and back."""
+
+    def __init__(self, message: Submit, now: float) -> None:
+        """Starts with nothing sent."""
+        self.message = message
+        self.submission_id = str(message.submission_id)
+        self.waiting_by_caller: dict[int | Home, Submit] = {}
+        self.tries = 0
+        self.heard_s = now
+        self.needs_job = True
+        self.is_cancelled = False
+        self.timers: list[TimerKey] = []
+
+    def next_delay_s(self) -> float:
+        """Returns the time to the next try, spread by the identifier."""
+        delay_s = min(MAX_PROBE_S, FIRST_PROBE_S * 2**self.tries)
+        seed = f'{self.submission_id}/{self.tries}'.encode()
+        spread = zlib.crc32(seed) % _JITTER_STEPS / _JITTER_STEPS
+        return delay_s * (1 - JITTER_SHARE * spread)
+
+
+class RelayIndex:
+    """Relays by identifier and digest.
+
+    Two different jobs may come under one identifier, and the home has an
+    answer for each.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.count = 0
+        self._relay_by_digest_by_id: dict[str, dict[str, Relay]] = {}
+
+    def all(self) -> list[Relay]:
+        """Lists every relay."""
+        return [
+            relay
+            for by_digest in self._relay_by_digest_by_id.values()
+            for relay in by_digest.values()
+        ]
+
+    def find_all(self, submission_id: str) -> list[Relay]:
+        """Lists the relays of one identifier."""
+        found = self._relay_by_digest_by_id.get(submission_id, {})
+        return list(found.values())
+
+    def find(self, submission_id: str, digest: str) -> Relay | None:
+        """Returns the relay of one job under one identifier."""
+        return self._relay_by_digest_by_id.get(submission_id, {}).get(digest)
+
+    def add(self, relay: Relay) -> None:
+        """Takes in a new relay."""
+        by_digest = self._relay_by_digest_by_id.setdefault(
+            relay.submission_id,
+            {},
+        )
+        by_digest[relay.message.job.digest] = relay
+        self.count += 1
+
+    def remove(self, relay: Relay) -> bool:
+        """Drops a relay; says whether it was there."""
+        by_digest = self._relay_by_digest_by_id.get(relay.submission_id, {})
+        if by_digest.pop(relay.message.job.digest, None) is None:
+            return False
+        if not by_digest:
+            self._relay_by_digest_by_id.pop(relay.submission_id)
+        self.count -= 1
+        return True
+
+
+class Relays:
+    """All submissions that this process has sent on."""
+
+    def __init__(
+        self,
+        post: PeerPost,
+        desk: AnswerDesk,
+        timers: Timers,
+        successions: Successions,
+        wall_offset_s: float,
+    ) -> None:
+        """Starts with nothing on its way."""
+        self._post = post
+        self._desk = desk
+        self._timers = timers
+        self._successions = successions
+        self._wall_offset_s = wall_offset_s
+        self._index = RelayIndex()
+
+    def __len__(self) -> int:
+        return self._index.count
+
+    def submit(self, message: Submit, now: float) -> None:
+        """Sends a submission on to its home, or joins one on its way."""
+        relay = Relay(message, now)
+        known = self._index.find(relay.submission_id, message.job.digest)
+        if known is not None:
+            known.waiting_by_caller[message.caller] = message
+            return
+        if self._index.count >= MAX_RELAYS:
+            full = unknown(Reason.RELAYS_FULL, retry_after_s=FULL_RETRY_S)
+            self._desk.refuse(message, full)
+            return
+        relay.waiting_by_caller[message.caller] = message
+        self._index.add(relay)
+        self._call_at(
+            relay,
+            message.job.deadline_s + ANSWER_GRACE_S,
+            lambda _now: self._give_up(relay, Reason.DEADLINE_PASSED),
+        )
+        self._try(relay, now)
+
+    def leave(self, submission_id: str, caller: int) -> None:
+        """Lets one request stop waiting; the job goes on."""
+        for relay in self._index.find_all(submission_id):
+            relay.waiting_by_caller.pop(caller, None)
+
+    def cancel(self, submission_id: str, home: Home, now: float) -> None:
+        """Tells the home that a caller gives up."""
+        found = self._index.find_all(submission_id)
+        for relay in found:
+            relay.is_cancelled = True
+            self._send(relay, now)
+        if not found:
+            owner = self._successions.owner(home)
+            self._post.send(owner, RelayCancel(submission_id))
+
+    def hear_answer(self, message: RelayAnswer) -> None:
+        """Passes the home's answer on to all who wait for it."""
+        relay = self._index.find(message.submission_id, message.digest)
+        if relay is not None:
+            self._finish(relay, relayed_answer(message))
+
+    def hear_status(self, peer: Home, message: RelayStatus, now: float) -> None:
+        """Learns what a process knows of a submission."""
+        relay = self._index.find(message.submission_id, message.digest)
+        if relay is None:
+            return
+        status = HomeStatus(message.status)
+        if status is HomeStatus.NOT_HOME:
+            self._hear_not_home(relay, peer)
+            return
+        relay.heard_s = now
+        relay.needs_job = status is not HomeStatus.OPEN
+        if status is HomeStatus.UNSEEN:
+            self._send(relay, now)
+
+    def hear_succession(self, now: float) -> None:
+        """Tries again those whose home has a successor now."""
+        for relay in self._index.all():
+            home = relay.message.submission_id.home
+            if self._successions.owner(home) != home:
+                relay.needs_job = True
+                self._send(relay, now)
+
+    def hear_view(self, now: float) -> None:
+        """Looks at all relays again after the view has changed."""
+        for relay in self._index.all():
+            member = self._target(relay)
+            if _is_gone(member):
+                self._give_up(relay, Reason.HOME_GONE)
+            elif member is not None and not relay.tries:
+                self._send(relay, now)
+
+    def _target(self, relay: Relay) -> Member | None:
+        owner = self._successions.owner(relay.message.submission_id.home)
+        if owner == self._post.home:
+            return None
+        # Without this very incarnation in the view, whoever runs on the VM
+        # now is asked: it says at once that it is another one.
+        return self._post.find(owner) or self._post.find_vm(owner)
+
+    def _try(self, relay: Relay, now: float) -> None:
+        if _is_gone(self._target(relay)):
+            self._give_up(relay, Reason.HOME_GONE)
+            return
+        if now - relay.heard_s >= SILENCE_S:
+            self._give_up(relay, Reason.HOME_UNREACHABLE)
+            return
+        self._call_at(
+            relay,
+            now + relay.next_delay_s(),
+            lambda called_s: self._try(relay, called_s),
+        )
+        self._send(relay, now)
+
+    def _send(self, relay: Relay, now: float) -> None:
+        member = self._target(relay)
+        if member is None:
+            return
+        relay.tries += 1
+        job = relay.message.job
+        if relay.is_cancelled:
+            self._post.send_to(member, RelayCancel(relay.submission_id))
+        elif relay.needs_job:
+            relay.needs_job = False
+            wall_s = now + self._wall_offset_s
+            self._post.send_to(
+                member,
+                relay_job(relay.submission_id, job, now, wall_s),
+            )
+            return
+        self._post.send_to(member, RelayProbe(relay.submission_id, job.digest))
+
+    def _hear_not_home(self, relay: Relay, peer: Home) -> None:
+        home = relay.message.submission_id.home
+        same_vm = (peer.zone, peer.vm) == (home.zone, home.vm)
+        if same_vm and peer != home:
+            self._give_up(relay, Reason.HOME_GONE)
+
+    def _give_up(self, relay: Relay, reason: Reason) -> None:
+        self._finish(relay, unknown(reason, retry_after_s=_retry_after(reason)))
+
+    def _finish(self, relay: Relay, answer: Answer) -> None:
+        if not self._index.remove(relay):
+            return
+        for key in relay.timers:
+            self._timers.cancel(key)
+        for message in relay.waiting_by_caller.values():
+            self._desk.give(message, answer)
+        if answer.reason is not None:
+            self._desk.count_failure(answer.reason)
+
+    def _call_at(
+        self,
+        relay: Relay,
+        due_s: float,
+        callback: Callable[[float], None],
+    ) -> None:
+        relay.timers.append(self._timers.call_at(due_s, callback))
+
+
+def _is_gone(member: Member | None) -> bool:
+    return member is not None and member.state is MemberState.GONE
+
+
+def _retry_after(reason: Reason) -> float | None:
+    return UNREACHABLE_RETRY_S if reason is Reason.HOME_UNREACHABLE else None
--- a/src/camphorlink/internal/shell/request/callers_api.py
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from http import HTTPStatus
 
 from aiohttp import web
@@ -73,7 +72,7 @@
 
     async def show(self, request: web.Request) -> web.Response:
         """Tells what is known of a submission, without waiting."""
-        run = self._host.core.table.find(request.match_info['id'])
+        run = self._host.core.tables.find_run(request.match_info['id'])
         if run is None:
             return json_response({'known': False}, HTTPStatus.NOT_FOUND)
         return json_response(
@@ -90,11 +89,18 @@
 
     async def cancel(self, request: web.Request) -> web.Response:
         """Gives up a submission; its waiting tasks never start."""
-        self._host.post(messages.Cancel(request.match_info['id']))
+        text = request.match_info['id']
+        try:
+            parse_submission_id(text)
+        except IdentifierError as exc:
+            return problem_response(not_run(Reason.BAD_IDENTIFIER, str(exc)))
+        self._host.post(messages.Cancel(text))
         return json_response({'cancelled': True}, HTTPStatus.ACCEPTED)
 
     def _mint(self) -> SubmissionId:
-        return mint_submission_id(self._host.core.home, time.time(), self._rng)
+        core = self._host.core
+        wall_s = core.wall_s(asyncio.get_running_loop().time())
+        return mint_submission_id(core.home, wall_s, self._rng)
 
     async def _run(
         self,
