--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PATHS = src tests examples
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: venv run test lint format
+.PHONY: venv run test lint format slopes capacity
 
 venv: .venv/ready
 
@@ -31,3 +31,9 @@
 format: $(VENV)
 	$(PYTHON) -m ruff format $(PATHS)
 	$(PYTHON) -m ruff check --fix $(PATHS)
+
+slopes: $(VENV)
+	$(PYTHON) -m camphorlink.bench.slopes
+
+capacity: $(VENV)
+	$(PYTHON) -m camphorlink.bench.capacity
--- /dev/null
+++ b/src/camphorlink/bench/capacity.py
@@ -0,0 +1,62 @@
+"""Works out docs/CAPACITY.md from measured slopes and the stated size.
+
+The page is a template with named figures.  The figures are computed here and
+nowhere else, so text and figures can't drift apart; a test renders the page
+again and compares.
+"""
+
+import string
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+
+from camphorlink.bench.capacity_figures import work_out
+
+EXIT_STALE = 1
+
+
+def render_page(template: str, slopes: dict[str, Any]) -> str:
+    """Returns the page.
+
+    Args:
+        template: Text with ``$name`` or ``${name}`` for each figure.
+        slopes: Measured slopes by name, as ``make slopes`` writes them.
+
+    Raises:
+        KeyError: The template names a figure that is not worked out.
+    """
+    return string.Template(template).substitute(work_out(slopes))
+
+
+@click.command()
+@click.option(
+    '--data',
+    'data_dir',
+    type=click.Path(path_type=Path),
+    default=Path('docs/data'),
+    show_default=True,
+)
+@click.option(
+    '--page',
+    type=click.Path(path_type=Path),
+    default=Path('docs/CAPACITY.md'),
+    show_default=True,
+)
+@click.option('--check', is_flag=True, help='Compare only; exit 1 if stale.')
+def main(data_dir: Path, page: Path, check: bool) -> None:
+    """Write the capacity page from its template and the slopes."""
+    template = (data_dir / 'capacity.md.template').read_text()
+    slopes = orjson.loads((data_dir / 'slopes.json').read_bytes())
+    text = render_page(template, slopes)
+    if not check:
+        page.write_text(text)
+    elif page.read_text() != text:
+        click.echo(f'{page} is stale; run make capacity', err=True)
+        sys.exit(EXIT_STALE)
+
+
+if __name__ == '__main__':
+    main()
