Placement experiment: real entry cores on a virtual clock, with baselines

Cause: placement has to be decided by figures against the ideal, and there was nothing that measured it. Change: make experiment. 8 entry cores, 24 back ends x 8 slots in 3 zones, speeds 1:4, seeded, virtual time; baselines random, round robin, least outstanding, and a central work-conserving queue (first come first served, fastest free slot). Arrival of work is a share of a zone's whole speed.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PATHS = src tests examples
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: venv run test lint format
+.PHONY: venv run test lint format experiment
 
 venv: .venv/ready
 
@@ -22,6 +22,9 @@
 test: $(VENV)
 	$(PYTHON) -m pytest
 
+experiment: $(VENV)
+	$(PYTHON) -m camphorlink.bench.experiment
+
 lint: $(VENV)
 	$(PYTHON) -m ruff format --check $(PATHS)
 	$(PYTHON) -m ruff check $(PATHS)
--- /dev/null
+++ b/src/camphorlink/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that measure: slopes for the capacity page, load, experiments."""
--- /dev/null
+++ b/src/camphorlink/bench/experiment_cases.py
@@ -0,0 +1,169 @@
+"""Cases of the placement experiment: the load, and what goes wrong when."""
+
+import math
+import random
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
+from typing import NamedTuple
+
+MIN_TASK_S = 0.05
+MAX_TASK_S = 1.0
+LONG_TASK_S = 5.0
+LONG_SHARE = 0.02
+MAX_TASKS = 150
+WARM_UP_S = 5.0
+FAULT_S = 10.0
+BURST_S = 2.0
+BURST_FACTOR = 5
+TEAMS = ('north', 'south', 'west')
+ZONES = ('larissa', 'volos', 'trikala')
+#: Speeds of the eight back ends of each zone, slowest to fastest 1:4.
+SPEEDS = (0.4, 0.57, 0.74, 0.91, 1.09, 1.26, 1.43, 1.6)
+SLOTS = 8
+ZONE_SPEED = SLOTS * math.fsum(SPEEDS)
+#: Mean of the task sizes below: log-uniform, and a share of long ones.
+MEAN_TASK_S = LONG_SHARE * LONG_TASK_S + (1 - LONG_SHARE) * (
+    (MAX_TASK_S - MIN_TASK_S) / math.log(MAX_TASK_S / MIN_TASK_S)
+)
+
+
+class Case(NamedTuple):
+    """One load and one fault.
+
+    Attributes:
+        load: Work that arrives, as a share of the back ends' speed.
+        fault: Name of what goes wrong at ``FAULT_S``, or empty.
+        declared_factor: Declared sizes are off by up to this factor.
+        flood: Further load, as a share, of ``flood_kind``.
+        flood_kind: ``long`` tasks, or jobs of one ``team``.
+        vm_weights: Sizes of the entry VMs of each zone.
+    """
+
+    load: float
+    fault: str = ''
+    declared_factor: float = 1.5
+    flood: float = 0.0
+    flood_kind: str = ''
+    vm_weights: tuple[tuple[float, ...], ...] = ((1, 1, 1), (1, 1, 1), (1, 1))
+
+
+CASES: Mapping[str, Case] = MappingProxyType(
+    {
+        'steady-50': Case(0.5),
+        'steady-70': Case(0.7),
+        'steady-85': Case(0.85),
+        'steady-95': Case(0.95),
+        'burst': Case(0.5, 'burst'),
+        'straggler': Case(0.7, 'straggler'),
+        'fails-all': Case(0.7, 'fails-all'),
+        'cancel-wave': Case(0.7, 'cancel-wave'),
+        'rack-lost': Case(0.5, 'rack-lost'),
+        'leaving': Case(0.5, 'leaving'),
+        'declared-10x': Case(0.7, declared_factor=10),
+        'team-floods': Case(0.5, flood=1, flood_kind='team'),
+        'long-flood': Case(0.85, flood=0.5, flood_kind='long'),
+        'unequal-vms': Case(
+            0.7,
+            vm_weights=((1, 1, 0.5), (1, 1, 0.5), (1, 1)),
+        ),
+        'vm-lost': Case(0.5, 'vm-lost'),
+        'zone-cut': Case(0.7, 'zone-cut'),
+    }
+)
+
+
+class TaskPlan(NamedTuple):
+    """One task as the experiment knows it.
+
+    Attributes:
+        work_s: Run time at speed 1, in seconds.
+        declared_s: What its caller says.
+        task_class: Class that the caller names.
+    """
+
+    work_s: float
+    declared_s: float
+    task_class: str
+
+
+class JobPlan(NamedTuple):
+    """One job to come.
+
+    Attributes:
+        arrival_s: When it is submitted.
+        zone: Zone that it is submitted to.
+        team: Team that it belongs to.
+        tasks: Its tasks.
+        kind: ``short``, ``mixed`` (some task is long) or ``flood``.
+    """
+
+    arrival_s: float
+    zone: str
+    team: str
+    tasks: tuple[TaskPlan, ...]
+    kind: str
+
+    @property
+    def ideal_s(self) -> float:
+        """Response time that no schedule of the zone can beat."""
+        longest_s = max(task.work_s for task in self.tasks)
+        total_s = math.fsum(task.work_s for task in self.tasks)
+        return max(longest_s / max(SPEEDS), total_s / ZONE_SPEED)
+
+
+def plan_jobs(case: Case, until_s: float, seed: int) -> list[JobPlan]:
+    """Draws all jobs of a case, in the order of their arrival."""
+    rng = random.Random(seed)
+    plans = [
+        plan for zone in ZONES for plan in _zone_jobs(case, zone, until_s, rng)
+    ]
+    return sorted(plans, key=lambda plan: plan.arrival_s)
+
+
+def _zone_jobs(
+    case: Case,
+    zone: str,
+    until_s: float,
+    rng: random.Random,
+) -> Iterator[JobPlan]:
+    # Mean of the log-uniform job size below.
+    mean_tasks = (MAX_TASKS - 1) / math.log(MAX_TASKS)
+    jobs_per_s = ZONE_SPEED / (mean_tasks * MEAN_TASK_S)
+    now = 0.0
+    while now < until_s:
+        in_burst = case.fault == 'burst' and 0 <= now - FAULT_S < BURST_S
+        in_flood = now >= FAULT_S
+        load = case.load * (1 + in_burst * (BURST_FACTOR - 1))
+        flood = case.flood * in_flood
+        now += rng.expovariate((load + flood) * jobs_per_s)
+        is_flood = rng.random() < flood / (load + flood)
+        yield _draw_job(case, zone, now, is_flood, rng)
+
+
+def _draw_job(
+    case: Case,
+    zone: str,
+    now: float,
+    is_flood: bool,
+    rng: random.Random,
+) -> JobPlan:
+    count = int(math.exp(rng.uniform(0, math.log(MAX_TASKS + 1))))
+    is_long_flood = is_flood and case.flood_kind == 'long'
+    if is_long_flood:
+        # The same work in fewer tasks.
+        count = max(1, round(count * MEAN_TASK_S / LONG_TASK_S))
+    tasks = tuple(_draw_task(case, is_long_flood, rng) for _ in range(count))
+    is_mixed = any(task.task_class == 'batch' for task in tasks)
+    if is_flood:
+        return JobPlan(now, zone, TEAMS[0], tasks, 'flood')
+    kind = ('short', 'mixed')[is_mixed]
+    return JobPlan(now, zone, rng.choice(TEAMS), tasks, kind)
+
+
+def _draw_task(case: Case, is_long: bool, rng: random.Random) -> TaskPlan:
+    factor = case.declared_factor ** rng.uniform(-1, 1)
+    if is_long or rng.random() < LONG_SHARE:
+        return TaskPlan(LONG_TASK_S, LONG_TASK_S * factor, 'batch')
+    log_range = (math.log(MIN_TASK_S), math.log(MAX_TASK_S))
+    work_s = math.exp(rng.uniform(*log_range))
+    return TaskPlan(work_s, work_s * factor, 'fix')
--- /dev/null
+++ b/src/camphorlink/bench/experiment_fleet.py
@@ -0,0 +1,220 @@
+"""Virtual clock, fake back ends and entry VMs for the placement experiment."""
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable
+from functools import partial, singledispatchmethod
+from typing import Any, NamedTuple
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.core.process.members import Member
+from camphorlink.internal.core.request.job import Answer
+from camphorlink.internal.core.request.reasons import Reason
+
+ZONE_DELAY_S = 0.0003
+CROSS_DELAY_S = 0.001
+FAIL_S = 0.001
+
+
+class Clock:
+    """Calls functions in the order of their virtual time, in seconds."""
+
+    def __init__(self) -> None:
+        """Starts at time zero."""
+        self.now = 0.0
+        self._order = itertools.count()
+        self._heap: list[tuple[float, int, Any]] = []
+
+    def call_at(
+        self,
+        due_s: float,
+        function: Callable[..., object],
+        *arguments: Any,
+    ) -> None:
+        """Subscribes a function to a point in time."""
+        call = partial(function, *arguments)
+        due_s = max(due_s, self.now)
+        heapq.heappush(self._heap, (due_s, next(self._order), call))
+
+    def call_in(
+        self,
+        delay_s: float,
+        function: Callable[..., object],
+        *arguments: Any,
+    ) -> None:
+        """Subscribes a function to a time from now."""
+        self.call_at(self.now + delay_s, function, *arguments)
+
+    def run(self, until_s: float) -> None:
+        """Calls whatever is due until ``until_s``."""
+        while self._heap and self._heap[0][0] <= until_s:
+            due_s, _order, call = heapq.heappop(self._heap)
+            self.now = due_s
+            call()
+
+
+class Work(NamedTuple):
+    """One try of a task, as a back end sees it.
+
+    Attributes:
+        ticket: Comes back with the report.
+        work_s: Run time at speed 1, in seconds.
+        report: Gets the message that tells what became of the try.
+    """
+
+    ticket: messages.Ticket
+    work_s: float
+    report: Callable[[messages.Message], None]
+
+
+class FakeBackend:
+    """A back end as its speed, its slots and how it fails."""
+
+    def __init__(self, clock: Clock, name: str, speed: float) -> None:
+        """Starts idle and healthy."""
+        self.name = name
+        self.speed = speed
+        self.slots = 8
+        self.mode = 'ok'
+        self.keeps_queue = False
+        self.started = 0
+        self.start_times: list[float] = []
+        self.running = 0
+        self.max_running = 0
+        self._clock = clock
+        self._queue: list[Work] = []
+
+    def take(self, work: Work) -> None:
+        """Runs, queues, refuses or fails one try, as the mode says."""
+        if self.mode in {'dead', 'leaving'} or self._is_full():
+            work.report(messages.TaskNotStarted(work.ticket, self._refusal()))
+            return
+        if self.running >= self.slots:
+            self._queue.append(work)
+            return
+        self.started += 1
+        self.start_times.append(self._clock.now)
+        self.running += 1
+        self.max_running = max(self.max_running, self.running)
+        run_s = FAIL_S if self.mode == 'fail' else work.work_s / self.speed
+        self._clock.call_in(run_s, self._end, work, self.mode)
+
+    def _is_full(self) -> bool:
+        return self.running >= self.slots and not self.keeps_queue
+
+    def _refusal(self) -> Reason:
+        if self.mode == 'dead':
+            return Reason.CONNECT_FAILED
+        if self.mode == 'leaving':
+            return Reason.BACKEND_LEAVING
+        return Reason.BACKEND_BUSY
+
+    def _end(self, work: Work, mode: str) -> None:
+        self.running -= 1
+        if self.mode == 'dead':
+            work.report(messages.TaskLost(work.ticket, Reason.CONNECTION_LOST))
+        elif mode == 'fail':
+            work.report(messages.TaskFailed(work.ticket, 'fails all'))
+        else:
+            work.report(messages.TaskFinished(work.ticket, None))
+        if self._queue:
+            self.take(self._queue.pop(0))
+
+
+class Network(NamedTuple):
+    """What entry VMs reach: the clock, back ends, peers and counters."""
+
+    clock: Clock
+    backend_by_address: dict[str, FakeBackend]
+    vm_by_address: dict[str, 'EntryVm']
+    counts: Counter[str]
+    cut_zones: set[str]
+
+
+class EntryVm:
+    """A real core whose effects are carried out on the virtual clock."""
+
+    def __init__(
+        self,
+        core: EntryCore,
+        network: Network,
+        member: Member,
+        on_answer: Callable[[int, Answer], None],
+    ) -> None:
+        """Joins the network under the address of ``member``."""
+        self.core = core
+        self.member = member
+        self.is_up = True
+        self._network = network
+        self._on_answer = on_answer
+        self._wake_s: float | None = None
+        network.vm_by_address[member.address] = self
+
+    def post(self, message: messages.Message) -> None:
+        """Hands a message to the core, unless the VM is gone."""
+        if not self.is_up:
+            return
+        self._count_late(message)
+        for effect in self.core.handle(message, self._network.clock.now):
+            self._carry_out(effect)
+        self._arm()
+
+    def _count_late(self, message: messages.Message) -> None:
+        if isinstance(message, messages.TaskNotStarted):
+            self._network.counts[f'wasted:{message.reason.value}'] += 1
+        elif isinstance(message, messages.TaskFinished):
+            run = self.core.table.find(message.ticket.submission_id)
+            if run is None or not run.is_open:
+                self._network.counts['wasted:late-result'] += 1
+
+    def _arm(self) -> None:
+        due_s = self.core.timers.next_due_s()
+        if due_s is None or (self._wake_s and self._wake_s <= due_s):
+            return
+        self._wake_s = due_s
+        self._network.clock.call_at(due_s, self._tick, due_s)
+
+    def _tick(self, due_s: float) -> None:
+        if self._wake_s == due_s:
+            self._wake_s = None
+        self.post(messages.Tick())
+
+    @singledispatchmethod
+    def _carry_out(self, effect: messages.Effect) -> None:
+        """Passes over what leaves no trace here."""
+
+    @_carry_out.register
+    def _start(self, effect: messages.StartTask) -> None:
+        network = self._network
+        network.counts['starts'] += 1
+        backend = network.backend_by_address[effect.address]
+        work = Work(effect.ticket, effect.payload, self._report)
+        network.clock.call_in(ZONE_DELAY_S, backend.take, work)
+
+    @_carry_out.register
+    def _deliver(self, effect: messages.Deliver) -> None:
+        self._on_answer(effect.caller, effect.answer)
+
+    @_carry_out.register
+    def _count(self, effect: messages.CountReason) -> None:
+        self._network.counts[f'{effect.counter}:{effect.reason}'] += 1
+
+    @_carry_out.register
+    def _send(self, effect: messages.SendPeer) -> None:
+        network = self._network
+        peer = network.vm_by_address[effect.address]
+        kind = type(effect.message).__name__
+        network.counts[f'peer:{kind}'] += 1
+        mine, other = self.member.home.zone, peer.member.home.zone
+        if mine != other and {mine, other} & network.cut_zones:
+            return
+        network.clock.call_in(
+            ZONE_DELAY_S if mine == other else CROSS_DELAY_S,
+            peer.post,
+            messages.PeerSaid(self.member.home, effect.message),
+        )
+
+    def _report(self, message: messages.Message) -> None:
+        self._network.clock.call_in(ZONE_DELAY_S, self.post, message)
