--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PATHS = src tests examples
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: venv run test lint format slopes capacity
+.PHONY: venv run test lint format
 
 venv: .venv/ready
 
@@ -22,6 +22,10 @@
 test: $(VENV)
 	$(PYTHON) -m pytest
 
+.PHONY: experiment
+experiment: $(VENV)
+	$(PYTHON) -m camphorlink.bench.experiment
+
 lint: $(VENV)
 	$(PYTHON) -m ruff format --check $(PATHS)
 	$(PYTHON) -m ruff check $(PATHS)
@@ -32,8 +36,10 @@
 	$(PYTHON) -m ruff format $(PATHS)
 	$(PYTHON) -m ruff check --fix $(PATHS)
 
+.PHONY: slopes
 slopes: $(VENV)
 	$(PYTHON) -m camphorlink.bench.slopes
 
+.PHONY: capacity
 capacity: $(VENV)
 	$(PYTHON) -m camphorlink.bench.capacity
--- a/src/camphorlink/bench/slope_loads.py
+++ b/src/camphorlink/bench/slope_loads.py
@@ -135,15 +135,13 @@
 def start_tasks() -> int:
     """Runs jobs of 50 tasks through a core."""
     driver = CoreDriver()
-    return sum(
-        driver.finish(driver.submit(JOB_TASKS)[1]) for _job in range(JOBS)
-    )
+    return sum(driver.finish(driver.submit(JOB_TASKS)[1]) for _ in range(JOBS))
 
 
 def refuse_jobs() -> int:
     """Submits jobs of a service that does not exist."""
     driver = CoreDriver()
-    for _job in range(SMALL_JOBS):
+    for _ in range(SMALL_JOBS):
         driver.submit(1, service='nobody')
     return SMALL_JOBS
 
@@ -151,7 +149,7 @@
 def cancel_jobs() -> int:
     """Cancels a wave of queued jobs."""
     driver = CoreDriver()
-    names = [driver.submit(1)[0] for _job in range(SMALL_JOBS)]
+    names = [driver.submit(1)[0] for _ in range(SMALL_JOBS)]
     for name in names:
         driver.core.handle(messages.Cancel(name), driver.now)
     return SMALL_JOBS
@@ -160,7 +158,7 @@
 def remember_submissions() -> Built:
     """Fills a home's table with answered submissions of one task."""
     driver = CoreDriver()
-    for _job in range(SMALL_JOBS):
+    for _ in range(SMALL_JOBS):
         driver.finish(driver.submit(1)[1])
     return Built(driver, SMALL_JOBS)
 
@@ -168,7 +166,7 @@
 def remember_tasks() -> Built:
     """Fills a home's table with answered submissions of 50 tasks."""
     driver = CoreDriver()
-    for _job in range(JOBS):
+    for _ in range(JOBS):
         driver.finish(driver.submit(JOB_TASKS)[1])
     return Built(driver, JOBS * JOB_TASKS)
 
--- a/src/camphorlink/bench/slopes.py
+++ b/src/camphorlink/bench/slopes.py
@@ -50,10 +50,10 @@
     """Builds state once and returns the bytes for each unit of it."""
     gc.collect()
     tracemalloc.start()
-    before, _peak = tracemalloc.get_traced_memory()
+    before = tracemalloc.get_traced_memory()[0]
     built = build()
     gc.collect()
-    after, _peak = tracemalloc.get_traced_memory()
+    after = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return (after - before) / built.units
 
@@ -154,8 +154,10 @@
     for slope in SLOPES:
         measured[slope.name] = measure_slope(slope)
         click.echo(f'{slope.name}: {measured[slope.name]}')
-    options = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
-    out.write_bytes(orjson.dumps(measured, option=options) + b'\n')
+    options = (
+        orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS | orjson.OPT_APPEND_NEWLINE
+    )
+    out.write_bytes(orjson.dumps(measured, option=options))
 
 
 if __name__ == '__main__':
