Membership: the platform's list joined with heartbeats between entry VMs

Cause: parts that relay submissions or share out slots need to know which entry VMs there are, which incarnation speaks for each, and who is leaving. Change: a pure membership on timers (list joined with heartbeats, suspicion that forgives one's own pause, incarnations, leaving and sealed states, links between zones by rendezvous hash with reports passed on once), a thin shell, the platform's lagging list of VMs in the stand-in; links open again with jitter and are pinged by their opener alone. Before and after: every view held nobody; now 4 entry VMs in 2 zones see each other live, and a leaving one is seen to leave (tests/nocover/test_member_view). Conclusion: views may be relied on for steering; cost not yet measured.

--- a/src/camphorlink/errors.py
+++ b/src/camphorlink/errors.py
@@ -72,6 +72,10 @@
     """A frame from another entry VM is no message of a known kind."""
 
 
+class LinkLostError(CamphorlinkError):
+    """An open link to another entry VM broke; what was queued is dropped."""
+
+
 class OutcomeError(CamphorlinkError):
     """Base of the errors that end a submission without a whole answer."""
 
--- a/src/camphorlink/internal/core/connection/peer_messages.py
+++ b/src/camphorlink/internal/core/connection/peer_messages.py
@@ -15,11 +15,15 @@
         zone: Availability zone of the sender.
         vm: Name of the sender's VM.
         incarnation: Random number of the sender's process start.
+        address: IP number and port that the sender's peers reach it at.
+        weight: Size of the sender's VM relative to others, a pure number.
     """
 
     zone: str
     vm: str
     incarnation: str
+    address: str = ''
+    weight: float = 1.0
 
 
 class Heartbeat(NamedTuple):
@@ -36,9 +40,43 @@
     state: str
 
 
-PeerMessage = Hello | Heartbeat
+class ZoneRow(NamedTuple):
+    """One entry VM as a report shows it.
+
+    Attributes:
+        vm: Name of the VM.
+        incarnation: Random number of its process start.
+        address: IP number and port for messages of other entry VMs.
+        state: What the reporter thinks of it, a value of ``MemberState``.
+        weight: Its size relative to others, a pure number.
+    """
+
+    vm: str
+    incarnation: str
+    address: str
+    state: str
+    weight: float
+
+
+class ZoneReport(NamedTuple):
+    """What the sender knows of one zone at first hand, or heard from there.
+
+    Attributes:
+        zone: The zone that the rows are about.
+        rows: Its entry VMs; none when the sender hears nobody there.
+    """
+
+    zone: str
+    rows: tuple[ZoneRow, ...]
+
+
+PeerMessage = Hello | Heartbeat | ZoneReport
+
+#: Kinds that the membership takes in; the entry core never sees them.
+MEMBERSHIP_KINDS = (Hello, Heartbeat, ZoneReport)
 
 PEER_MESSAGE_BY_KIND: dict[str, type[PeerMessage]] = {
     'hello': Hello,
     'heartbeat': Heartbeat,
+    'zone-report': ZoneReport,
 }
--- a/src/camphorlink/internal/core/process/members.py
+++ b/src/camphorlink/internal/core/process/members.py
@@ -12,11 +12,17 @@
 
 
 class MemberState(enum.Enum):
-    """What is thought of an entry VM."""
+    """What is thought of an entry VM.
+
+    ``SUSPECT``: silent, but it may be paused or cut off.  ``LEAVING``: it
+    takes no new work.  ``SEALED``: its table is final and handed over.
+    ``GONE``: this very process will not speak again.
+    """
 
     LIVE = 'live'
     SUSPECT = 'suspect'
     LEAVING = 'leaving'
+    SEALED = 'sealed'
     GONE = 'gone'
 
 
@@ -52,12 +58,18 @@
                 return member
         return None
 
+    def in_zone(self, zone: str) -> tuple[Member, ...]:
+        """Lists all members of a zone, whatever their state."""
+        return tuple(
+            member for member in self.members if member.home.zone == zone
+        )
+
     def live_in_zone(self, zone: str) -> tuple[Member, ...]:
         """Lists the members of a zone that may take load."""
         return tuple(
             member
-            for member in self.members
-            if member.home.zone == zone and member.state is MemberState.LIVE
+            for member in self.in_zone(zone)
+            if member.state is MemberState.LIVE
         )
 
 
--- /dev/null
+++ b/src/camphorlink/internal/core/process/membership.py
@@ -0,0 +1,230 @@
+"""Which entry VMs there are: heartbeats, reports between zones, one view.
+
+Within a zone every VM hears every other.  Zones know each other by a few
+links; what a VM hears over such a link it passes on to its own zone.  All
+messages leave with the beat, so a change can't start a storm.
+"""
+
+import random
+from collections.abc import Iterable
+from functools import singledispatchmethod
+
+from camphorlink.internal.core.connection.peer_messages import (
+    Heartbeat,
+    Hello,
+    PeerMessage,
+    ZoneReport,
+)
+from camphorlink.internal.core.process.members import (
+    Member,
+    MemberState,
+    MemberView,
+    build_view,
+)
+from camphorlink.internal.core.process.messages import SendPeer
+from camphorlink.internal.core.process.peer_table import (
+    KnownPeer,
+    ListedVm,
+    PeerTable,
+    key_of,
+)
+from camphorlink.internal.core.process.timers import Timers
+from camphorlink.internal.core.process.zone_links import (
+    VmKey,
+    choose_peers,
+    is_full_mesh,
+)
+from camphorlink.internal.core.process.zone_reports import (
+    ZoneReports,
+    read_state,
+    write_report,
+)
+from camphorlink.internal.core.request.identifiers import Home
+
+HEARTBEAT_S = 1.0
+#: A beat that comes this late shows that this process itself was stopped.
+OWN_PAUSE_S = 2.5
+REPORT_REPEAT_S = 20.0
+
+_SILENT_STATES = frozenset((MemberState.SUSPECT, MemberState.GONE))
+
+
+class Membership:
+    """Keeps the view of the entry VMs, and says whom to send what.
+
+    Give it what peers say and what the platform lists, advance its timers,
+    and carry out what ``take_effects`` returns.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        timers: Timers,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """Starts alone; the first beat comes at a random part of a period."""
+        self.me = me
+        self.version = 0
+        self.view = MemberView((me,))
+        self.counts = {'beats': 0, 'own-pauses': 0}
+        self._key = key_of(me.home)
+        self._peers = PeerTable(me.home)
+        self._reports = ZoneReports()
+        self._sent: dict[tuple[str, str], tuple[ZoneReport, float]] = {}
+        self._effects: list[SendPeer] = []
+        self._timers = timers
+        self._beat_s = now
+        timers.call_at(now + rng.uniform(0, HEARTBEAT_S), self._beat)
+
+    def take_effects(self) -> list[SendPeer]:
+        """Hands over the messages to send since the last call."""
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    def set_state(self, state: MemberState, now: float) -> None:
+        """Tells all peers at once that this VM is leaving, or has sealed."""
+        self.me = self.me._replace(state=state)
+        self._send_heartbeats(now)
+        self._refresh(now)
+
+    def take_list(self, listed: Iterable[ListedVm], now: float) -> None:
+        """Takes the platform's newest list."""
+        self._peers.take_list(listed)
+        self._refresh(now)
+
+    def hear(self, home: Home, message: PeerMessage, now: float) -> None:
+        """Takes a message of a peer, whatever it says, as a sign of life."""
+        peer = self._peers.hear(home, now)
+        if peer is not None:
+            self._take(message, peer)
+            self._refresh(now)
+
+    def versions_by_home(self) -> dict[Home, int]:
+        """Tells which configuration version each peer said it has."""
+        return {peer.home: peer.version for peer in self._peers.by_key.values()}
+
+    @singledispatchmethod
+    def _take(self, message: PeerMessage, peer: KnownPeer) -> None:
+        """Anything else is no more than a sign of life."""
+
+    @_take.register
+    def _take_hello(self, message: Hello, peer: KnownPeer) -> None:
+        peer.address = message.address
+        peer.weight = message.weight
+
+    @_take.register
+    def _take_heartbeat(self, message: Heartbeat, peer: KnownPeer) -> None:
+        peer.version = message.version
+        peer.said = read_state(message.state)
+
+    @_take.register
+    def _take_report(self, message: ZoneReport, peer: KnownPeer) -> None:
+        if message.zone != self._key.zone:
+            self._reports.put(peer.home, message)
+
+    def _beat(self, now: float) -> None:
+        if now - self._beat_s > OWN_PAUSE_S:
+            # Nobody was heard because nobody was listened to.
+            self.counts['own-pauses'] += 1
+            self._peers.forgive_silence(now - HEARTBEAT_S)
+        self._beat_s = now
+        self._send_heartbeats(now)
+        self._refresh(now)
+        self._send_reports(now)
+        self._peers.prune(now)
+        self._timers.call_at(now + HEARTBEAT_S, self._beat)
+
+    def _send_heartbeats(self, now: float) -> None:
+        self.counts['beats'] += 1
+        beat = Heartbeat(
+            self.counts['beats'],
+            self.version,
+            self.me.state.value,
+        )
+        for key in sorted(self._targets(now)):
+            address = self._address_of(key)
+            if address:
+                self._effects.append(SendPeer(address, beat))
+
+    def _targets(self, now: float) -> set[VmKey]:
+        by_key = self._peers.by_key
+        usable = self._usable()
+        silent = {key for key in by_key if by_key[key].is_silent(now)}
+        chosen = choose_peers(self._key, usable)
+        if not is_full_mesh(self._key, usable):
+            # A link whose far end is silent gets a substitute, and is tried
+            # on: that is how a zone that was cut off is found again.
+            chosen |= choose_peers(self._key, usable - silent)
+        return chosen | (set(by_key) - silent)
+
+    def _usable(self) -> set[VmKey]:
+        """Everyone whom it makes sense to talk to."""
+        by_key = self._peers.by_key
+        known = {key for key in by_key if not by_key[key].is_gone}
+        reported = set(map(key_of, self._reports.members()))
+        return known | reported | set(self._peers.listed_by_key)
+
+    def _address_of(self, key: VmKey) -> str:
+        address = self._peers.address_of(key)
+        if address:
+            return address
+        for home, member in self._reports.members().items():
+            if key_of(home) == key:
+                return member.address
+        return ''
+
+    def _send_reports(self, now: float) -> None:
+        if is_full_mesh(self._key, self._usable()):
+            return
+        zone = self._key.zone
+        own = write_report(zone, self.view.in_zone(zone))
+        heard = self._reports.first_hand()
+        for key, peer in sorted(self._peers.by_key.items()):
+            if peer.is_silent(now) or not self._address_of(key):
+                continue
+            for report in heard if key.zone == zone else [own]:
+                self._send_report(self._address_of(key), report, now)
+
+    def _send_report(
+        self,
+        address: str,
+        report: ZoneReport,
+        now: float,
+    ) -> None:
+        slot = (address, report.zone)
+        last = self._sent.get(slot)
+        if last is None or last[0] != report or now - last[1] > REPORT_REPEAT_S:
+            self._sent[slot] = (report, now)
+            self._effects.append(SendPeer(address, report))
+
+    def _refresh(self, now: float) -> None:
+        members = self._peers.members(now)
+        for home, member in members.items():
+            if member.state in _SILENT_STATES:
+                self._reports.drop(home)
+        self._add_reported(members)
+        members[self.me.home] = self.me
+        view = build_view(members.values())
+        if view != self.view:
+            self.view = view
+            self._drop_sent()
+
+    def _add_reported(self, members: dict[Home, Member]) -> None:
+        for home, member in self._reports.members().items():
+            if home in self._peers.retired:
+                continue
+            peer = self._peers.by_key.get(key_of(home))
+            if peer is None or members[peer.home].state in _SILENT_STATES:
+                members[home] = member
+
+    def _drop_sent(self) -> None:
+        addresses = {
+            member.address
+            for member in self.view.members
+            if member.state not in _SILENT_STATES
+        }
+        for slot in list(self._sent):
+            if slot[0] not in addresses:
+                self._sent.pop(slot)
--- a/src/camphorlink/internal/shell/connection/log_client.py
+++ b/src/camphorlink/internal/shell/connection/log_client.py
@@ -40,6 +40,24 @@
     next_offset: int
 
 
+class PlatformVm(NamedTuple):
+    """An entry VM on the platform's list.
+
+    Attributes:
+        zone: Its availability zone.
+        vm: Its name.
+        peers: IP number and port for messages of other entry VMs.
+        operators: IP number and port of its operators' interface.
+        is_leaving: Whether the platform is about to take it away.
+    """
+
+    zone: str
+    vm: str
+    peers: str
+    operators: str
+    is_leaving: bool
+
+
 class LogClient:
     """Appends to streams and reads them, over HTTP."""
 
@@ -115,6 +133,23 @@
         except (KeyError, TypeError, ValueError) as exc:
             raise LogServiceError(f'unreadable answer: {exc}') from exc
 
+    async def list_vms(self) -> tuple[PlatformVm, ...]:
+        """Reads the platform's list of entry VMs, which lags.
+
+        Raises:
+            LogServiceError: The platform gave no usable answer.
+        """
+        url = f'{self._base_url}/v1/vms'
+        try:
+            async with self._session.get(url) as response:
+                response.raise_for_status()
+                answer = orjson.loads(await response.read())
+            return tuple(_read_vm(entry) for entry in answer['vms'])
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise LogServiceError(f'platform out of reach: {exc}') from exc
+        except (KeyError, TypeError, ValueError) as exc:
+            raise LogServiceError(f'unreadable answer: {exc}') from exc
+
     async def _get_page(
         self,
         url: str,
@@ -137,3 +172,13 @@
             earliest_offset=answer['earliest_offset'],
             next_offset=answer['next_offset'],
         )
+
+
+def _read_vm(entry: dict[str, Any]) -> PlatformVm:
+    return PlatformVm(
+        zone=str(entry['zone']),
+        vm=str(entry['vm']),
+        peers=str(entry['peers']),
+        operators=str(entry.get('operators', '')),
+        is_leaving=entry.get('state') == 'leaving',
+    )
--- a/src/camphorlink/internal/shell/connection/peer_links.py
+++ b/src/camphorlink/internal/shell/connection/peer_links.py
@@ -8,14 +8,15 @@
 import asyncio
 import collections
 import contextlib
+import random
 from collections.abc import Callable
 from types import TracebackType
 
-from websockets.asyncio.client import connect
+from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
-from camphorlink.errors import PeerMessageError
+from camphorlink.errors import LinkLostError, PeerMessageError
 from camphorlink.internal.core.connection.peer_messages import (
     Hello,
     PeerMessage,
@@ -33,7 +34,8 @@
 PING_INTERVAL_S = 2.0
 PING_TIMEOUT_S = 2.0
 OPEN_TIMEOUT_S = 1.0
-IDLE_RETRY_S = 0.2
+MIN_RETRY_S = 0.2
+MAX_RETRY_S = 3.0
 
 OnMessage = Callable[[Home, PeerMessage], None]
 
@@ -56,6 +58,7 @@
         self._log = log
         self._sender_by_address: dict[str, PeerSender] = {}
         self._server: Server | None = None
+        self._rng = random.Random(home.incarnation)
 
     @property
     def port(self) -> int:
@@ -64,6 +67,11 @@
             return self._listen.port
         return int(next(iter(self._server.sockets)).getsockname()[1])
 
+    @property
+    def address(self) -> str:
+        """IP number and port that peers reach this VM at."""
+        return f'{self._listen.ip}:{self.port}'
+
     async def __aenter__(self) -> 'PeerLinks':
         """Starts to listen."""
         self._server = await serve(
@@ -72,8 +80,8 @@
             self._listen.port,
             compression=None,
             max_size=MAX_FRAME_BYTES,
-            ping_interval=PING_INTERVAL_S,
-            ping_timeout=PING_TIMEOUT_S,
+            # The opener of a link pings; both ends doing so costs twice.
+            ping_interval=None,
         )
         return self
 
@@ -98,7 +106,8 @@
         """
         sender = self._sender_by_address.get(address)
         if sender is None:
-            sender = PeerSender(self._home, address, self.counts)
+            hello = Hello(*self._home, address=self.address)
+            sender = PeerSender(hello, address, self.counts, self._rng)
             self._sender_by_address[address] = sender
         return sender.put(message)
 
@@ -119,8 +128,8 @@
                     self.counts['unreadable'] += 1
                     continue
                 if isinstance(message, Hello):
-                    peer = Home(*message)
-                elif peer is not None:
+                    peer = Home(message.zone, message.vm, message.incarnation)
+                if peer is not None:
                     self._on_message(peer, message)
 
 
@@ -129,12 +138,14 @@
 
     def __init__(
         self,
-        home: Home,
+        hello: Hello,
         address: str,
         counts: collections.Counter[str],
+        rng: random.Random,
     ) -> None:
         """Starts the task that sends."""
-        self._hello = encode_message(Hello(*home))
+        self._hello = encode_message(hello)
+        self._rng = rng
         self._address = address
         self._counts = counts
         self._outbox: asyncio.Queue[bytes] = asyncio.Queue(OUTBOX_MESSAGES)
@@ -154,13 +165,18 @@
         self._task.cancel()
 
     async def _run(self) -> None:
+        delay_s = MIN_RETRY_S
         while True:
             try:
                 await self._send_all()
+            except LinkLostError:
+                delay_s = MIN_RETRY_S
             except (WebSocketException, OSError, TimeoutError):
-                self._counts['link-lost'] += 1
-                self._drop_queued()
-                await asyncio.sleep(IDLE_RETRY_S)
+                delay_s = min(delay_s * 2, MAX_RETRY_S)
+            self._counts['link-lost'] += 1
+            self._drop_queued()
+            # Jitter: after a cut has healed, not all links open at once.
+            await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1))
 
     async def _send_all(self) -> None:
         frame = await self._outbox.get()
@@ -174,12 +190,18 @@
             proxy=None,
         )
         async with link as connection:
-            await connection.send(self._hello)
-            while True:
-                await connection.send(frame)
-                self._counts['sent'] += 1
-                self._counts['sent-bytes'] += len(frame)
-                frame = await self._outbox.get()
+            try:
+                await self._send_over(connection, frame)
+            except (WebSocketException, OSError) as exc:
+                raise LinkLostError(f'link to {self._address} lost') from exc
+
+    async def _send_over(self, link: ClientConnection, frame: bytes) -> None:
+        await link.send(self._hello)
+        while True:
+            await link.send(frame)
+            self._counts['sent'] += 1
+            self._counts['sent-bytes'] += len(frame)
+            frame = await self._outbox.get()
 
     def _drop_queued(self) -> None:
         # What waited for a lost link is stale; its senders ask again.
--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -8,9 +8,13 @@
 
 from aiohttp import web
 
-from camphorlink.internal.core.connection.peer_messages import PeerMessage
+from camphorlink.internal.core.connection.peer_messages import (
+    MEMBERSHIP_KINDS,
+    PeerMessage,
+)
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.core.process.members import MemberState
 from camphorlink.internal.core.request.identifiers import Home, new_home
 from camphorlink.internal.core.version.acceptance import ConfigState
 from camphorlink.internal.shell.connection.backend_client import BackendClient
@@ -18,6 +22,7 @@
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.member_watch import MemberWatch
 from camphorlink.internal.shell.process.metrics import Metrics
 from camphorlink.internal.shell.process.operators_api import OperatorsApi
 from camphorlink.internal.shell.process.settings import EntrySettings, Listen
@@ -66,6 +71,9 @@
             ),
         )
         self.peers_port = self.host.links.port
+        self.members = self._stack.enter_context(
+            MemberWatch(self.host, log_client, rng),
+        )
         operators = OperatorsApi(self.host, metrics, tail)
         self.operators_port = await self._serve(
             operators.build_app(),
@@ -92,6 +100,7 @@
 
     async def drain(self) -> None:
         """Admits nothing new and waits for the answers that are due."""
+        self.members.set_state(MemberState.LEAVING)
         self.host.post(messages.Drain())
         loop = asyncio.get_running_loop()
         give_up_s = loop.time() + self.settings.drain_s
@@ -111,7 +120,10 @@
         self.host.post(messages.VersionInForce(state.version, state.manifest))
 
     def _hear_peer(self, peer: Home, message: PeerMessage) -> None:
-        self.host.post(messages.PeerSaid(peer, message))
+        if isinstance(message, MEMBERSHIP_KINDS):
+            self.members.hear(peer, message)
+        else:
+            self.host.post(messages.PeerSaid(peer, message))
 
     async def _serve(self, app: web.Application, listen: Listen) -> int:
         runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
--- a/src/camphorlink/standin/local_site.py
+++ b/src/camphorlink/standin/local_site.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 from types import TracebackType
 from typing import Any, NamedTuple
 
@@ -119,6 +120,19 @@
             daemon = EntryDaemon(settings)
             await self._stack.enter_async_context(daemon)
             self.daemons.append(daemon)
+            self._register(daemon)
+
+    def _register(self, daemon: EntryDaemon) -> None:
+        self.log_service.vms.put(
+            {
+                'zone': daemon.settings.zone,
+                'vm': daemon.settings.vm,
+                'peers': f'{LOOPBACK}:{daemon.peers_port}',
+                'operators': f'{LOOPBACK}:{daemon.operators_port}',
+                'state': 'live',
+            },
+            time.monotonic(),
+        )
 
     async def _publish(self) -> None:
         document = self.manifest_document()
--- a/src/camphorlink/standin/log_service.py
+++ b/src/camphorlink/standin/log_service.py
@@ -12,6 +12,8 @@
 import orjson
 from aiohttp import web
 
+from camphorlink.standin.vm_list import VmList
+
 MS_PER_S = 1000
 MAX_PAGE_RECORDS = 500
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -55,6 +57,7 @@
             int
         )
         self._appended = asyncio.Condition()
+        self.vms = VmList()
 
     def build_app(self) -> web.Application:
         """Returns the application with all routes of the service."""
@@ -63,6 +66,8 @@
             [
                 web.post('/v1/streams/{stream}/records', self.append),
                 web.get('/v1/streams/{stream}/records', self.read),
+                web.get('/v1/vms', self.list_vms),
+                web.put('/standin/vms', self.register_vm),
                 web.put('/standin/faults', self.switch_faults),
             ]
         )
@@ -113,6 +118,17 @@
         self.faults = Faults(**orjson.loads(await request.read()))
         return _json(self.faults._asdict())
 
+    async def list_vms(self, request: web.Request) -> web.Response:
+        """Returns the list of entry VMs as it was a while ago."""
+        await self._suffer()
+        return _json({'vms': self.vms.show(time.monotonic())})
+
+    async def register_vm(self, request: web.Request) -> web.Response:
+        """Puts an entry VM on the list, or takes it off as ``gone``."""
+        entry = orjson.loads(await request.read())
+        self.vms.put(entry, time.monotonic())
+        return _json(entry)
+
     async def _await_offset(
         self,
         stream: str,
--- /dev/null
+++ b/tests/nocover/test_member_view.py
@@ -0,0 +1,44 @@
+"""Entry VMs of a site find each other through the platform's list."""
+
+import asyncio
+
+from camphorlink.internal.core.process.members import MemberState
+from camphorlink.standin.local_site import LocalSite, SiteShape
+
+
+async def await_that(condition, limit_s=15.0):
+    async def poll():
+        while not condition():
+            await asyncio.sleep(0.05)
+
+    await asyncio.wait_for(poll(), limit_s)
+
+
+def test_all_entry_vms_see_each_other_live_and_a_leaving_one_leaves():
+    async def scenario():
+        async with LocalSite(SiteShape(entries_per_zone=2)) as site:
+            homes = {entry.host.core.home for entry in site.daemons}
+
+            def all_live():
+                return all(
+                    {
+                        member.home
+                        for member in entry.host.core.view.members
+                        if member.state is MemberState.LIVE
+                    }
+                    == homes
+                    for entry in site.daemons
+                )
+
+            await await_that(all_live)
+            leaver, *others = site.daemons
+            await leaver.drain()
+            home = leaver.host.core.home
+            await await_that(
+                lambda: all(
+                    entry.host.core.view.find(home).state is MemberState.LEAVING
+                    for entry in others
+                ),
+            )
+
+    asyncio.run(scenario())
