--- a/src/camphorlink/internal/core/connection/peer_messages.py
+++ b/src/camphorlink/internal/core/connection/peer_messages.py
@@ -5,9 +5,12 @@
 a VM does not know is counted and passed over.
 """
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-from camphorlink.internal.core.request.job import TaskSpec
+from camphorlink.internal.core.connection.submission_messages import (
+    SUBMISSION_MESSAGE_BY_KIND,
+    SubmissionMessage,
+)
 
 
 class Hello(NamedTuple):
@@ -17,11 +20,15 @@
         zone: Availability zone of the sender.
         vm: Name of the sender's VM.
         incarnation: Random number of the sender's process start.
+        address: IP number and port that the sender's peers reach it at.
+        weight: Size of the sender's VM relative to others, a pure number.
     """
 
     zone: str
     vm: str
     incarnation: str
+    address: str = ''
+    weight: float = 1.0
 
 
 class Heartbeat(NamedTuple):
@@ -38,97 +45,44 @@
     state: str
 
 
-class RelayJob(NamedTuple):
-    """A job for its home, sent on by the entry VM that a caller talks to.
+class ZoneRow(NamedTuple):
+    """One entry VM as a report shows it.
 
     Attributes:
-        submission_id: Text form of the identifier.
-        digest: SHA-256 of the job as submitted, hex.
-        service: Service that is to run the tasks.
-        team: Team whose quota is charged.
-        idempotent: Whether a task may run more than once.
-        tasks: The tasks, in the caller's order.
-        remaining_ms: What is left of the deadline at the time of sending.
-        sent_ms: Wall-clock time of sending, ms since the epoch.
+        vm: Name of the VM.
+        incarnation: Random number of its process start.
+        address: IP number and port for messages of other entry VMs.
+        state: What the reporter thinks of it, a value of ``MemberState``.
+        weight: Its size relative to others, a pure number.
     """
 
-    submission_id: str
-    digest: str
-    service: str
-    team: str
-    idempotent: bool
-    tasks: tuple[TaskSpec, ...]
-    remaining_ms: float
-    sent_ms: int
-
-
-class RelayAnswer(NamedTuple):
-    """The whole answer of a home to a job that was sent on to it.
-
-    Attributes:
-        submission_id: Text form of the identifier.
-        digest: Digest of the job that is answered.
-        outcome: Value of ``Outcome``.
-        reason: Value of ``Reason``, or ``None``.
-        results: Result of every task by its id, when complete.
-        fates: Value of ``Fate`` of every task by its id, when not.
-        detail: One sentence for a person, may be empty.
-        retry_after_s: When to come back, in seconds, or ``None``.
-    """
-
-    submission_id: str
-    digest: str
-    outcome: str
-    reason: str | None
-    results: dict[str, Any]
-    fates: dict[str, str]
-    detail: str
-    retry_after_s: float | None
-
-
-class RelayProbe(NamedTuple):
-    """Asks a home what it knows of a submission, without the job."""
-
-    submission_id: str
-    digest: str
+    vm: str
+    incarnation: str
+    address: str
+    state: str
+    weight: float
 
 
-class RelayStatus(NamedTuple):
-    """Says what a process knows of a submission that has no answer yet.
+class ZoneReport(NamedTuple):
+    """What the sender knows of one zone at first hand, or heard from there.
 
     Attributes:
-        submission_id: Text form of the identifier.
-        digest: Digest of the job that was asked for.
-        status: Value of ``HomeStatus``.
+        zone: The zone that the rows are about.
+        rows: Its entry VMs; none when the sender hears nobody there.
     """
 
-    submission_id: str
-    digest: str
-    status: str
-
-
-class RelayCancel(NamedTuple):
-    """A caller of the sender gives up a submission."""
+    zone: str
+    rows: tuple[ZoneRow, ...]
 
-    submission_id: str
 
+PeerMessage = Hello | Heartbeat | ZoneReport | SubmissionMessage
 
-PeerMessage = (
-    Hello
-    | Heartbeat
-    | RelayJob
-    | RelayAnswer
-    | RelayProbe
-    | RelayStatus
-    | RelayCancel
-)
+#: Kinds that the membership takes in; the entry core never sees them.
+MEMBERSHIP_KINDS = (Hello, Heartbeat, ZoneReport)
 
 PEER_MESSAGE_BY_KIND: dict[str, type[PeerMessage]] = {
     'hello': Hello,
     'heartbeat': Heartbeat,
-    'relay-job': RelayJob,
-    'relay-answer': RelayAnswer,
-    'relay-probe': RelayProbe,
-    'relay-status': RelayStatus,
-    'relay-cancel': RelayCancel,
+    'zone-report': ZoneReport,
+    **SUBMISSION_MESSAGE_BY_KIND,
 }
--- a/src/camphorlink/internal/core/process/peer_desk.py
+++ b/src/camphorlink/internal/core/process/peer_desk.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 from camphorlink.errors import IdentifierError
-from camphorlink.internal.core.connection import peer_messages as peers
+from camphorlink.internal.core.connection import submission_messages as peers
+from camphorlink.internal.core.connection.peer_messages import PeerMessage
 from camphorlink.internal.core.process.messages import Submit
 from camphorlink.internal.core.process.peer_post import PeerPost
 from camphorlink.internal.core.request.home_tables import HomeTables
@@ -55,7 +56,7 @@
         self._peer = post.home
         self._now = 0.0
 
-    def hear(self, peer: Home, message: peers.PeerMessage, now: float) -> None:
+    def hear(self, peer: Home, message: PeerMessage, now: float) -> None:
         """Takes one message of ``peer`` at core time ``now``.
 
         A message that makes no sense, such as one of a later release, is
@@ -69,7 +70,7 @@
             return
 
     @singledispatchmethod
-    def _apply(self, message: peers.PeerMessage) -> None:
+    def _apply(self, message: PeerMessage) -> None:
         """Passes over what concerns other parts."""
 
     @_apply.register
--- a/src/camphorlink/internal/core/request/relay_documents.py
+++ b/src/camphorlink/internal/core/request/relay_documents.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from camphorlink.internal.core.connection.peer_messages import (
+from camphorlink.internal.core.connection.submission_messages import (
     RelayAnswer,
     RelayJob,
 )
--- a/src/camphorlink/internal/core/request/relays.py
+++ b/src/camphorlink/internal/core/request/relays.py
@@ -9,7 +9,7 @@
 import zlib
 from collections.abc import Callable
 
-from camphorlink.internal.core.connection.peer_messages import (
+from camphorlink.internal.core.connection.submission_messages import (
     RelayAnswer,
     RelayCancel,
     RelayProbe,
--- a/tests/core/test_relays.py
+++ b/tests/core/test_relays.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from camphorlink.internal.core.connection import peer_messages as peers
+from camphorlink.internal.core.connection import submission_messages as peers
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberState
 from camphorlink.internal.core.request import relays
