Planned stop: sealed tables are handed over in chunks

Cause: a VM that stopped took its table with it, so every later question about its submissions was "unknown" although nothing had failed. Peers learn who owns a table; a successor hands on what it inherited. What the window refused before the seal stays refused.

--- a/src/camphorlink/internal/core/connection/submission_messages.py
+++ b/src/camphorlink/internal/core/connection/submission_messages.py
@@ -83,8 +83,87 @@
     submission_id: str
 
 
+class EndingGroup(NamedTuple):
+    """Submissions that ended alike and whose answers are not handed over.
+
+    Attributes:
+        outcome: Value of ``Outcome``.
+        reason: Value of ``Reason``, or ``None``.
+        keys: Number forms of the identifiers, 16 bytes each, one after the
+            other.
+    """
+
+    outcome: str
+    reason: str | None
+    keys: bytes
+
+
+class TableChunk(NamedTuple):
+    """Part of a sealed table, for its successor.
+
+    The last part is sent when all others were acknowledged.  Whoever holds
+    all parts owns the table.
+
+    Attributes:
+        table: Text form of the home whose table it is.
+        generation: Rises by one with each hand-over of this table.
+        number: Number of the part, from 0.
+        total: Number of parts.
+        floor_ms: Issue time below which nothing may start.
+        ran_floor_ms: Issue time below which something may have run.
+        answers: Whole answers.
+        endings: Outcomes without answers.
+    """
+
+    table: str
+    generation: int
+    number: int
+    total: int
+    floor_ms: int
+    ran_floor_ms: int
+    answers: tuple[RelayAnswer, ...]
+    endings: tuple[EndingGroup, ...]
+
+
+class ChunkReply(NamedTuple):
+    """What became of a part of a table.
+
+    Attributes:
+        table: Text form of the home whose table it is.
+        generation: Generation of the part.
+        number: Number of the part.
+        is_taken: Whether it was taken; if not, none will be.
+    """
+
+    table: str
+    generation: int
+    number: int
+    is_taken: bool
+
+
+class SuccessionNotice(NamedTuple):
+    """A table has been handed over.
+
+    Attributes:
+        table: Text form of the home whose table it is.
+        owner: Text form of the home of the process that owns it now.
+        generation: Generation of the hand-over.
+    """
+
+    table: str
+    owner: str
+    generation: int
+
+
 SubmissionMessage = (
-    RelayJob | RelayAnswer | RelayProbe | RelayStatus | RelayCancel
+    RelayJob
+    | RelayAnswer
+    | RelayProbe
+    | RelayStatus
+    | RelayCancel
+    | TableChunk
+    | ChunkReply
+    | SuccessionNotice
 )
 
 SUBMISSION_MESSAGE_BY_KIND: dict[str, type[SubmissionMessage]] = {
@@ -93,4 +172,7 @@
     'relay-probe': RelayProbe,
     'relay-status': RelayStatus,
     'relay-cancel': RelayCancel,
+    'table-chunk': TableChunk,
+    'chunk-reply': ChunkReply,
+    'succession': SuccessionNotice,
 }
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -98,6 +98,11 @@
         """Whether every submission has its answer."""
         return self._submissions.is_idle
 
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether a sealed core has nothing left to hand over."""
+        return self._submissions.handovers.is_done
+
     @singledispatchmethod
     def _apply(self, message: messages.Message) -> None:
         self._submissions.handle(message, self._now)
--- a/src/camphorlink/internal/core/process/messages.py
+++ b/src/camphorlink/internal/core/process/messages.py
@@ -120,6 +120,10 @@
     """A planned stop begins: nothing new is admitted."""
 
 
+class Seal(NamedTuple):
+    """A planned stop ends: the tables are sealed and handed over."""
+
+
 class Tick(NamedTuple):
     """Time has passed; timers that are due are called."""
 
@@ -136,6 +140,7 @@
     | MembersChanged
     | PeerSaid
     | Drain
+    | Seal
     | Tick
 )
 
--- a/src/camphorlink/internal/core/process/peer_desk.py
+++ b/src/camphorlink/internal/core/process/peer_desk.py
@@ -9,6 +9,7 @@
 from camphorlink.internal.core.connection.peer_messages import PeerMessage
 from camphorlink.internal.core.process.messages import Submit
 from camphorlink.internal.core.process.peer_post import PeerPost
+from camphorlink.internal.core.request.handovers import HandOvers
 from camphorlink.internal.core.request.home_tables import HomeTables
 from camphorlink.internal.core.request.identifiers import (
     Home,
@@ -44,6 +45,7 @@
         post: PeerPost,
         tables: HomeTables,
         relays: Relays,
+        handovers: HandOvers,
         calls: HomeCalls,
         wall_offset_s: float,
     ) -> None:
@@ -51,6 +53,7 @@
         self._post = post
         self._tables = tables
         self._relays = relays
+        self._handovers = handovers
         self._calls = calls
         self._wall_offset_s = wall_offset_s
         self._peer = post.home
@@ -110,6 +113,20 @@
         if self._answers_for(submission_id):
             self._calls.cancel(message.submission_id)
 
+    @_apply.register
+    def _table_chunk(self, message: peers.TableChunk) -> None:
+        self._handovers.hear_chunk(self._peer, message, self._now)
+
+    @_apply.register
+    def _chunk_reply(self, message: peers.ChunkReply) -> None:
+        self._handovers.hear_reply(self._peer, message, self._now)
+
+    @_apply.register
+    def _succession(self, message: peers.SuccessionNotice) -> None:
+        home = self._handovers.learn(message)
+        if home is not None:
+            self._relays.hear_succession(home, self._now)
+
     def _answers_for(self, submission_id: SubmissionId) -> bool:
         table = self._tables.find(submission_id.home)
         if table is None:
--- a/src/camphorlink/internal/core/process/submissions.py
+++ b/src/camphorlink/internal/core/process/submissions.py
@@ -13,6 +13,7 @@
 from camphorlink.internal.core.process.peer_desk import HomeCalls, PeerDesk
 from camphorlink.internal.core.process.peer_post import PeerPost
 from camphorlink.internal.core.process.timers import Timers
+from camphorlink.internal.core.request.handovers import HandOvers
 from camphorlink.internal.core.request.home_table import HomeTable, TableLimits
 from camphorlink.internal.core.request.home_tables import HomeTables
 from camphorlink.internal.core.request.identifiers import (
@@ -59,10 +60,18 @@
             self.successions,
             wall_offset_s,
         )
+        self.handovers = HandOvers(
+            self.post,
+            self.tables,
+            timers,
+            self.successions,
+            self._own,
+        )
         self._peers = PeerDesk(
             self.post,
             self.tables,
             self.relays,
+            self.handovers,
             HomeCalls(self._submit, self._cancel_text),
             wall_offset_s,
         )
@@ -123,6 +132,18 @@
     def _peer_said(self, message: messages.PeerSaid) -> None:
         self._peers.hear(message.peer, message.message, self._now)
 
+    @_apply.register
+    def _seal(self, message: messages.Seal) -> None:
+        for table in self.tables.by_home.values():
+            for run in table.open_runs():
+                self.desk.deliver(run, run.close(Reason.VM_STOPPED))
+        self.relays.give_up_all()
+        self.handovers.seal(self._now, self._wall_s())
+
+    def _own(self, home: Home, generation: int) -> None:
+        for message in self.relays.take_back(home):
+            self._submit(message)
+
     def _cancel_text(self, text: str) -> None:
         run = self.tables.find_run(text)
         if run is None:
--- a/src/camphorlink/internal/core/request/home_table.py
+++ b/src/camphorlink/internal/core/request/home_table.py
@@ -35,6 +35,8 @@
 DEFAULT_ANSWER_BYTES = 32 * 1024 * 1024
 DEFAULT_MAX_ENDINGS = 100_000
 FULL_RETRY_S = 1.0
+#: An issue time above all that an identifier can carry, in ms.
+NEVER_MS = 1 << 48
 
 
 class TableLimits(NamedTuple):
@@ -139,12 +141,20 @@
         """Lists the submissions whose answer is held, oldest answer first."""
         return list(self._closed)
 
-    def restore(self, submission_id: SubmissionId, run: JobRun) -> None:
+    def restore(self, run: JobRun) -> None:
         """Takes over a run that ended at another home."""
-        self._run_by_id[str(submission_id)] = run
+        self._run_by_id[run.submission_id] = run
         self.open_count += 1
         self._note_closed(run)
 
+    def expire(self) -> None:
+        """Forgets everything; nothing may start under this table again."""
+        self._run_by_id.clear()
+        self._closed.clear()
+        self.held_bytes = 0
+        self.endings = Endings(self.limits.max_endings)
+        self.endings.raise_ran_floor(NEVER_MS)
+
     def _note_closed(self, run: JobRun) -> None:
         self.open_count -= 1
         if run.answer is not None:
@@ -196,11 +206,11 @@
 
     def find(self, submission_id: SubmissionId) -> Ending | None:
         """Returns how a submission ended, if that is remembered."""
-        return self._ending_by_key.get(_key_of(submission_id))
+        return self._ending_by_key.get(submission_id.key)
 
     def add(self, submission_id: SubmissionId, ending: Ending) -> None:
         """Remembers how a submission ended; the first time counts."""
-        self.add_key(_key_of(submission_id), ending)
+        self.add_key(submission_id.key, ending)
 
     def add_key(self, key: int, ending: Ending) -> None:
         """Remembers an ending under the number form of its identifier."""
@@ -259,12 +269,5 @@
     return unknown(Reason.ANSWER_GONE, detail)
 
 
-def _key_of(submission_id: SubmissionId) -> int:
-    return (submission_id.issued_ms << NONCE_BITS) | int(
-        submission_id.nonce,
-        16,
-    )
-
-
 def _issued_ms(key: int) -> int:
     return key >> NONCE_BITS
--- a/src/camphorlink/internal/core/request/home_tables.py
+++ b/src/camphorlink/internal/core/request/home_tables.py
@@ -15,6 +15,7 @@
         self.own = HomeTable(limits)
         self.by_home: dict[Home, HomeTable] = {home: self.own}
         self._sealed: set[Home] = set()
+        self._expired: set[Home] = set()
         self._table_by_prefix = {str(home): self.own}
 
     @property
@@ -45,7 +46,11 @@
         self.by_home[home] = table
         self._table_by_prefix[str(home)] = table
 
-    def drop(self, home: Home) -> None:
-        """Forgets a table that was handed over to it."""
-        self.by_home.pop(home, None)
-        self._table_by_prefix.pop(str(home), None)
+    def expire(self, home: Home) -> None:
+        """Empties a table all of whose identifiers have expired."""
+        self.by_home[home].expire()
+        self._expired.add(home)
+
+    def is_expired(self, home: Home) -> bool:
+        """Whether all identifiers of a table have expired."""
+        return home in self._expired
--- a/src/camphorlink/internal/core/request/identifiers.py
+++ b/src/camphorlink/internal/core/request/identifiers.py
@@ -18,9 +18,10 @@
 MS_PER_S = 1000
 
 _NAME = '[a-z0-9][a-z0-9-]{0,31}'
+_HOME = f'(?P<zone>{_NAME})[.](?P<vm>{_NAME})[.](?P<incarnation>[0-9a-f]{{16}})'
+_HOME_PATTERN = re.compile(_HOME)
 _PATTERN = re.compile(
-    f'(?P<zone>{_NAME})[.](?P<vm>{_NAME})[.](?P<incarnation>[0-9a-f]{{16}})'
-    '[.](?P<issued>[0-9a-f]{12})(?P<nonce>[0-9a-f]{20})',
+    f'{_HOME}[.](?P<issued>[0-9a-f]{{12}})(?P<nonce>[0-9a-f]{{20}})',
 )
 
 
@@ -54,10 +55,27 @@
     issued_ms: int
     nonce: str
 
+    @property
+    def key(self) -> int:
+        """Issue time and random part as one number, unique at its home."""
+        return (self.issued_ms << NONCE_BITS) | int(self.nonce, 16)
+
     def __str__(self) -> str:
         return f'{self.home}.{self.issued_ms:012x}{self.nonce}'
 
 
+def parse_home(text: str) -> Home:
+    """Reads the text form of a home.
+
+    Raises:
+        IdentifierError: The text has another form.
+    """
+    match = _HOME_PATTERN.fullmatch(text)
+    if match is None:
+        raise IdentifierError(f'{text[:80]!r} names no home')
+    return Home(match['zone'], match['vm'], match['incarnation'])
+
+
 def new_home(zone: str, vm: str, rng: random.Random) -> Home:
     """Names a process that has just started."""
     return Home(zone, vm, f'{rng.getrandbits(INCARNATION_BITS):016x}')
--- a/src/camphorlink/internal/core/request/job_run.py
+++ b/src/camphorlink/internal/core/request/job_run.py
@@ -123,6 +123,15 @@
         )
         return self._settle(answer)
 
+    def restore(self, answer: Answer) -> None:
+        """Takes over the answer that the run got at another home."""
+        self.answer = answer
+        self._results = []
+        self.fates = [
+            answer.fates_by_task.get(task.task_id, Fate.FINISHED)
+            for task in self.job.tasks
+        ]
+
     def fates_by_task(self) -> dict[str, Fate]:
         """Tells the fate of each task; one still running counts unknown."""
         return {
--- a/src/camphorlink/internal/core/request/reasons.py
+++ b/src/camphorlink/internal/core/request/reasons.py
@@ -21,6 +21,7 @@
     HOME_UNREACHABLE = 'home-unreachable'
     HOME_GONE = 'home-gone'
     RELAYS_FULL = 'relays-full'
+    VM_STOPPED = 'vm-stopped'
     DRAINING = 'draining'
     TABLE_FULL = 'table-full'
     QUEUE_FULL = 'queue-full'
@@ -49,6 +50,7 @@
     Reason.HOME_UNREACHABLE: 'ask again later under the same identifier',
     Reason.HOME_GONE: 'the VM that held the job is gone; check what it did',
     Reason.RELAYS_FULL: 'ask again after the given delay, same identifier',
+    Reason.VM_STOPPED: 'look at the fate of each task; ask again for unknown',
     Reason.DRAINING: 'submit it to another entry VM, which mints its own',
     Reason.TABLE_FULL: 'submit it again after the given delay',
     Reason.QUEUE_FULL: 'submit it again after the given delay',
--- a/src/camphorlink/internal/core/request/relays.py
+++ b/src/camphorlink/internal/core/request/relays.py
@@ -193,13 +193,28 @@
         if status is HomeStatus.UNSEEN:
             self._send(relay, now)
 
-    def hear_succession(self, now: float) -> None:
-        """Tries again those whose home has a successor now."""
+    def hear_succession(self, home: Home, now: float) -> None:
+        """Tries again what is for a home that has a successor now."""
+        for relay in self._of(home):
+            relay.needs_job = True
+            relay.heard_s = now
+            self._send(relay, now)
+
+    def take_back(self, home: Home) -> list[Submit]:
+        """Drops all relays to a home; returns the requests that waited."""
+        found = self._of(home)
+        for relay in found:
+            self._drop(relay)
+        return [
+            message
+            for dropped in found
+            for message in dropped.waiting_by_caller.values()
+        ]
+
+    def give_up_all(self) -> None:
+        """Answers everybody who waits, because this process stops."""
         for relay in self._index.all():
-            home = relay.message.submission_id.home
-            if self._successions.owner(home) != home:
-                relay.needs_job = True
-                self._send(relay, now)
+            self._give_up(relay, Reason.VM_STOPPED)
 
     def hear_view(self, now: float) -> None:
         """Looks at all relays again after the view has changed."""
@@ -210,6 +225,13 @@
             elif member is not None and not relay.tries:
                 self._send(relay, now)
 
+    def _of(self, home: Home) -> list[Relay]:
+        return [
+            relay
+            for relay in self._index.all()
+            if relay.message.submission_id.home == home
+        ]
+
     def _target(self, relay: Relay) -> Member | None:
         owner = self._successions.owner(relay.message.submission_id.home)
         if owner == self._post.home:
@@ -260,15 +282,18 @@
         self._finish(relay, unknown(reason, retry_after_s=_retry_after(reason)))
 
     def _finish(self, relay: Relay, answer: Answer) -> None:
-        if not self._index.remove(relay):
+        if not self._drop(relay):
             return
-        for key in relay.timers:
-            self._timers.cancel(key)
         for message in relay.waiting_by_caller.values():
             self._desk.give(message, answer)
         if answer.reason is not None:
             self._desk.count_failure(answer.reason)
 
+    def _drop(self, relay: Relay) -> bool:
+        for key in relay.timers:
+            self._timers.cancel(key)
+        return self._index.remove(relay)
+
     def _call_at(
         self,
         relay: Relay,
--- a/src/camphorlink/internal/core/request/successions.py
+++ b/src/camphorlink/internal/core/request/successions.py
@@ -36,6 +36,9 @@
     def __iter__(self) -> Iterator[Succession]:
         return iter(tuple(self._by_home.values()))
 
+    def __len__(self) -> int:
+        return len(self._by_home)
+
     def owner(self, home: Home) -> Home:
         """Returns the process that owns the table of ``home``."""
         succession = self._by_home.get(home)
--- /dev/null
+++ b/src/camphorlink/internal/core/request/table_taker.py
@@ -0,0 +1,95 @@
+"""Takes over sealed tables of entry VMs that make a planned stop."""
+
+from collections.abc import Callable
+
+from camphorlink.internal.core.connection.submission_messages import (
+    ChunkReply,
+    TableChunk,
+)
+from camphorlink.internal.core.process.peer_post import PeerPost
+from camphorlink.internal.core.process.timers import Timers
+from camphorlink.internal.core.request.home_table import (
+    ISSUE_WINDOW_S,
+    MAX_CLOCK_SKEW_S,
+)
+from camphorlink.internal.core.request.home_tables import HomeTables
+from camphorlink.internal.core.request.identifiers import Home, parse_home
+from camphorlink.internal.core.request.table_chunks import read_chunks
+
+#: Tables that may be on their way to here at once.
+MAX_PARTIAL = 4
+#: A table that stays incomplete for this long is dropped, in seconds.
+PARTIAL_S = 60.0
+
+OnOwned = Callable[[Home, int], None]
+
+
+class TableTaker:
+    """Collects the parts of tables; owns each as soon as it is whole."""
+
+    def __init__(
+        self,
+        post: PeerPost,
+        tables: HomeTables,
+        timers: Timers,
+        on_owned: OnOwned,
+    ) -> None:
+        """Starts with nothing taken.
+
+        Args:
+            post: Sends to peers.
+            tables: Where a whole table goes.
+            timers: Timer service of the core.
+            on_owned: Called with the home and the generation of a table
+                that this process owns from now on.
+        """
+        self.is_open = True
+        self._post = post
+        self._tables = tables
+        self._timers = timers
+        self._on_owned = on_owned
+        self._parts: dict[tuple[str, int], dict[int, TableChunk]] = {}
+        self._owned: set[tuple[str, int]] = set()
+
+    def hear(self, peer: Home, chunk: TableChunk, now: float) -> None:
+        """Takes one part, or refuses it, which goes for the whole table."""
+        key = (chunk.table, chunk.generation)
+        is_taken = key in self._owned or self._take(chunk, now)
+        reply = ChunkReply(
+            chunk.table,
+            chunk.generation,
+            chunk.number,
+            is_taken,
+        )
+        self._post.send(peer, reply)
+
+    def _take(self, chunk: TableChunk, now: float) -> bool:
+        key = (chunk.table, chunk.generation)
+        home = parse_home(chunk.table)
+        if not self.is_open or self._tables.find(home) is not None:
+            self._parts.pop(key, None)
+            return False
+        if key not in self._parts:
+            if len(self._parts) >= MAX_PARTIAL:
+                return False
+            self._parts[key] = {}
+            self._timers.call_at(
+                now + PARTIAL_S,
+                lambda _now: self._parts.pop(key, None),
+            )
+        parts = self._parts[key]
+        parts[chunk.number] = chunk
+        if len(parts) == chunk.total:
+            self._own(home, key, now)
+        return True
+
+    def _own(self, home: Home, key: tuple[str, int], now: float) -> None:
+        parts = self._parts.pop(key)
+        table = read_chunks(parts.values(), self._tables.limits)
+        self._owned.add(key)
+        self._tables.adopt(home, table)
+        self._timers.call_at(
+            now + ISSUE_WINDOW_S + MAX_CLOCK_SKEW_S,
+            lambda _now: self._tables.expire(home),
+        )
+        self._on_owned(home, key[1])
--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -21,6 +21,7 @@
 from camphorlink.internal.shell.connection.log_client import LogClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
 from camphorlink.internal.shell.process.core_host import CoreHost
+from camphorlink.internal.shell.process.leaving import hand_over_tables
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.member_watch import MemberWatch
 from camphorlink.internal.shell.process.metrics import Metrics
@@ -93,8 +94,9 @@
         exc: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Drains what is in flight, then stops all parts."""
+        """Drains, hands the tables over, then stops all parts."""
         await self.drain()
+        await hand_over_tables(self.host, self.members)
         await self._stack.aclose()
         self._log.info('stopped')
 
--- /dev/null
+++ b/tests/nocover/test_hand_over.py
@@ -0,0 +1,70 @@
+"""A planned stop between real daemons: nothing cut, nothing twice."""
+
+import asyncio
+
+from camphorlink.client import Client
+from camphorlink.standin.local_site import LocalSite, SiteShape
+
+POLLS = 500
+POLL_S = 0.02
+
+
+def job_of(count, work_ms=5):
+    return {
+        'service': 'caster',
+        'team': 'surveyors',
+        'deadline_ms': 5000,
+        'tasks': [
+            {'id': f't{number}', 'payload': {'work_ms': work_ms}}
+            for number in range(count)
+        ],
+    }
+
+
+def url_of(daemon):
+    return f'http://127.0.0.1:{daemon.callers_port}'
+
+
+async def see_each_other(site):
+    for _number in range(POLLS):
+        views = [daemon.host.core.post.live() for daemon in site.daemons]
+        if all(len(view) == len(site.daemons) for view in views):
+            return
+        await asyncio.sleep(POLL_S)
+    raise AssertionError(views)
+
+
+def starts_of(site):
+    return [
+        count
+        for backend in site.backends_by_name.values()
+        for count in backend.starts_by_reference.values()
+    ]
+
+
+def test_a_planned_stop_cuts_nothing_and_its_successor_answers():
+    async def scenario():
+        async with LocalSite(SiteShape(entries_per_zone=2)) as site:
+            await see_each_other(site)
+            leaving, other = site.daemons[0], site.daemons[2]
+            async with Client([url_of(leaving)]) as near:
+                ran = await near._issue_id()
+                unseen = await near._issue_id()
+                first = await near.submit_named(ran, job_of(4))
+                slow = asyncio.create_task(
+                    near.submit_named(await near._issue_id(), job_of(4, 500)),
+                )
+                await asyncio.sleep(0.1)
+                await leaving.__aexit__(None, None, None)
+                in_flight = await slow
+            async with Client([url_of(other)]) as far:
+                again = await far.submit_named(ran, job_of(4))
+                late = await far.submit_named(unseen, job_of(3))
+            site.daemons.remove(leaving)
+            return first, again, in_flight, late, starts_of(site)
+
+    first, again, in_flight, late, starts = asyncio.run(scenario())
+    assert again == first
+    assert len(in_flight) == 4
+    assert len(late) == 3
+    assert starts == [1] * 11
