Callers' own keys, claimed in the log service in groups

Cause: a booking number typed twice at two VMs had no way to meet: only identifiers with a home were known. Change: PUT /v1/keys/{service}/{key}. The entry VM mints an identifier and has it claimed by the VM that the rendezvous hash of the key's stream names; claims go out in groups under a budget of appends, the first in offset order wins, and the job goes on under the winner's identifier. An append without an answer is resolved by reading; a claim given up that lands later starts nothing until the key comes again. The header Key-Issued-Ms lets a key that may be older than what is kept be refused instead of started twice. Conclusion: one submission for each key, whatever the views and the log do.

--- a/src/camphorlink/internal/core/connection/submission_messages.py
+++ b/src/camphorlink/internal/core/connection/submission_messages.py
@@ -155,6 +155,42 @@
     generation: int
 
 
+class KeyClaim(NamedTuple):
+    """Asks for a caller's key to be claimed in the log service.
+
+    Attributes:
+        service: Service that the key belongs to.
+        key: The caller's own name.
+        submission_id: Text form of the identifier it is to stand for.
+        issued_ms: Time when the caller first used the key, epoch ms.
+        remaining_ms: How long the sender waits, in ms.
+    """
+
+    service: str
+    key: str
+    submission_id: str
+    issued_ms: int
+    remaining_ms: float
+
+
+class KeyWinner(NamedTuple):
+    """Says which submission a caller's key stands for.
+
+    Attributes:
+        service: Service that the key belongs to.
+        key: The caller's own name.
+        submission_id: Identifier that was to be claimed.
+        winner: Identifier that the key stands for, or ``None``.
+        reason: Value of ``Reason`` when there is no winner, else ``None``.
+    """
+
+    service: str
+    key: str
+    submission_id: str
+    winner: str | None
+    reason: str | None
+
+
 SubmissionMessage = (
     RelayJob
     | RelayAnswer
@@ -164,6 +200,8 @@
     | TableChunk
     | ChunkReply
     | SuccessionNotice
+    | KeyClaim
+    | KeyWinner
 )
 
 SUBMISSION_MESSAGE_BY_KIND: dict[str, type[SubmissionMessage]] = {
@@ -175,4 +213,6 @@
     'table-chunk': TableChunk,
     'chunk-reply': ChunkReply,
     'succession': SuccessionNotice,
+    'key-claim': KeyClaim,
+    'key-winner': KeyWinner,
 }
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -5,9 +5,16 @@
 
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberView
-from camphorlink.internal.core.process.submissions import Submissions
+from camphorlink.internal.core.process.submissions import (
+    Admission,
+    SubmissionLimits,
+    Submissions,
+)
 from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.admission import refuse_job
+from camphorlink.internal.core.request.claim_writer import (
+    DEFAULT_APPENDS_PER_S,
+)
 from camphorlink.internal.core.request.home_table import (
     DEFAULT_ANSWER_BYTES,
     FULL_RETRY_S,
@@ -35,6 +42,7 @@
         wall_offset_s: float,
         max_entries: int,
         answer_bytes: int = DEFAULT_ANSWER_BYTES,
+        claim_appends_per_s: float = DEFAULT_APPENDS_PER_S,
     ) -> None:
         """Starts without a manifest.
 
@@ -44,6 +52,8 @@
             max_entries: Submissions that the table may remember with their
                 answers.
             answer_bytes: Memory of the answers that are held, in bytes.
+            claim_appends_per_s: Appends that this process may make for
+                callers' keys.
         """
         self.home = home
         self.timers = Timers()
@@ -51,8 +61,11 @@
             home,
             self.timers,
             wall_offset_s,
-            TableLimits(max_entries, answer_bytes),
-            self._admit,
+            SubmissionLimits(
+                TableLimits(max_entries, answer_bytes),
+                claim_appends_per_s,
+            ),
+            Admission(self._admit, self._refuse_job),
         )
         self.tables = self._submissions.tables
         self.table = self.tables.own
@@ -74,11 +87,7 @@
         self._now = now
         self._apply(message)
         starts = self._scheduler.start_tasks(now)
-        return [
-            *self._desk.take_effects(),
-            *starts,
-            *self.post.take_effects(),
-        ]
+        return [*starts, *self._submissions.take_effects()]
 
     def wall_s(self, now: float) -> float:
         """Returns wall-clock time in seconds since the epoch.
--- a/src/camphorlink/internal/core/process/messages.py
+++ b/src/camphorlink/internal/core/process/messages.py
@@ -10,6 +10,10 @@
 
 from camphorlink.internal.core.connection.peer_messages import PeerMessage
 from camphorlink.internal.core.process.members import MemberView
+from camphorlink.internal.core.request.claim_records import (
+    CallerKey,
+    StoredClaim,
+)
 from camphorlink.internal.core.request.identifiers import (
     Home,
     SubmissionId,
@@ -50,6 +54,72 @@
     caller: int | Home
 
 
+class SubmitKey(NamedTuple):
+    """A caller submits a job under a key of its own.
+
+    Attributes:
+        key: The caller's key.
+        issued_ms: Time when the caller first used the key, epoch ms.
+        submission_id: Fresh identifier of this home, to be claimed.
+        job: What is to be run.
+        caller: Number of the request that waits for the answer.
+    """
+
+    key: CallerKey
+    issued_ms: int
+    submission_id: SubmissionId
+    job: Job
+    caller: int
+
+
+class ClaimsAppended(NamedTuple):
+    """Claims were appended next to each other.
+
+    Attributes:
+        stream: Name of the stream.
+        batch: Number that the append was asked for under.
+        first_offset: Offset of the first one.
+    """
+
+    stream: str
+    batch: int
+    first_offset: int
+
+
+class ClaimsNotAppended(NamedTuple):
+    """An append failed.
+
+    Attributes:
+        stream: Name of the stream.
+        is_uncertain: Whether the claims may be in the stream all the same.
+    """
+
+    stream: str
+    is_uncertain: bool
+
+
+class ClaimsRead(NamedTuple):
+    """Claims were read.
+
+    Attributes:
+        stream: Name of the stream.
+        records: In the order of their offsets.
+        earliest_offset: First offset that is still kept.
+        next_offset: Offset that the next append will get.
+    """
+
+    stream: str
+    records: tuple[StoredClaim, ...]
+    earliest_offset: int
+    next_offset: int
+
+
+class ClaimsNotRead(NamedTuple):
+    """A read failed."""
+
+    stream: str
+
+
 class Leave(NamedTuple):
     """A request stopped waiting; its submission goes on."""
 
@@ -128,8 +198,15 @@
     """Time has passed; timers that are due are called."""
 
 
+ClaimEvent = ClaimsAppended | ClaimsNotAppended | ClaimsRead | ClaimsNotRead
+
 Message = (
     Submit
+    | SubmitKey
+    | ClaimsAppended
+    | ClaimsNotAppended
+    | ClaimsRead
+    | ClaimsNotRead
     | Leave
     | Cancel
     | TaskFinished
@@ -203,6 +280,32 @@
     message: PeerMessage
 
 
+class AppendClaims(NamedTuple):
+    """Append claims to a stream of the log service, once.
+
+    Attributes:
+        stream: Name of the stream.
+        batch: Comes back with the offset.
+        records: JSON records.
+    """
+
+    stream: str
+    batch: int
+    records: tuple[Mapping[str, str], ...]
+
+
+class ReadClaims(NamedTuple):
+    """Read claims from a stream of the log service, without waiting.
+
+    Attributes:
+        stream: Name of the stream.
+        from_offset: First offset of interest.
+    """
+
+    stream: str
+    from_offset: int
+
+
 class Explain(NamedTuple):
     """Record a decision, so that an outcome can be explained afterwards.
 
@@ -217,4 +320,12 @@
     facts: Mapping[str, str | float | None]
 
 
-Effect = StartTask | Deliver | CountReason | SendPeer | Explain
+Effect = (
+    StartTask
+    | Deliver
+    | CountReason
+    | SendPeer
+    | AppendClaims
+    | ReadClaims
+    | Explain
+)
--- a/src/camphorlink/internal/core/process/peer_desk.py
+++ b/src/camphorlink/internal/core/process/peer_desk.py
@@ -9,6 +9,7 @@
 from camphorlink.internal.core.connection.peer_messages import PeerMessage
 from camphorlink.internal.core.process.messages import Submit
 from camphorlink.internal.core.process.peer_post import PeerPost
+from camphorlink.internal.core.request.caller_keys import CallerKeys
 from camphorlink.internal.core.request.handovers import HandOvers
 from camphorlink.internal.core.request.home_tables import HomeTables
 from camphorlink.internal.core.request.identifiers import (
@@ -46,6 +47,7 @@
         tables: HomeTables,
         relays: Relays,
         handovers: HandOvers,
+        keys: CallerKeys,
         calls: HomeCalls,
         wall_offset_s: float,
     ) -> None:
@@ -54,6 +56,7 @@
         self._tables = tables
         self._relays = relays
         self._handovers = handovers
+        self._keys = keys
         self._calls = calls
         self._wall_offset_s = wall_offset_s
         self._peer = post.home
@@ -127,6 +130,14 @@
         if home is not None:
             self._relays.hear_succession(home, self._now)
 
+    @_apply.register
+    def _key_claim(self, message: peers.KeyClaim) -> None:
+        self._keys.hear_claim(self._peer, message, self._now)
+
+    @_apply.register
+    def _key_winner(self, message: peers.KeyWinner) -> None:
+        self._keys.hear_winner(message)
+
     def _answers_for(self, submission_id: SubmissionId) -> bool:
         table = self._tables.find(submission_id.home)
         if table is None:
--- a/src/camphorlink/internal/core/process/submissions.py
+++ b/src/camphorlink/internal/core/process/submissions.py
@@ -7,12 +7,17 @@
 
 from collections.abc import Callable
 from functools import singledispatchmethod
+from typing import NamedTuple
 
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.answer_desk import AnswerDesk
 from camphorlink.internal.core.process.peer_desk import HomeCalls, PeerDesk
 from camphorlink.internal.core.process.peer_post import PeerPost
 from camphorlink.internal.core.process.timers import Timers
+from camphorlink.internal.core.request.caller_keys import CallerKeys
+from camphorlink.internal.core.request.claim_writer import (
+    DEFAULT_APPENDS_PER_S,
+)
 from camphorlink.internal.core.request.handovers import HandOvers
 from camphorlink.internal.core.request.home_table import HomeTable, TableLimits
 from camphorlink.internal.core.request.home_tables import HomeTables
@@ -21,12 +26,39 @@
     SubmissionId,
     parse_submission_id,
 )
-from camphorlink.internal.core.request.job import not_run
+from camphorlink.internal.core.request.job import (
+    Answer,
+    Job,
+    not_run,
+    unknown,
+)
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.request.relays import Relays
 from camphorlink.internal.core.request.successions import Successions
 
-Admit = Callable[[messages.Submit, HomeTable], None]
+
+class Admission(NamedTuple):
+    """What the core around it decides about new jobs.
+
+    Attributes:
+        admit: Takes a submission that its table has never seen.
+        refuse: Says why a job can't be admitted now, or returns ``None``.
+    """
+
+    admit: Callable[[messages.Submit, HomeTable], None]
+    refuse: Callable[[Job], Answer | None]
+
+
+class SubmissionLimits(NamedTuple):
+    """Bounds of what one process spends on submissions.
+
+    Attributes:
+        table: Bounds of each table's memory.
+        claim_appends_per_s: Appends to the log service for callers' keys.
+    """
+
+    table: TableLimits
+    claim_appends_per_s: float = DEFAULT_APPENDS_PER_S
 
 
 class Submissions:
@@ -37,8 +69,8 @@
         home: Home,
         timers: Timers,
         wall_offset_s: float,
-        limits: TableLimits,
-        admit: Admit,
+        limits: SubmissionLimits,
+        admission: Admission,
     ) -> None:
         """Starts with an empty table of ``home``.
 
@@ -46,12 +78,12 @@
             home: Identity of this process.
             timers: Timer service of the core.
             wall_offset_s: Wall-clock time less core time, in seconds.
-            limits: Bounds of the memory of each table.
-            admit: Takes a submission that its table has never seen.
+            limits: Bounds of memory and appends.
+            admission: What the core around it decides about new jobs.
         """
         self.post = PeerPost(home)
         self.desk = AnswerDesk(timers, self.post)
-        self.tables = HomeTables(home, limits)
+        self.tables = HomeTables(home, limits.table)
         self.successions = Successions()
         self.relays = Relays(
             self.post,
@@ -67,22 +99,40 @@
             self.successions,
             self._own,
         )
+        self.keys = CallerKeys(
+            self.post,
+            self.desk,
+            timers,
+            wall_offset_s,
+            limits.claim_appends_per_s,
+            self._submit,
+        )
         self._peers = PeerDesk(
             self.post,
             self.tables,
             self.relays,
             self.handovers,
+            self.keys,
             HomeCalls(self._submit, self._cancel_text),
             wall_offset_s,
         )
-        self._admit = admit
+        self._admission = admission
         self._wall_offset_s = wall_offset_s
         self._now = 0.0
 
     @property
     def is_idle(self) -> bool:
         """Whether every submission, sent on or not, has its answer."""
-        return self.tables.open_count + len(self.relays) == 0
+        waiting = len(self.relays) + len(self.keys)
+        return self.tables.open_count + waiting == 0
+
+    def take_effects(self) -> list[messages.Effect]:
+        """Hands over the effects collected since the last call."""
+        return [
+            *self.desk.take_effects(),
+            *self.post.take_effects(),
+            *self.keys.writer.take_effects(),
+        ]
 
     def handle(self, message: messages.Message, now: float) -> None:
         """Takes one message at core time ``now``."""
@@ -110,7 +160,30 @@
         elif self.tables.is_sealed(submission_id.home):
             self.relays.submit(message, self._now)
         else:
-            self._admit(message, table)
+            self._admission.admit(message, table)
+
+    @_apply.register
+    def _submit_key(self, message: messages.SubmitKey) -> None:
+        refusal = self._admission.refuse(message.job)
+        if refusal is None or refusal.reason is None:
+            self.keys.submit(message, self._now)
+            return
+        # Another entry VM may have run the key: this is no "not run".
+        answer = unknown(
+            refusal.reason,
+            refusal.detail,
+            refusal.retry_after_s,
+        )
+        asked = messages.Submit(
+            message.submission_id,
+            message.job,
+            message.caller,
+        )
+        self.desk.refuse(asked, answer)
+
+    @_apply.register
+    def _hear_log(self, message: messages.ClaimEvent) -> None:
+        self.keys.writer.handle(message, self._now)
 
     @_apply.register
     def _leave(self, message: messages.Leave) -> None:
@@ -118,6 +191,7 @@
         if run is not None:
             run.waiting_callers.pop(message.caller, None)
         self.relays.leave(message.submission_id, message.caller)
+        self.keys.leave(message.caller)
 
     @_apply.register
     def _cancel(self, message: messages.Cancel) -> None:
@@ -138,6 +212,7 @@
             for run in table.open_runs():
                 self.desk.deliver(run, run.close(Reason.VM_STOPPED))
         self.relays.give_up_all()
+        self.keys.give_up_all()
         self.handovers.seal(self._now, self._wall_s())
 
     def _own(self, home: Home, generation: int) -> None:
--- /dev/null
+++ b/src/camphorlink/internal/core/request/claim_stream.py
@@ -0,0 +1,194 @@
+"""Claims one stream's keys: collects, appends, reads back, resolves.
+
+One append or one read is on its way at a time.  A claim that was appended
+counts only when everything before it was read.  When nobody else has
+appended since the last read, the offset of the append shows that, and
+nothing needs to be read back.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.request.claim_index import ClaimIndex
+from camphorlink.internal.core.request.claim_records import (
+    CallerKey,
+    Claim,
+    write_claim,
+)
+from camphorlink.internal.core.request.identifiers import Home
+from camphorlink.internal.core.request.reasons import Reason
+
+MAX_BATCH = 400
+MIN_RETRY_S = 0.1
+MAX_RETRY_S = 2.0
+
+
+class Ask(NamedTuple):
+    """One entry VM's wish to claim a key.
+
+    Attributes:
+        key: The caller's key.
+        submission_id: What the key is to stand for.
+        issued_ms: Time when the caller first used the key, epoch ms.
+        deadline_s: Core time after which nobody waits.
+        asker: Process to which the winner is told.
+    """
+
+    key: CallerKey
+    submission_id: str
+    issued_ms: int
+    deadline_s: float
+    asker: Home
+
+
+class Verdict(NamedTuple):
+    """What became of an ask.
+
+    Attributes:
+        ask: The ask.
+        winner: Identifier that the key stands for, or ``None``.
+        reason: Why there is no winner, else ``None``.
+    """
+
+    ask: Ask
+    winner: str | None
+    reason: Reason | None = None
+
+
+OnVerdict = Callable[[Verdict], None]
+
+
+class ClaimStream:
+    """State of one stream at the process that writes it."""
+
+    def __init__(self, name: str, on_verdict: OnVerdict) -> None:
+        """Starts with nothing read and nothing asked."""
+        self.name = name
+        self.index = ClaimIndex()
+        self.is_busy = False
+        self.failures = 0
+        self.retry_s = 0.0
+        self._on_verdict = on_verdict
+        self._asks_by_key: dict[CallerKey, list[Ask]] = {}
+        self._batch: list[Claim] = []
+        self._batch_number = 0
+        self._must_read = True
+
+    @property
+    def has_asks(self) -> bool:
+        """Whether somebody waits for a verdict."""
+        return bool(self._asks_by_key)
+
+    @property
+    def wants_append(self) -> bool:
+        """Whether the next step is an append, which costs budget."""
+        return self.has_asks and not self._must_read
+
+    def ask(self, ask: Ask) -> None:
+        """Takes a wish to claim; the verdict may come at once."""
+        if self._judge(ask):
+            return
+        asks = self._asks_by_key.setdefault(ask.key, [])
+        if not any(_is_same(ask, other) for other in asks):
+            asks.append(ask)
+
+    def next_step(self, now: float) -> messages.Effect | None:
+        """Returns the next read or append, if there is one to make."""
+        self._drop_late(now)
+        if self.is_busy or now < self.retry_s or not self.has_asks:
+            return None
+        if self._must_read:
+            self.is_busy = True
+            return messages.ReadClaims(self.name, self.index.next_offset or 0)
+        self._resolve()
+        return self._next_append()
+
+    def _next_append(self) -> messages.Effect | None:
+        asks = [asked[0] for asked in self._asks_by_key.values()]
+        self._batch = [
+            Claim(ask.key, ask.submission_id) for ask in asks[:MAX_BATCH]
+        ]
+        if not self._batch:
+            return None
+        self.is_busy = True
+        self._batch_number += 1
+        return messages.AppendClaims(
+            self.name,
+            self._batch_number,
+            tuple(write_claim(claim) for claim in self._batch),
+        )
+
+    def hear_appended(
+        self,
+        message: messages.ClaimsAppended,
+        wall_s: float,
+    ) -> None:
+        """Takes the offset of an append that was answered."""
+        if message.batch != self._batch_number or not self.is_busy:
+            return
+        self.is_busy = False
+        self.failures = 0
+        if message.first_offset == self.index.next_offset:
+            self.index.fold_own(self._batch, message.first_offset, wall_s)
+            self._resolve()
+        else:
+            self._must_read = True
+
+    def hear_failed(self, now: float, *, must_read: bool) -> None:
+        """Takes note of an append or a read without an answer.
+
+        Whether an append without an answer took effect is found out by
+        reading.  If it did not, the same claims are appended again: a
+        second record with the same identifier changes nothing.
+        """
+        self.is_busy = False
+        self._must_read = self._must_read or must_read
+        delay_s = min(MAX_RETRY_S, MIN_RETRY_S * 2**self.failures)
+        self.failures += 1
+        self.retry_s = now + delay_s
+
+    def hear_read(self, message: messages.ClaimsRead, wall_s: float) -> None:
+        """Takes records that were read from the last position on."""
+        self.is_busy = False
+        self.failures = 0
+        self.index.fold_page(
+            message.records,
+            message.earliest_offset,
+            wall_s,
+        )
+        position = self.index.next_offset or 0
+        self._must_read = position < message.next_offset
+        if not self._must_read:
+            self._resolve()
+
+    def _resolve(self) -> None:
+        for key, asks in tuple(self._asks_by_key.items()):
+            left = [ask for ask in asks if not self._judge(ask)]
+            if left:
+                self._asks_by_key[key] = left
+            else:
+                self._asks_by_key.pop(key)
+
+    def _judge(self, ask: Ask) -> bool:
+        """Gives the verdict of an ask if there is one yet."""
+        winner = self.index.winner(ask.key)
+        if self.index.is_expired(ask.key, ask.issued_ms):
+            self._on_verdict(Verdict(ask, None, Reason.KEY_EXPIRED))
+        elif winner is None:
+            return False
+        else:
+            self._on_verdict(Verdict(ask, winner))
+        return True
+
+    def _drop_late(self, now: float) -> None:
+        for key, asks in tuple(self._asks_by_key.items()):
+            if max(ask.deadline_s for ask in asks) > now:
+                continue
+            for ask in self._asks_by_key.pop(key):
+                late = Verdict(ask, None, Reason.KEY_UNRESOLVED)
+                self._on_verdict(late)
+
+
+def _is_same(ask: Ask, other: Ask) -> bool:
+    return (ask.submission_id, ask.asker) == (other.submission_id, other.asker)
--- a/src/camphorlink/internal/core/request/reasons.py
+++ b/src/camphorlink/internal/core/request/reasons.py
@@ -22,6 +22,8 @@
     HOME_GONE = 'home-gone'
     RELAYS_FULL = 'relays-full'
     VM_STOPPED = 'vm-stopped'
+    KEY_EXPIRED = 'key-expired'
+    KEY_UNRESOLVED = 'key-unresolved'
     DRAINING = 'draining'
     TABLE_FULL = 'table-full'
     QUEUE_FULL = 'queue-full'
@@ -51,6 +53,8 @@
     Reason.HOME_GONE: 'the VM that held the job is gone; check what it did',
     Reason.RELAYS_FULL: 'ask again after the given delay, same identifier',
     Reason.VM_STOPPED: 'look at the fate of each task; ask again for unknown',
+    Reason.KEY_EXPIRED: 'find out by other means whether the job ran',
+    Reason.KEY_UNRESOLVED: 'submit it again under the same key',
     Reason.DRAINING: 'submit it to another entry VM, which mints its own',
     Reason.TABLE_FULL: 'submit it again after the given delay',
     Reason.QUEUE_FULL: 'submit it again after the given delay',
--- /dev/null
+++ b/src/camphorlink/internal/shell/connection/claim_log.py
@@ -0,0 +1,50 @@
+"""Reads and appends claims of callers' keys, each once, as the core asks."""
+
+from camphorlink.errors import AppendUncertainError, LogServiceError
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.request.claim_records import StoredClaim
+from camphorlink.internal.shell.connection.log_client import LogClient
+
+
+class ClaimLog:
+    """Carries out the core's reads and appends; it decides nothing."""
+
+    def __init__(self, log_client: LogClient) -> None:
+        """Takes the client of the log service."""
+        self._log_client = log_client
+
+    async def append(
+        self,
+        effect: messages.AppendClaims,
+    ) -> messages.ClaimsAppended | messages.ClaimsNotAppended:
+        """Appends claims next to each other and reports what is known."""
+        stream = effect.stream
+        try:
+            first_offset = await self._log_client.append(
+                stream,
+                list(effect.records),
+            )
+        except AppendUncertainError:
+            return messages.ClaimsNotAppended(stream, is_uncertain=True)
+        except LogServiceError:
+            return messages.ClaimsNotAppended(stream, is_uncertain=False)
+        return messages.ClaimsAppended(stream, effect.batch, first_offset)
+
+    async def read(
+        self,
+        effect: messages.ReadClaims,
+    ) -> messages.ClaimsRead | messages.ClaimsNotRead:
+        """Reads one page of a stream, without waiting for new records."""
+        try:
+            page = await self._log_client.read(
+                effect.stream,
+                effect.from_offset,
+            )
+        except LogServiceError:
+            return messages.ClaimsNotRead(effect.stream)
+        return messages.ClaimsRead(
+            effect.stream,
+            tuple(StoredClaim(*stored) for stored in page.records),
+            page.earliest_offset,
+            page.next_offset,
+        )
--- a/src/camphorlink/internal/shell/process/core_host.py
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import itertools
+from collections.abc import Awaitable, Callable, Coroutine
 from functools import singledispatchmethod
 from types import TracebackType
+from typing import Any
 
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.core.request.claim_records import CallerKey
 from camphorlink.internal.core.request.identifiers import SubmissionId
 from camphorlink.internal.core.request.job import Answer, Job
 from camphorlink.internal.shell.connection.backend_client import BackendClient
+from camphorlink.internal.shell.connection.claim_log import ClaimLog
+from camphorlink.internal.shell.connection.log_client import LogClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.metrics import Metrics
@@ -22,6 +27,7 @@
         self,
         core: EntryCore,
         backend_client: BackendClient,
+        log_client: LogClient,
         metrics: Metrics,
     ) -> None:
         """Binds the core to the running loop."""
@@ -30,9 +36,12 @@
         self._decisions = PartLog('decisions', core.home.vm)
         self._loop = asyncio.get_running_loop()
         self._backend_client = backend_client
+        self._claim_log = ClaimLog(log_client)
         self._metrics = metrics
         self._callers = itertools.count()
-        self._answer_by_caller: dict[int, asyncio.Future[Answer]] = {}
+        self._delivery_by_caller: dict[
+            int, asyncio.Future[messages.Deliver]
+        ] = {}
         self._sends: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
 
@@ -63,20 +72,56 @@
 
         A caller that goes away cancels only this wait, never the job.
         """
+        delivery = await self._await_delivery(
+            submission_id,
+            lambda caller: messages.Submit(submission_id, job, caller),
+        )
+        return delivery.answer
+
+    async def submit_key(
+        self,
+        key: CallerKey,
+        issued_ms: int,
+        submission_id: SubmissionId,
+        job: Job,
+    ) -> messages.Deliver:
+        """Submits a job under a caller's own key.
+
+        Args:
+            key: The caller's key.
+            issued_ms: Time when the caller first used the key, epoch ms.
+            submission_id: Fresh identifier of this home.
+            job: What is to be run.
+
+        Returns:
+            The answer, and the submission that the key stands for.
+        """
+        return await self._await_delivery(
+            submission_id,
+            lambda caller: messages.SubmitKey(
+                key, issued_ms, submission_id, job, caller
+            ),
+        )
+
+    async def _await_delivery(
+        self,
+        submission_id: SubmissionId,
+        build: Callable[[int], messages.Message],
+    ) -> messages.Deliver:
         caller = next(self._callers)
-        answer: asyncio.Future[Answer] = self._loop.create_future()
-        self._answer_by_caller[caller] = answer
+        delivery: asyncio.Future[messages.Deliver] = self._loop.create_future()
+        self._delivery_by_caller[caller] = delivery
         started_s = self._loop.time()
         try:
-            self.post(messages.Submit(submission_id, job, caller))
-            return await answer
+            self.post(build(caller))
+            return await delivery
         finally:
             self._stop_waiting(str(submission_id), caller)
             self._metrics.response_s.observe({}, self._loop.time() - started_s)
 
     def _stop_waiting(self, submission_id: str, caller: int) -> None:
-        answer = self._answer_by_caller.pop(caller)
-        if answer.cancelled():
+        delivery = self._delivery_by_caller.pop(caller)
+        if delivery.cancelled():
             self.post(messages.Leave(submission_id, caller))
 
     @singledispatchmethod
@@ -86,16 +131,14 @@
     @_carry_out.register
     def _start_task(self, effect: messages.StartTask) -> None:
         self._metrics.starts.inc({'service': effect.service})
-        send = self._loop.create_task(self._send(effect))
-        self._sends.add(send)
-        send.add_done_callback(self._sends.discard)
+        self._keep(self._post_later(self._backend_client.run_task(effect)))
 
     @_carry_out.register
     def _deliver(self, effect: messages.Deliver) -> None:
         self._metrics.answers.inc({'outcome': effect.answer.outcome.value})
-        waiter = self._answer_by_caller.get(effect.caller)
+        waiter = self._delivery_by_caller.get(effect.caller)
         if waiter is not None and not waiter.done():
-            waiter.set_result(effect.answer)
+            waiter.set_result(effect)
 
     @_carry_out.register
     def _count_reason(self, effect: messages.CountReason) -> None:
@@ -106,6 +149,14 @@
         if self.links is not None:
             self.links.send(effect.address, effect.message)
 
+    @_carry_out.register
+    def _append_claims(self, effect: messages.AppendClaims) -> None:
+        self._keep(self._post_later(self._claim_log.append(effect)))
+
+    @_carry_out.register
+    def _read_claims(self, effect: messages.ReadClaims) -> None:
+        self._keep(self._post_later(self._claim_log.read(effect)))
+
     @_carry_out.register
     def _explain(self, effect: messages.Explain) -> None:
         self._decisions.debug(
@@ -113,8 +164,16 @@
             extra={'submission_id': effect.submission_id, **effect.facts},
         )
 
-    async def _send(self, start: messages.StartTask) -> None:
-        self.post(await self._backend_client.run_task(start))
+    def _keep(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._sends.add(task)
+        task.add_done_callback(self._sends.discard)
+
+    async def _post_later(
+        self,
+        report: Awaitable[messages.Message],
+    ) -> None:
+        self.post(await report)
 
     def _arm_timer(self) -> None:
         due_s = self.core.timers.next_due_s()
--- a/src/camphorlink/internal/shell/request/callers_api.py
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -6,14 +6,15 @@
 
 from aiohttp import web
 
-from camphorlink.errors import IdentifierError, JobError
+from camphorlink.errors import Fault, IdentifierError, JobError
 from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.request.claim_records import CallerKey
 from camphorlink.internal.core.request.identifiers import (
     SubmissionId,
     mint_submission_id,
     parse_submission_id,
 )
-from camphorlink.internal.core.request.job import not_run
+from camphorlink.internal.core.request.job import Job, not_run
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.request.job_documents import read_job
@@ -26,6 +27,10 @@
 )
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_KEY_CHARS = 128
+MAX_MS_DIGITS = 14
+#: Header that tells when a caller's key was first used, in epoch ms.
+KEY_ISSUED_HEADER = 'Key-Issued-Ms'
 
 
 class CallersApi:
@@ -44,6 +49,7 @@
                 web.post('/v1/submission-ids', self.issue_id),
                 web.post('/v1/submissions', self.submit_new),
                 web.put('/v1/submissions/{id}', self.submit_named),
+                web.put('/v1/keys/{service}/{key}', self.submit_key),
                 web.get('/v1/submissions/{id}', self.show),
                 web.delete('/v1/submissions/{id}', self.cancel),
             ]
@@ -70,6 +76,28 @@
             return problem_response(not_run(Reason.BAD_IDENTIFIER, str(exc)))
         return await self._run(request, submission_id)
 
+    async def submit_key(self, request: web.Request) -> web.Response:
+        """Runs a job under the caller's own key, or joins its run."""
+        service, name = request.match_info['service'], request.match_info['key']
+        issued_ms = request.headers.get(KEY_ISSUED_HEADER, '')
+        fault = _key_fault(name, issued_ms)
+        if fault:
+            return problem_response(not_run(Reason.BAD_IDENTIFIER, fault))
+        try:
+            job = await self._read_job(request)
+        except JobError as exc:
+            return faults_response(Reason.BAD_JOB, exc.faults)
+        if job.service != service:
+            detail = f'the key is of {service!r}, the job of {job.service!r}'
+            return problem_response(not_run(Reason.BAD_JOB, detail))
+        delivery = await self._host.submit_key(
+            CallerKey(service, name),
+            int(issued_ms),
+            self._mint(),
+            job,
+        )
+        return answer_response(delivery.submission_id, delivery.answer)
+
     async def show(self, request: web.Request) -> web.Response:
         """Tells what is known of a submission, without waiting."""
         run = self._host.core.tables.find_run(request.match_info['id'])
@@ -110,12 +138,28 @@
         key = str(submission_id)
         headers = {ID_HEADER: key}
         try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            detail = f'a body may have {MAX_BODY_BYTES} bytes'
-            return problem_response(not_run(Reason.BAD_JOB, detail), headers)
-        try:
-            job = read_job(body, asyncio.get_running_loop().time())
+            job = await self._read_job(request)
         except JobError as exc:
             return faults_response(Reason.BAD_JOB, exc.faults, headers)
         return answer_response(key, await self._host.submit(submission_id, job))
+
+    async def _read_job(self, request: web.Request) -> Job:
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge as exc:
+            fault = Fault(
+                '$', 'a larger one', f'at most {MAX_BODY_BYTES} bytes'
+            )
+            raise JobError([fault]) from exc
+        return read_job(body, asyncio.get_running_loop().time())
+
+
+def _key_fault(name: str, issued_ms: str) -> str:
+    if len(name) > MAX_KEY_CHARS:
+        return f'a key may have {MAX_KEY_CHARS} characters'
+    if not issued_ms.isdecimal() or len(issued_ms) > MAX_MS_DIGITS:
+        return (
+            f'the header {KEY_ISSUED_HEADER} must tell when the key was first '
+            'used, in ms since the epoch'
+        )
+    return ''
--- /dev/null
+++ b/tests/core/test_caller_keys.py
@@ -0,0 +1,270 @@
+"""Callers' own keys: one submission each, whatever the log service does."""
+
+import random
+
+import pytest
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.members import (
+    Member,
+    MemberState,
+    build_view,
+)
+from camphorlink.internal.core.request import claim_writer
+from camphorlink.internal.core.request.claim_records import (
+    CallerKey,
+    choose_claimer,
+    read_claim,
+    stream_of,
+)
+from camphorlink.internal.core.request.job import Outcome
+from camphorlink.internal.core.request.reasons import Reason
+from cores import Cores, PretendedLog, job_of
+
+
+@pytest.fixture
+def cores():
+    made = Cores('a', 'b', 'c', rng=random.Random(4))
+    made.show_members()
+    return made
+
+
+def see_alone(cores, vm):
+    """Lets one core believe that it is the only entry VM that lives."""
+    view = build_view(
+        Member(
+            core.home,
+            other,
+            MemberState.LIVE if other == vm else MemberState.SUSPECT,
+        )
+        for other, core in cores.core_by_vm.items()
+    )
+    cores.post(vm, messages.MembersChanged(view))
+
+
+def assert_whole(cores, callers):
+    for caller in callers:
+        assert cores.answer_of(caller).outcome is Outcome.COMPLETE
+    assert set(cores.starts.values()) == {1}
+
+
+def test_a_key_used_at_several_vms_runs_once_for_all(cores):
+    callers = [cores.submit_key(vm, 'B-7', job_of(3)) for vm in 'abcabc']
+    cores.run(2)
+    assert_whole(cores, callers)
+    assert len(cores.starts) == 3
+    assert cores.log.appends == 1
+
+
+def test_a_key_used_again_later_has_the_first_answer(cores):
+    first = cores.submit_key('a', 'B-7', job_of())
+    cores.run(2)
+    callers = [
+        cores.submit_key(vm, 'B-7', job_of(1, cores.now + 5)) for vm in 'abc'
+    ]
+    cores.run(2)
+    assert_whole(cores, [first, *callers])
+    assert cores.log.appends == 1
+
+
+def test_another_job_under_a_used_key_is_refused(cores):
+    first = cores.submit_key('a', 'B-7', job_of())
+    other = cores.submit_key('b', 'B-7', job_of(digest='other'))
+    cores.run(2)
+    answers = [cores.answer_of(first), cores.answer_of(other)]
+    reasons = {answer.reason for answer in answers}
+    assert reasons == {None, Reason.OTHER_JOB}
+    assert set(cores.starts.values()) == {1}
+
+
+def test_vms_that_disagree_about_the_members_still_agree_about_the_key(cores):
+    for vm in 'abc':
+        see_alone(cores, vm)
+    callers = [cores.submit_key(vm, 'B-7', job_of()) for vm in 'abc']
+    cores.run(1)
+    claims = cores.log.records_by_stream[stream_of(CallerKey('caster', 'B-7'))]
+    assert len(claims) == 3
+    cores.show_members()
+    cores.run(8)
+    assert sum(cores.starts.values()) == 1
+    outcomes = {cores.answer_of(caller).outcome for caller in callers}
+    assert Outcome.COMPLETE in outcomes
+    assert Outcome.NOT_RUN not in outcomes
+
+
+@pytest.mark.parametrize('fate', ['unanswered', 'lost', 'late', 'refused'])
+def test_an_append_without_an_answer_is_resolved_by_reading(cores, fate):
+    fates = iter([fate])
+    cores.log.on_append = lambda _effect: next(fates, 'ok')
+    callers = [cores.submit_key(vm, 'B-7', job_of()) for vm in 'ab']
+    cores.run(2)
+    cores.log.land()
+    again = cores.submit_key('c', 'B-7', job_of(1, cores.now + 5))
+    cores.run(2)
+    assert_whole(cores, [*callers, again])
+
+
+def test_a_claim_given_up_that_lands_later_starts_nothing_by_itself(cores):
+    cores.log.on_append = lambda _effect: 'late'
+    caller = cores.submit_key('a', 'B-7', job_of(deadline_s=1.0))
+    cores.run(3)
+    answer = cores.answer_of(caller)
+    assert answer.outcome is Outcome.UNKNOWN
+    assert answer.reason is Reason.KEY_UNRESOLVED
+    cores.log.land()
+    cores.log.on_append = lambda _effect: 'ok'
+    cores.run(20)
+    assert not cores.starts
+    again = cores.submit_key('b', 'B-7', job_of(1, cores.now + 5))
+    cores.run(3)
+    assert_whole(cores, [again])
+
+
+def test_without_the_log_keys_wait_until_their_deadline(cores):
+    cores.log.is_down = True
+    waiting = cores.submit_key('a', 'B-7', job_of(deadline_s=4.0))
+    short = cores.submit_key('a', 'B-8', job_of(deadline_s=1.0))
+    homed = cores.submit('a', cores.mint('a'), job_of())
+    cores.run(2)
+    assert cores.answer_of(short).reason is Reason.KEY_UNRESOLVED
+    assert cores.answer_of(homed).outcome is Outcome.COMPLETE
+    cores.log.is_down = False
+    cores.run(2.5)
+    assert cores.answer_of(waiting).outcome is Outcome.COMPLETE
+
+
+def test_a_key_older_than_the_retention_is_refused(cores):
+    first = cores.submit_key('a', 'B-7', job_of())
+    cores.run(2)
+    assert_whole(cores, [first])
+    cores.log.expire()
+    for vm in 'abc':
+        cores.start(vm)
+    cores.show_members()
+    cores.run(7200)
+    old = cores.submit_key('b', 'B-7', job_of(1, cores.now + 5), issued_s=0)
+    new = cores.submit_key('b', 'B-8', job_of(1, cores.now + 5))
+    cores.run(3)
+    assert cores.answer_of(old).outcome is Outcome.UNKNOWN
+    assert cores.answer_of(old).reason is Reason.KEY_EXPIRED
+    assert cores.answer_of(new).outcome is Outcome.COMPLETE
+
+
+def test_a_key_that_was_forgotten_is_never_claimed_again(cores, monkeypatch):
+    monkeypatch.setattr(claim_writer, 'MAX_KEYS', 4)
+    first = cores.submit_key('a', 'B-0', job_of())
+    cores.run(1)
+    for number in range(1, 60):
+        cores.submit_key('a', f'B-{number}', job_of(1, cores.now + 9))
+        cores.run(1)
+    again = cores.submit_key('b', 'B-0', job_of(1, cores.now + 9), issued_s=0)
+    cores.run(3)
+    assert cores.answer_of(first).outcome is Outcome.COMPLETE
+    assert cores.answer_of(again).reason in {Reason.KEY_EXPIRED, None}
+    assert set(cores.starts.values()) == {1}
+
+
+def test_a_second_claim_never_wins_over_a_forgotten_first(cores, monkeypatch):
+    """VM a forgets the first claim and reads a second one afterwards."""
+    monkeypatch.setattr(claim_writer, 'MAX_KEYS', 2)
+    see_alone(cores, 'a')
+    see_alone(cores, 'b')
+    key = CallerKey('caster', 'B-0')
+    others = [
+        f'C-{number}'
+        for number in range(300)
+        if stream_of(CallerKey('caster', f'C-{number}')) == stream_of(key)
+    ]
+    first = cores.submit_key('a', key.name, job_of(deadline_s=9.0))
+    cores.run(1)
+    for other in others[:2]:
+        cores.submit_key('a', other, job_of(deadline_s=9.0))
+        cores.run(1)
+    cores.run(100)
+    # What a VM without any knowledge would append before it reads back.
+    record = {
+        'kind': 'claim',
+        'service': key.service,
+        'key': key.name,
+        'submission_id': str(cores.mint('b')),
+    }
+    second = messages.AppendClaims(stream_of(key), 1, (record,))
+    cores.log.append(second, cores.now)
+    cores.submit_key('a', others[2], job_of(1, 190.0))
+    cores.run(1)
+    again = cores.submit_key('a', key.name, job_of(1, 190.0), issued_s=0)
+    cores.run(3)
+    assert cores.answer_of(first).outcome is Outcome.COMPLETE
+    assert cores.answer_of(again).reason is Reason.KEY_EXPIRED
+    assert set(cores.starts.values()) == {1}
+
+
+def test_a_key_whose_winner_died_is_unknown(cores):
+    first = cores.submit_key('a', 'B-7', job_of())
+    cores.run(2)
+    assert cores.answer_of(first).outcome is Outcome.COMPLETE
+    cores.start('a')
+    cores.show_members()
+    again = cores.submit_key('b', 'B-7', job_of(1, cores.now + 5))
+    cores.run(2)
+    assert cores.answer_of(again).outcome is Outcome.UNKNOWN
+    assert cores.answer_of(again).reason is Reason.HOME_GONE
+
+
+def test_claims_are_committed_in_groups_under_the_budget():
+    cores = Cores('a', rng=random.Random(4), claim_appends_per_s=10.0)
+    cores.show_members()
+    callers = []
+    for number in range(1000):
+        callers.append(cores.submit_key('a', f'B-{number}', job_of(1, 30.0)))
+        cores.run(0.002)
+    cores.run(5)
+    assert_whole(cores, callers)
+    assert cores.log.appends <= 7 * 10 + claim_writer.MAX_BURST
+
+
+def test_lost_messages_between_asker_and_claimer_cost_only_time(cores):
+    rng = random.Random(7)
+    cores.lose = lambda *_what: rng.random() < 0.3
+    callers = [
+        cores.submit_key(vm, f'B-{number}', job_of(deadline_s=60.0))
+        for number in range(20)
+        for vm in 'abc'
+    ]
+    cores.run(70)
+    assert set(cores.starts.values()) == {1}
+    outcomes = {cores.answer_of(caller).outcome for caller in callers}
+    assert outcomes <= {Outcome.COMPLETE, Outcome.UNKNOWN}
+
+
+def test_while_draining_a_key_is_not_promised_to_be_unrun(cores):
+    cores.post('a', messages.Drain())
+    caller = cores.submit_key('a', 'B-7', job_of())
+    assert cores.answer_of(caller).outcome is Outcome.UNKNOWN
+    assert cores.answer_of(caller).reason is Reason.DRAINING
+
+
+def test_all_vms_with_one_view_choose_one_claimer(cores):
+    homes = [core.home for core in cores.core_by_vm.values()]
+    chosen = {
+        choose_claimer(f'claims-{number:02d}', homes, homes[0])
+        for number in range(16)
+    }
+    assert chosen == set(homes)
+    assert choose_claimer('claims-00', [], homes[1]) == homes[1]
+
+
+@pytest.mark.parametrize(
+    'record',
+    [None, [], {}, {'kind': 'claim'}, {'kind': 'claim', 'service': 1}],
+)
+def test_records_that_are_no_claims_are_passed_over(record):
+    assert read_claim(record) is None
+
+
+def test_the_pretended_log_pages():
+    log = PretendedLog()
+    for _number in range(5):
+        log.append(messages.AppendClaims('s', 1, ({},)), 0)
+    page = log.read(messages.ReadClaims('s', 0))
+    assert (len(page.records), page.next_offset) == (3, 5)
--- a/tests/cores.py
+++ b/tests/cores.py
@@ -15,6 +15,10 @@
     MemberState,
     build_view,
 )
+from camphorlink.internal.core.request.claim_records import (
+    CallerKey,
+    StoredClaim,
+)
 from camphorlink.internal.core.request.identifiers import (
     Home,
     mint_submission_id,
@@ -29,6 +33,7 @@
 WALL_S = 1_800_000_000.0
 LINK_S = 0.001
 RUN_S = 0.1
+APPEND_S = 0.005
 MANIFEST = check_manifest(
     {
         'schema': 1,
@@ -52,6 +57,64 @@
     return Job('caster', 'surveyors', tasks, deadline_s, False, digest)
 
 
+class PretendedLog:
+    """Streams of the log service, with faults by the test's choice.
+
+    ``on_append`` is called before each append and returns how it fares:
+    ``ok``, ``refused``, ``lost`` (it never lands), ``unanswered`` (it lands),
+    or ``late`` (it lands when the test calls ``land``).
+    """
+
+    def __init__(self):
+        self.records_by_stream = collections.defaultdict(list)
+        self.earliest_by_stream = collections.defaultdict(int)
+        self.appends = 0
+        self.reads = 0
+        self.is_down = False
+        self.on_append = lambda effect: 'ok'
+        self.late = []
+
+    def append(self, effect, now):
+        self.appends += 1
+        fate = 'refused' if self.is_down else self.on_append(effect)
+        stream = effect.stream
+        if fate == 'late':
+            self.late.append((effect, now))
+        if fate in ('ok', 'unanswered'):
+            offset = self._store(effect, now)
+            if fate == 'ok':
+                return messages.ClaimsAppended(stream, effect.batch, offset)
+        return messages.ClaimsNotAppended(stream, fate != 'refused')
+
+    def land(self):
+        for effect, now in self.late:
+            self._store(effect, now)
+        self.late.clear()
+
+    def read(self, effect):
+        self.reads += 1
+        stream = effect.stream
+        if self.is_down:
+            return messages.ClaimsNotRead(stream)
+        records = self.records_by_stream[stream]
+        earliest = self.earliest_by_stream[stream]
+        start = max(earliest, effect.from_offset)
+        page = tuple(records[start : start + 3])
+        return messages.ClaimsRead(stream, page, earliest, len(records))
+
+    def expire(self):
+        for stream, records in self.records_by_stream.items():
+            self.earliest_by_stream[stream] = len(records)
+
+    def _store(self, effect, now):
+        records = self.records_by_stream[effect.stream]
+        first = len(records)
+        for number, record in enumerate(effect.records):
+            appended_ms = int((WALL_S + now) * 1000)
+            records.append(StoredClaim(first + number, appended_ms, record))
+        return first
+
+
 class Cores:
     """Entry cores by VM name, their callers, and what ran."""
 
@@ -67,6 +130,7 @@
         self.on_effect = lambda vm, effect: None
         self.down = set()
         self.silent_tasks = False
+        self.log = PretendedLog()
         self._events = []
         self._numbers = itertools.count()
         for vm in vms:
@@ -100,6 +164,20 @@
         self.post(vm, messages.Submit(submission_id, job, caller))
         return caller
 
+    def submit_key(self, vm, name, job, issued_s=None):
+        """Submits under a caller's key that was first used just now."""
+        caller = next(self._numbers)
+        issued_s = self.now if issued_s is None else issued_s
+        message = messages.SubmitKey(
+            CallerKey('caster', name),
+            int((WALL_S + issued_s) * 1000),
+            self.mint(vm),
+            job,
+            caller,
+        )
+        self.post(vm, message)
+        return caller
+
     def answer_of(self, caller):
         found = [answer for who, answer in self.answers if who == caller]
         assert len(found) <= 1
@@ -157,6 +235,10 @@
             if not self.silent_tasks:
                 done = messages.TaskFinished(ticket, {'ran': effect.task_id})
                 self.later(vm, RUN_S, done)
+        elif isinstance(effect, messages.AppendClaims):
+            self.later(vm, APPEND_S, self.log.append(effect, self.now))
+        elif isinstance(effect, messages.ReadClaims):
+            self.later(vm, LINK_S, self.log.read(effect))
         elif isinstance(effect, messages.SendPeer):
             self._send(core.home, effect)
 
