Placement by estimated finish, jobs ordered by due time, learned speeds

Cause: a task bound to the first free slot puts the last task of a job on a slow back end, and first come first served lets short jobs wait for long. Change: a job is due 2.5 times its ideal time after its arrival, earliest due first; its longest task goes first, to the slot on which it ends soonest, busy ones counted; the others take the slowest free slot on which they end no later than the job must take anyway. Run times are learned by service and class, with the declared size as a second predictor that is trusted only while it is closer; speeds are learned from runs of known classes.

--- a/src/camphorlink/internal/core/connection/backend_load.py
+++ b/src/camphorlink/internal/core/connection/backend_load.py
@@ -1,32 +1,94 @@
-"""What this entry VM knows of one backend server's load."""
+"""What this entry VM knows of one backend server's load and speed."""
+
+import math
 
 from camphorlink.internal.core.version.manifest import Backend
 
-#: Weight of the newest run time in the moving average, a pure number.
-RUN_TIME_WEIGHT = 0.1
-INITIAL_RUN_S = 0.2
+#: Weight of the newest run in the learned speed, a pure number.
+MIN_WEIGHT = 0.05
+#: How far one run may move the speed, on the logarithmic scale.
+MAX_STEP = 1.5
+#: A task that overran its estimate is expected to take this share longer.
+OVERRUN_SHARE = 0.3
+MIN_RUN_S = 1e-4
 
 
 class BackendLoad:
-    """Counts tasks in flight and learns how fast a backend server is."""
+    """Counts slots and learns how fast a backend server is.
+
+    Attributes:
+        backend: The backend server as the manifest in force has it.
+        speed: Work that one slot does in a second, relative to others.
+        allotted: Slots that are this VM's by the view of the members.
+        borrowed: Slots that peers have lent to this VM.
+        lent: Slots of ``allotted`` that are with peers.
+        in_flight: Tasks of this VM that have not ended.
+        limit: Tasks that may be in flight by the back end's health.
+    """
 
-    def __init__(self, backend: Backend) -> None:
-        """Starts with nothing in flight and a neutral run time."""
+    def __init__(self, backend: Backend, speed: float) -> None:
+        """Starts with nothing in flight and an assumed speed."""
         self.backend = backend
+        self.speed = speed
+        self.allotted = backend.slots
+        self.borrowed = 0
+        self.lent = 0
         self.in_flight = 0
-        self.mean_run_s = INITIAL_RUN_S
+        self.limit = backend.slots
+        self._log_speed = math.log(speed)
+        self._runs = 0
+        self._finish_by_try: dict[int, tuple[float, float]] = {}
 
     @property
-    def has_free_slot(self) -> bool:
-        """Whether one more task may be sent now."""
-        return not self.backend.leaving and self.in_flight < self.backend.slots
+    def free(self) -> int:
+        """Tasks that may be sent now; below zero when over the share."""
+        if self.backend.leaving:
+            return 0
+        held = self.allotted + self.borrowed - self.lent
+        return min(held, self.limit) - self.in_flight
+
+    @property
+    def held(self) -> int:
+        """Slots that this VM may use, free or not."""
+        return self.allotted + self.borrowed - self.lent
+
+    def next_free_s(self, now: float) -> float:
+        """Estimates when a slot becomes free, as core time in seconds."""
+        if not self._finish_by_try:
+            return math.inf
+        start_s, finish_s = min(
+            self._finish_by_try.values(),
+            key=_finish_of,
+        )
+        if finish_s > now:
+            return finish_s
+        return now + OVERRUN_SHARE * (now - start_s)
 
-    def note_start(self) -> None:
-        """Counts one more task in flight."""
+    def note_start(self, number: int, now: float, work_s: float) -> float:
+        """Counts one more task in flight.
+
+        Returns:
+            When it is expected to finish, as core time in seconds.
+        """
         self.in_flight += 1
+        finish_s = now + work_s / self.speed
+        self._finish_by_try[number] = (now, finish_s)
+        return finish_s
+
+    def note_end(self, number: int) -> None:
+        """Counts one task less."""
+        if self._finish_by_try.pop(number, None) is not None:
+            self.in_flight -= 1
+
+    def learn(self, run_s: float, work_s: float) -> None:
+        """Learns the speed from a run of known work, both in seconds."""
+        self._runs += 1
+        weight = max(1 / (self._runs + 1), MIN_WEIGHT)
+        seen = math.log(max(work_s, MIN_RUN_S) / max(run_s, MIN_RUN_S))
+        step = max(-MAX_STEP, min(MAX_STEP, seen - self._log_speed))
+        self._log_speed += weight * step
+        self.speed = math.exp(self._log_speed)
+
 
-    def note_end(self, run_s: float | None) -> None:
-        """Counts one task less; a run time in seconds is learned from."""
-        self.in_flight -= 1
-        if run_s is not None:
-            self.mean_run_s += RUN_TIME_WEIGHT * (run_s - self.mean_run_s)
+def _finish_of(times: tuple[float, float]) -> float:
+    return times[1]
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -18,7 +18,12 @@
 )
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
-from camphorlink.internal.core.request.scheduler import Scheduler, WaitingTask
+from camphorlink.internal.core.request.scheduler import (
+    DEFAULT_POLICY,
+    PlacementPolicy,
+    Scheduler,
+    Try,
+)
 from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
 
 MAX_ATTEMPTS = 5
@@ -32,6 +37,7 @@
         home: Home,
         wall_offset_s: float,
         max_entries: int,
+        policy: PlacementPolicy = DEFAULT_POLICY,
     ) -> None:
         """Starts without a manifest.
 
@@ -39,6 +45,7 @@
             home: Identity of this process.
             wall_offset_s: Wall-clock time less core time, in seconds.
             max_entries: Submissions that the table may remember.
+            policy: How tasks are placed.
         """
         self.home = home
         self.timers = Timers()
@@ -48,7 +55,7 @@
         self.view = MemberView()
         self.is_draining = False
         self._wall_offset_s = wall_offset_s
-        self._scheduler = Scheduler(home.zone)
+        self._scheduler = Scheduler(home, self.timers, policy)
         self._desk = AnswerDesk(self.timers)
         self._now = 0.0
 
@@ -93,7 +100,7 @@
             self._desk.refuse(message, refusal)
             return
         self._desk.wait(run, message.caller)
-        self._scheduler.queue_job(run)
+        self._scheduler.queue_job(run, self._now)
 
     @_apply.register
     def _leave(self, message: messages.Leave) -> None:
@@ -110,7 +117,7 @@
     @_apply.register
     def _finished(self, message: messages.TaskFinished) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
+        run, _ended = self._end(message)
         if run is not None:
             answer = run.finish_task(ticket.position, message.task_result)
             self._desk.deliver(run, answer)
@@ -118,7 +125,7 @@
     @_apply.register
     def _failed(self, message: messages.TaskFailed) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
+        run, _ended = self._end(message)
         if run is not None:
             answer = run.fail_task(ticket.position, message.detail)
             self._desk.deliver(run, answer)
@@ -126,22 +133,20 @@
     @_apply.register
     def _not_started(self, message: messages.TaskNotStarted) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
-        if run is None:
+        run, ended = self._end(message)
+        if run is None or ended is None:
             return
         run.mark_not_started(ticket.position)
         if ticket.attempt >= MAX_ATTEMPTS:
             self._desk.deliver(run, run.close(message.reason))
             return
         self._desk.count_retry(message.reason)
-        self._scheduler.queue_task(
-            WaitingTask(run, ticket.position, ticket.attempt + 1),
-        )
+        self._scheduler.retry_task(ended)
 
     @_apply.register
     def _lost(self, message: messages.TaskLost) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
+        run, _ended = self._end(message)
         if run is not None:
             answer = run.lose_task(ticket.position, message.reason.value)
             self._desk.deliver(run, answer)
@@ -181,6 +186,9 @@
             return not_run(Reason.DRAINING)
         return refuse_job(job, self.manifest, self._now)
 
-    def _end(self, ticket: messages.Ticket) -> JobRun | None:
-        self._scheduler.end_task(ticket, self._now)
-        return self.table.find(ticket.submission_id)
+    def _end(
+        self,
+        message: messages.TaskEnd,
+    ) -> tuple[JobRun | None, Try | None]:
+        ended = self._scheduler.note_end(message, self._now)
+        return self.table.find(message.ticket.submission_id), ended
--- a/src/camphorlink/internal/core/process/messages.py
+++ b/src/camphorlink/internal/core/process/messages.py
@@ -123,6 +123,8 @@
     """Time has passed; timers that are due are called."""
 
 
+TaskEnd = TaskFinished | TaskFailed | TaskNotStarted | TaskLost
+
 Message = (
     Submit
     | Leave
--- /dev/null
+++ b/src/camphorlink/internal/core/request/run_times.py
@@ -0,0 +1,103 @@
+"""Learned run times of tasks, by service and task class.
+
+Declared sizes are often far off.  Each class therefore keeps two predictors,
+the class's own mean and the declared size times the class's usual bias, and
+trusts whichever has been closer of late.  Everything is kept on a
+logarithmic scale, where being ten times too long or too short weighs alike.
+"""
+
+import math
+from typing import NamedTuple
+
+from camphorlink.internal.core.request.job import TaskSpec
+
+MS_PER_S = 1000
+#: Run time on a back end of speed 1 when nothing at all is known, in seconds.
+INITIAL_WORK_S = 0.2
+#: Weight of the newest run time once a class is known, a pure number.
+MIN_WEIGHT = 0.03
+#: Squared error on the logarithmic scale before anything was learned.
+INITIAL_ERROR = 1.0
+MIN_WORK_S = 1e-4
+MAX_CLASSES = 4096
+#: Runs after which a class's estimate may refuse a job.
+KNOWN_RUNS = 20
+
+
+class ClassKey(NamedTuple):
+    """Tasks whose run times are learned together."""
+
+    service: str
+    task_class: str
+
+
+class ClassTimes:
+    """What is known of one class; times in logarithms of seconds."""
+
+    def __init__(self) -> None:
+        """Starts knowing nothing."""
+        self.runs = 0
+        self._log_mean = math.log(INITIAL_WORK_S)
+        self._log_bias = 0.0
+        self._mean_error = INITIAL_ERROR
+        # A declared size is believed until it proves worse than the mean.
+        self._declared_error = INITIAL_ERROR / 2
+
+    def estimate(self, declared_s: float | None) -> float:
+        """Returns the expected run time at speed 1, in seconds."""
+        if declared_s is None or self._mean_error < self._declared_error:
+            return math.exp(self._log_mean)
+        return declared_s * math.exp(self._log_bias)
+
+    def learn(self, declared_s: float | None, work_s: float) -> None:
+        """Learns from a run time that was reduced to speed 1."""
+        self.runs += 1
+        weight = max(1 / self.runs, MIN_WEIGHT)
+        log_work = math.log(max(work_s, MIN_WORK_S))
+        error = log_work - self._log_mean
+        self._mean_error += weight * (error * error - self._mean_error)
+        self._log_mean += weight * error
+        if declared_s is not None:
+            error = log_work - math.log(declared_s) - self._log_bias
+            self._declared_error += weight * (
+                error * error - self._declared_error
+            )
+            self._log_bias += weight * error
+
+
+class RunTimes:
+    """Estimates of all classes that this process has seen."""
+
+    def __init__(self) -> None:
+        """Starts knowing nothing."""
+        self._times_by_class: dict[ClassKey, ClassTimes] = {}
+
+    def estimate(self, service: str, task: TaskSpec) -> float:
+        """Returns a task's expected run time at speed 1, in seconds."""
+        times = self._times_by_class.get(ClassKey(service, task.task_class))
+        declared_s = _declared_s(task)
+        if times is not None:
+            return times.estimate(declared_s)
+        return INITIAL_WORK_S if declared_s is None else declared_s
+
+    def is_known(self, service: str, task: TaskSpec) -> bool:
+        """Whether enough of the class has run to refuse a job by it."""
+        times = self._times_by_class.get(ClassKey(service, task.task_class))
+        return times is not None and times.runs >= KNOWN_RUNS
+
+    def learn(self, service: str, task: TaskSpec, work_s: float) -> None:
+        """Learns from a run time that was reduced to speed 1."""
+        key = ClassKey(service, task.task_class)
+        times = self._times_by_class.get(key)
+        if times is None:
+            if len(self._times_by_class) >= MAX_CLASSES:
+                self._times_by_class.pop(next(iter(self._times_by_class)))
+            times = ClassTimes()
+            self._times_by_class[key] = times
+        times.learn(_declared_s(task), work_s)
+
+
+def _declared_s(task: TaskSpec) -> float | None:
+    if task.declared_ms is None or task.declared_ms <= 0:
+        return None
+    return task.declared_ms / MS_PER_S
--- a/src/camphorlink/internal/core/request/scheduler.py
+++ b/src/camphorlink/internal/core/request/scheduler.py
@@ -5,124 +5,259 @@
 any more when another one becomes free.
 """
 
-from collections import deque
+import itertools
+import statistics
+from functools import singledispatchmethod
 from typing import NamedTuple
 
 from camphorlink.internal.core.connection.backend_load import BackendLoad
-from camphorlink.internal.core.process.messages import StartTask, Ticket
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.timers import Timers
+from camphorlink.internal.core.request.identifiers import Home
 from camphorlink.internal.core.request.job_run import JobRun
+from camphorlink.internal.core.request.placement import Choice, Slots
+from camphorlink.internal.core.request.queues import (
+    JobQueue,
+    QueuedJob,
+    WaitingTask,
+)
+from camphorlink.internal.core.request.run_times import RunTimes
 from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
 
 MS_PER_S = 1000
+INITIAL_SPEED = 1.0
 
 
-class WaitingTask(NamedTuple):
-    """A task that waits for a slot.
+class PlacementPolicy(NamedTuple):
+    """What the experiment varies.
 
     Attributes:
-        run: The submission that it belongs to.
-        position: Position of the task in its job.
-        attempt: Number of the next try, from 1.
+        stretch: A job is due after this multiple of its ideal time.
+        scan_jobs: Jobs that one pass looks at.
+        scan_tasks: Tasks that may wait for a better slot in one pass.
     """
 
-    run: JobRun
-    position: int
-    attempt: int
+    stretch: float = 2.5
+    scan_jobs: int = 4
+    scan_tasks: int = 8
+
+
+DEFAULT_POLICY = PlacementPolicy()
+
+
+class Try(NamedTuple):
+    """One try in flight."""
+
+    number: int
+    start_s: float
+    task: WaitingTask
+    job: QueuedJob
 
 
 class Scheduler:
     """Queues of tasks by service, and the backend servers that serve them."""
 
-    def __init__(self, zone: str) -> None:
-        """Starts without a manifest, for the backend servers of ``zone``."""
-        self._zone = zone
+    def __init__(
+        self,
+        home: Home,
+        timers: Timers,
+        policy: PlacementPolicy = DEFAULT_POLICY,
+    ) -> None:
+        """Starts without a manifest, for the backend servers of a zone."""
+        self._home = home
+        self._timers = timers
+        self._policy = policy
         self._manifest = EMPTY_MANIFEST
-        self._queue_by_service: dict[str, deque[WaitingTask]] = {}
+        self._run_times = RunTimes()
+        self._queue_by_service: dict[str, JobQueue] = {}
         self._load_by_backend: dict[str, BackendLoad] = {}
-        self._start_s_by_ticket: dict[Ticket, float] = {}
+        self._loads_by_service: dict[str, list[BackendLoad]] = {}
+        self._try_by_ticket: dict[messages.Ticket, Try] = {}
+        self._numbers = itertools.count()
 
     def install(self, manifest: Manifest) -> None:
         """Takes over the backend servers of a new version."""
         self._manifest = manifest
         for name, backend in manifest.backends_by_name.items():
-            load = self._load_by_backend.get(name)
-            if backend.zone != self._zone:
+            if backend.zone != self._home.zone:
                 continue
+            load = self._load_by_backend.get(name)
             if load is None:
-                self._load_by_backend[name] = BackendLoad(backend)
+                speed = self._usual_speed()
+                self._load_by_backend[name] = BackendLoad(backend, speed)
             else:
                 load.backend = backend
+        self._loads_by_service = {
+            service: [
+                load
+                for load in self._load_by_backend.values()
+                if load.backend.name in manifest.backends_by_name
+                and service in load.backend.services
+            ]
+            for service in manifest.services_by_name
+        }
 
-    def queue_job(self, run: JobRun) -> None:
+    def queue_job(self, run: JobRun, now: float) -> None:
         """Queues all tasks of a submission."""
-        for position, _task in enumerate(run.job.tasks):
-            self.queue_task(WaitingTask(run, position, 1))
+        service = run.job.service
+        tasks = [
+            WaitingTask(self._run_times.estimate(service, task), position, 1)
+            for position, task in enumerate(run.job.tasks)
+        ]
+        job = QueuedJob(run, now, tasks)
+        ideal_s = self._ideal_s(job)
+        job.due_s = now + self._policy.stretch * ideal_s
+        self._queue_of(service).put(job)
 
-    def queue_task(self, waiting: WaitingTask) -> None:
-        """Queues one task behind those of the same service."""
-        service = waiting.run.job.service
-        self._queue_by_service.setdefault(service, deque()).append(waiting)
+    def retry_task(self, ended: Try) -> None:
+        """Queues a task that was provably not started once more."""
+        task = ended.task._replace(attempt=ended.task.attempt + 1)
+        job = ended.job
+        job.put_back(task)
+        queue = self._queue_of(job.run.job.service)
+        queue.note_put_back(job)
 
-    def start_tasks(self, now: float) -> list[StartTask]:
+    def start_tasks(self, now: float) -> list[messages.Effect]:
         """Binds waiting tasks to free slots, as far as there are any."""
-        starts: list[StartTask] = []
+        effects: list[messages.Effect] = []
         for service, queue in self._queue_by_service.items():
-            while queue:
-                waiting = queue[0]
-                if not waiting.run.is_open:
-                    queue.popleft()
-                    continue
-                load = self._choose(service)
-                if load is None:
-                    break
-                queue.popleft()
-                starts.append(self._start(waiting, load, now))
-        return starts
-
-    def end_task(self, ticket: Ticket, now: float) -> None:
-        """Frees the slot of a try that has ended in any way."""
-        started_s = self._start_s_by_ticket.pop(ticket, None)
+            if queue:
+                self._start_service(service, queue, now, effects)
+        return effects
+
+    @singledispatchmethod
+    def note_end(self, message: messages.Message, now: float) -> Try | None:
+        """Frees the slot of a try that has ended, and learns from it."""
+        raise TypeError(message)
+
+    @note_end.register
+    def _finished(
+        self, message: messages.TaskFinished, now: float
+    ) -> Try | None:
+        ended = self._end(message.ticket)
+        if ended is not None:
+            self._learn(message.ticket, ended, now - ended.start_s)
+        return ended
+
+    @note_end.register(messages.TaskFailed)
+    @note_end.register(messages.TaskNotStarted)
+    @note_end.register(messages.TaskLost)
+    def _not_finished(
+        self,
+        message: (
+            messages.TaskFailed | messages.TaskNotStarted | messages.TaskLost
+        ),
+        now: float,
+    ) -> Try | None:
+        return self._end(message.ticket)
+
+    def _end(self, ticket: messages.Ticket) -> Try | None:
+        ended = self._try_by_ticket.pop(ticket, None)
         load = self._load_by_backend.get(ticket.backend)
-        if started_s is not None and load is not None:
-            load.note_end(now - started_s)
-
-    def _choose(self, service: str) -> BackendLoad | None:
-        free = [
-            load
-            for load in self._load_by_backend.values()
-            if service in load.backend.services
-            and load.backend.name in self._manifest.backends_by_name
-            and load.has_free_slot
-        ]
-        return min(free, key=_expected_finish, default=None)
+        if ended is not None and load is not None:
+            load.note_end(ended.number)
+        return ended
+
+    def _learn(
+        self,
+        ticket: messages.Ticket,
+        ended: Try,
+        run_s: float,
+    ) -> None:
+        load = self._load_by_backend[ticket.backend]
+        job = ended.job.run.job
+        task = job.tasks[ticket.position]
+        if self._run_times.is_known(job.service, task):
+            load.learn(run_s, self._run_times.estimate(job.service, task))
+        self._run_times.learn(job.service, task, run_s * load.speed)
+
+    def _start_service(
+        self,
+        service: str,
+        queue: JobQueue,
+        now: float,
+        effects: list[messages.Effect],
+    ) -> None:
+        loads = self._loads_by_service.get(service, [])
+        if not any(load.free > 0 for load in loads):
+            return
+        slots = Slots(loads, now)
+        patience = self._policy.scan_tasks
+        while slots.free_by_load and patience > 0:
+            jobs = queue.first(self._policy.scan_jobs)
+            if not jobs:
+                return
+            for job in jobs:
+                patience = self._start_job(job, slots, patience, effects)
+
+    def _start_job(
+        self,
+        job: QueuedJob,
+        slots: Slots,
+        patience: int,
+        effects: list[messages.Effect],
+    ) -> int:
+        """Starts what it can of a job, longest task first."""
+        for task in reversed(job.tasks.copy()):
+            if patience <= 0 or not slots.free_by_load:
+                break
+            choice = slots.choose(job, task)
+            if choice is None:
+                return 0
+            job.finish_s = max(job.finish_s, choice.finish_s)
+            if choice.must_wait:
+                slots.reserve(choice, task.work_s)
+                patience -= 1
+            else:
+                slots.take(choice.load)
+                effects.append(self._start(job, task, choice, slots.now))
+        return patience
 
     def _start(
         self,
-        waiting: WaitingTask,
-        load: BackendLoad,
+        job: QueuedJob,
+        task: WaitingTask,
+        choice: Choice,
         now: float,
-    ) -> StartTask:
-        job = waiting.run.job
-        task = job.tasks[waiting.position]
-        ticket = Ticket(
-            waiting.run.submission_id,
-            waiting.position,
-            waiting.attempt,
+    ) -> messages.StartTask:
+        spec = job.run.job.tasks[task.position]
+        load = choice.load
+        ticket = messages.Ticket(
+            job.run.submission_id,
+            task.position,
+            task.attempt,
             load.backend.name,
         )
-        service = self._manifest.services_by_name[job.service]
-        load.note_start()
-        waiting.run.mark_started(waiting.position)
-        self._start_s_by_ticket[ticket] = now
-        return StartTask(
+        service = self._manifest.services_by_name[job.run.job.service]
+        number = next(self._numbers)
+        job.take(task)
+        self._queue_of(service.name).waiting_tasks -= 1
+        load.note_start(number, now, task.work_s)
+        job.run.mark_started(task.position)
+        self._try_by_ticket[ticket] = Try(number, now, task, job)
+        return messages.StartTask(
             ticket=ticket,
             address=load.backend.address,
-            service=job.service,
-            task_id=task.task_id,
-            payload=task.payload,
+            service=service.name,
+            task_id=spec.task_id,
+            payload=spec.payload,
             timeout_s=service.max_task_ms / MS_PER_S,
         )
 
+    def _ideal_s(self, job: QueuedJob) -> float:
+        loads = self._loads_by_service.get(job.run.job.service, [])
+        fastest = max((load.speed for load in loads), default=INITIAL_SPEED)
+        total = sum(load.speed * load.backend.slots for load in loads)
+        longest_s = job.tasks[-1].work_s
+        return max(longest_s / fastest, job.work_s / max(total, fastest))
+
+    def _usual_speed(self) -> float:
+        speeds = [load.speed for load in self._load_by_backend.values()]
+        return statistics.median(speeds) if speeds else INITIAL_SPEED
 
-def _expected_finish(load: BackendLoad) -> float:
-    return load.mean_run_s * (1 + load.in_flight / load.backend.slots)
+    def _queue_of(self, service: str) -> JobQueue:
+        queue = self._queue_by_service.get(service)
+        if queue is None:
+            queue = JobQueue()
+            self._queue_by_service[service] = queue
+        return queue
