Slots shared between the entry VMs of a zone: whole-slot shares and lending

Change: every VM works out the same whole-slot shares from its view (by size, remainder by weighted rendezvous hash); a VM whose tasks wait tells its peers how many slots it could use, how soon its first job is due and which speed would help; a peer lends free slots if its own work is due later. Slots come back when idle, after the term, or by the lender's own time.

--- a/src/camphorlink/internal/core/connection/peer_messages.py
+++ b/src/camphorlink/internal/core/connection/peer_messages.py
@@ -7,6 +7,13 @@
 
 from typing import NamedTuple
 
+from camphorlink.internal.core.connection.slot_messages import (
+    SlotLoan,
+    SlotMessage,
+    SlotReturn,
+    SlotWant,
+)
+
 
 class Hello(NamedTuple):
     """First message on a link: who speaks.
@@ -70,7 +77,7 @@
     rows: tuple[ZoneRow, ...]
 
 
-PeerMessage = Hello | Heartbeat | ZoneReport
+PeerMessage = Hello | Heartbeat | ZoneReport | SlotMessage
 
 #: Kinds that the membership takes in; the entry core never sees them.
 MEMBERSHIP_KINDS = (Hello, Heartbeat, ZoneReport)
@@ -78,5 +85,8 @@
 PEER_MESSAGE_BY_KIND: dict[str, type[PeerMessage]] = {
     'hello': Hello,
     'heartbeat': Heartbeat,
+    'slot-want': SlotWant,
+    'slot-loan': SlotLoan,
+    'slot-return': SlotReturn,
     'zone-report': ZoneReport,
 }
--- /dev/null
+++ b/src/camphorlink/internal/core/connection/slot_lending.py
@@ -0,0 +1,296 @@
+"""Lending of free slots between the entry VMs of an availability zone.
+
+A VM whose tasks wait tells its peers how many slots it could use; a peer
+with free slots and no tasks of its own lends some for a short term.  Slots
+come back when they are not needed, when their task has ended after the
+term, or, should the message be lost, when the lender's own time runs out.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Mapping
+from functools import singledispatchmethod
+from typing import NamedTuple
+
+from camphorlink.internal.core.connection.backend_load import BackendLoad
+from camphorlink.internal.core.connection.peer_messages import PeerMessage
+from camphorlink.internal.core.connection.slot_messages import (
+    SlotLoan,
+    SlotReturn,
+    SlotWant,
+)
+from camphorlink.internal.core.connection.slot_shares import allot_slots
+from camphorlink.internal.core.process.members import Member, MemberView
+from camphorlink.internal.core.process.messages import SendPeer
+from camphorlink.internal.core.process.timers import Timers
+from camphorlink.internal.core.request.identifiers import Home
+
+#: Seconds for which a want stands at a peer.
+WANT_TERM_S = 0.5
+#: A want is repeated after this time, in seconds, if tasks still wait.
+WANT_GAP_S = 0.1
+#: Seconds in which a borrower may start tasks on a slot.
+LOAN_TERM_S = 0.05
+#: Loans and returns are collected for this time, in seconds.
+BATCH_S = 0.004
+#: The lender waits this long for a slot to come back, in seconds; longer
+#: than a task may run.
+LOST_AFTER_S = 30.0
+#: After a change of the view a share grows only after this time, in seconds.
+GROW_AFTER_S = 1.0
+MAX_WANT = 128
+#: A peer's job must be due this much earlier to go first, in seconds.
+MARGIN_S = 0.02
+
+
+class Want(NamedTuple):
+    """Slots that this VM, or a peer, could use.
+
+    Attributes:
+        slots: How many.
+        due_s: When the first of the waiting jobs is due, core seconds.
+        min_speed: Speed that a back end must exceed to be of use.
+        until_s: How long the want stands, core seconds.
+    """
+
+    slots: int
+    due_s: float
+    min_speed: float
+    until_s: float
+
+
+NO_WANT = Want(0, math.inf, math.inf, 0.0)
+
+
+def join_wants(first: Want, second: Want) -> Want:
+    """Adds two wants up to one."""
+    return Want(
+        first.slots + second.slots,
+        min(first.due_s, second.due_s),
+        min(first.min_speed, second.min_speed),
+        0.0,
+    )
+
+
+class LoanKey(NamedTuple):
+    """Slots of one backend server between this VM and a peer."""
+
+    peer: Home
+    backend: str
+
+
+class SlotLending:
+    """Shares, loans and wants of one entry VM in its zone."""
+
+    def __init__(
+        self,
+        home: Home,
+        timers: Timers,
+        load_by_backend: Mapping[str, BackendLoad],
+    ) -> None:
+        """Starts alone: without a view every slot is this VM's."""
+        self._home = home
+        self._timers = timers
+        self._load_by_backend = load_by_backend
+        self._members: tuple[Member, ...] = ()
+        self._address_by_peer: dict[Home, str] = {}
+        self._want_by_peer: dict[Home, Want] = {}
+        self._borrowed: Counter[LoanKey] = Counter()
+        self._term_by_peer: dict[Home, float] = {}
+        self._returns: Counter[LoanKey] = Counter()
+        self._lent: Counter[LoanKey] = Counter()
+        self._lost_s_by_loan: dict[LoanKey, float] = {}
+        self._want_sent = NO_WANT
+        self._next_batch_s = 0.0
+        self._is_batch_due = False
+        self._effects: list[SendPeer] = []
+
+    def take_effects(self) -> list[SendPeer]:
+        """Hands over the messages collected since the last call."""
+        effects = self._effects
+        self._effects = []
+        return effects
+
+    def change_view(self, view: MemberView, now: float) -> None:
+        """Shrinks shares at once and lets them grow a little later."""
+        is_first = not self._members
+        members = view.live_in_zone(self._home.zone)
+        if all(member.home != self._home for member in members):
+            members = (*members, Member(self._home, ''))
+        self._members = members
+        self._address_by_peer = {
+            member.home: member.address
+            for member in members
+            if member.home != self._home
+        }
+        self.allot(may_grow=is_first)
+        if not is_first:
+            self._timers.call_at(
+                now + GROW_AFTER_S,
+                lambda _now: self.allot(may_grow=True),
+            )
+
+    def allot(self, may_grow: bool) -> None:
+        """Works this VM's share of every backend server out."""
+        if not self._members:
+            return
+        for name, load in self._load_by_backend.items():
+            shares = allot_slots(name, load.backend.slots, self._members)
+            share = shares[self._home]
+            load.allotted = share if may_grow else min(share, load.allotted)
+
+    @singledispatchmethod
+    def hear(self, message: PeerMessage, peer: Home, now: float) -> None:
+        """Takes a peer's message; other kinds are passed over."""
+
+    @hear.register
+    def _want(self, message: SlotWant, peer: Home, now: float) -> None:
+        self._want_by_peer[peer] = Want(
+            message.slots,
+            now + message.slack_s,
+            message.min_speed,
+            now + WANT_TERM_S,
+        )
+
+    @hear.register
+    def _loan(self, message: SlotLoan, peer: Home, now: float) -> None:
+        self._term_by_peer[peer] = now + message.term_s
+        for backend, slots in message.slots_by_backend.items():
+            load = self._load_by_backend.get(backend)
+            if load is not None and slots > 0:
+                self._borrowed[LoanKey(peer, backend)] += slots
+                load.borrowed += slots
+        got = sum(message.slots_by_backend.values())
+        sent = self._want_sent
+        self._want_sent = sent._replace(slots=max(sent.slots - got, 0))
+
+    @hear.register
+    def _return(self, message: SlotReturn, peer: Home, now: float) -> None:
+        for backend, slots in message.slots_by_backend.items():
+            self._take_back(LoanKey(peer, backend), slots)
+
+    def recall(self, now: float) -> None:
+        """Sets aside borrowed slots whose term is over, before a pass."""
+        for key in tuple(self._borrowed):
+            if self._term_by_peer.get(key.peer, 0) < now:
+                self._set_aside(key)
+
+    def settle(self, want: Want, now: float) -> None:
+        """Asks, lends or gives back after a pass over the queues.
+
+        Args:
+            want: What no slot of this VM was left for.
+            now: Core time in seconds.
+        """
+        if not self._address_by_peer:
+            return
+        if want.slots:
+            self._ask(want._replace(slots=min(want.slots, MAX_WANT)), now)
+        if self._borrowed or self._returns or self._want_by_peer:
+            self._batch(want, now)
+
+    def _ask(self, want: Want, now: float) -> None:
+        sent = self._want_sent
+        is_alike = (
+            want.slots <= 2 * sent.slots
+            and want.due_s >= sent.due_s
+            and want.min_speed >= sent.min_speed
+        )
+        if now < sent.until_s and is_alike:
+            return
+        self._want_sent = want._replace(until_s=now + WANT_GAP_S)
+        message = SlotWant(want.slots, want.due_s - now, want.min_speed)
+        for address in self._address_by_peer.values():
+            self._effects.append(SendPeer(address, message))
+
+    def _batch(self, want: Want, now: float) -> None:
+        if now >= self._next_batch_s:
+            self._next_batch_s = now + BATCH_S
+            self._give_back(now)
+            self._lend(want, now)
+        elif not self._is_batch_due:
+            self._is_batch_due = True
+            self._timers.call_at(self._next_batch_s, self._end_batch)
+
+    def _end_batch(self, now: float) -> None:
+        # The pass that follows every message settles again.
+        self._is_batch_due = False
+        for key, lost_s in list(self._lost_s_by_loan.items()):
+            if lost_s < now:
+                self._take_back(key, self._lent[key])
+                self._lost_s_by_loan.pop(key)
+
+    def _give_back(self, now: float) -> None:
+        for held in tuple(self._borrowed):
+            self._set_aside(held)
+        returns: dict[Home, dict[str, int]] = {}
+        for key, slots in self._returns.items():
+            returns.setdefault(key.peer, {})[key.backend] = slots
+        self._returns.clear()
+        for peer, slots_by_backend in returns.items():
+            self._send(peer, SlotReturn(slots_by_backend))
+
+    def _set_aside(self, key: LoanKey) -> None:
+        load = self._load_by_backend[key.backend]
+        idle = min(self._borrowed[key], load.free)
+        if idle <= 0:
+            return
+        load.borrowed -= idle
+        self._returns[key] += idle
+        self._borrowed[key] -= idle
+        if not self._borrowed[key]:
+            self._borrowed.pop(key)
+
+    def _lend(self, own: Want, now: float) -> None:
+        wants = sorted(
+            self._want_by_peer.items(),
+            key=lambda known: known[1].due_s,
+        )
+        for peer, want in wants:
+            if want.until_s < now or peer not in self._address_by_peer:
+                self._want_by_peer.pop(peer)
+            elif want.due_s + MARGIN_S < own.due_s:
+                self._lend_to(peer, want, now)
+
+    def _lend_to(self, peer: Home, want: Want, now: float) -> None:
+        loan = self._draw_loan(peer, want, now)
+        if not loan:
+            return
+        left = want.slots - sum(loan.values())
+        self._want_by_peer[peer] = want._replace(slots=left)
+        if left <= 0:
+            self._want_by_peer.pop(peer)
+        self._send(peer, SlotLoan(loan, LOAN_TERM_S))
+
+    def _draw_loan(self, peer: Home, want: Want, now: float) -> dict[str, int]:
+        loan: dict[str, int] = {}
+        wanted = want.slots
+        loads = sorted(self._load_by_backend.values(), key=_slowness)
+        for load in loads:
+            own = load.allotted - load.lent - load.in_flight
+            slots = min(own, load.free, wanted)
+            if slots <= 0 or load.speed <= want.min_speed:
+                continue
+            key = LoanKey(peer, load.backend.name)
+            self._lent[key] += slots
+            self._lost_s_by_loan[key] = now + LOST_AFTER_S
+            load.lent += slots
+            loan[load.backend.name] = slots
+            wanted -= slots
+        return loan
+
+    def _take_back(self, key: LoanKey, slots: int) -> None:
+        slots = min(slots, self._lent[key])
+        load = self._load_by_backend.get(key.backend)
+        if load is not None:
+            load.lent -= slots
+        self._lent[key] -= slots
+
+    def _send(self, peer: Home, message: PeerMessage) -> None:
+        address = self._address_by_peer.get(peer)
+        if address is not None:
+            self._effects.append(SendPeer(address, message))
+
+
+def _slowness(load: BackendLoad) -> float:
+    return -load.speed
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -162,10 +162,11 @@
     @_apply.register
     def _members_changed(self, message: messages.MembersChanged) -> None:
         self.view = message.view
+        self._scheduler.change_view(message.view, self._now)
 
     @_apply.register
     def _peer_said(self, message: messages.PeerSaid) -> None:
-        """Nothing that peers say concerns the core yet."""
+        self._scheduler.hear_peer(message.peer, message.message, self._now)
 
     @_apply.register
     def _drain(self, message: messages.Drain) -> None:
--- a/src/camphorlink/internal/core/request/placement.py
+++ b/src/camphorlink/internal/core/request/placement.py
@@ -44,7 +44,7 @@
         self.speed = 0.0
         for load in loads:
             free = load.free
-            self.speed += load.held * load.speed
+            self.speed += load.backend.slots * load.speed
             if free > 0:
                 self.free_by_load[load] = free
             elif load.limit and not load.backend.leaving:
--- a/src/camphorlink/internal/core/request/queues.py
+++ b/src/camphorlink/internal/core/request/queues.py
@@ -1,5 +1,6 @@
 """Jobs whose tasks wait for a slot, in the order in which they are due."""
 
+import math
 from bisect import bisect_left, insort
 from typing import NamedTuple
 
@@ -75,6 +76,11 @@
     def __bool__(self) -> bool:
         return bool(self._entries)
 
+    @property
+    def first_due_s(self) -> float:
+        """When the first job is due, in core seconds."""
+        return self._entries[0].due_s if self._entries else math.inf
+
     def put(self, job: QueuedJob) -> None:
         """Inserts a job by its due time."""
         self._number += 1
--- a/src/camphorlink/internal/core/request/scheduler.py
+++ b/src/camphorlink/internal/core/request/scheduler.py
@@ -11,17 +11,28 @@
 from typing import NamedTuple
 
 from camphorlink.internal.core.connection.backend_load import BackendLoad
+from camphorlink.internal.core.connection.peer_messages import PeerMessage
+from camphorlink.internal.core.connection.slot_lending import (
+    NO_WANT,
+    SlotLending,
+    join_wants,
+)
 from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.members import MemberView
 from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.identifiers import Home
 from camphorlink.internal.core.request.job_run import JobRun
-from camphorlink.internal.core.request.placement import Choice, Slots
+from camphorlink.internal.core.request.placement import Slots
 from camphorlink.internal.core.request.queues import (
     JobQueue,
     QueuedJob,
     WaitingTask,
 )
 from camphorlink.internal.core.request.run_times import RunTimes
+from camphorlink.internal.core.request.service_pass import (
+    Assignment,
+    ServicePass,
+)
 from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
 
 MS_PER_S = 1000
@@ -33,13 +44,9 @@
 
     Attributes:
         stretch: A job is due after this multiple of its ideal time.
-        scan_jobs: Jobs that one pass looks at.
-        scan_tasks: Tasks that may wait for a better slot in one pass.
     """
 
     stretch: float = 2.5
-    scan_jobs: int = 4
-    scan_tasks: int = 8
 
 
 DEFAULT_POLICY = PlacementPolicy()
@@ -74,6 +81,7 @@
         self._loads_by_service: dict[str, list[BackendLoad]] = {}
         self._try_by_ticket: dict[messages.Ticket, Try] = {}
         self._numbers = itertools.count()
+        self._lending = SlotLending(home, timers, self._load_by_backend)
 
     def install(self, manifest: Manifest) -> None:
         """Takes over the backend servers of a new version."""
@@ -87,6 +95,7 @@
                 self._load_by_backend[name] = BackendLoad(backend, speed)
             else:
                 load.backend = backend
+        self._lending.allot(may_grow=True)
         self._loads_by_service = {
             service: [
                 load
@@ -97,6 +106,14 @@
             for service in manifest.services_by_name
         }
 
+    def change_view(self, view: MemberView, now: float) -> None:
+        """Takes over a new view of the entry VMs."""
+        self._lending.change_view(view, now)
+
+    def hear_peer(self, peer: Home, message: PeerMessage, now: float) -> None:
+        """Takes what another entry VM says of slots and quotas."""
+        self._lending.hear(message, peer, now)
+
     def queue_job(self, run: JobRun, now: float) -> None:
         """Queues all tasks of a submission."""
         service = run.job.service
@@ -120,9 +137,18 @@
     def start_tasks(self, now: float) -> list[messages.Effect]:
         """Binds waiting tasks to free slots, as far as there are any."""
         effects: list[messages.Effect] = []
+        self._lending.recall(now)
+        want = NO_WANT
         for service, queue in self._queue_by_service.items():
             if queue:
-                self._start_service(service, queue, now, effects)
+                done = self._run_pass(service, queue, now)
+                effects.extend(
+                    self._start(assignment, now)
+                    for assignment in done.assignments
+                )
+                want = join_wants(want, done.want)
+        self._lending.settle(want, now)
+        effects.extend(self._lending.take_effects())
         return effects
 
     @singledispatchmethod
@@ -171,55 +197,23 @@
             load.learn(run_s, self._run_times.estimate(job.service, task))
         self._run_times.learn(job.service, task, run_s * load.speed)
 
-    def _start_service(
+    def _run_pass(
         self,
         service: str,
         queue: JobQueue,
         now: float,
-        effects: list[messages.Effect],
-    ) -> None:
+    ) -> ServicePass:
         loads = self._loads_by_service.get(service, [])
-        if not any(load.free > 0 for load in loads):
-            return
-        slots = Slots(loads, now)
-        patience = self._policy.scan_tasks
-        while slots.free_by_load and patience > 0:
-            jobs = queue.first(self._policy.scan_jobs)
-            if not jobs:
-                return
-            for job in jobs:
-                patience = self._start_job(job, slots, patience, effects)
-
-    def _start_job(
-        self,
-        job: QueuedJob,
-        slots: Slots,
-        patience: int,
-        effects: list[messages.Effect],
-    ) -> int:
-        """Starts what it can of a job, longest task first."""
-        for task in reversed(job.tasks.copy()):
-            if patience <= 0 or not slots.free_by_load:
-                break
-            choice = slots.choose(job, task)
-            if choice is None:
-                return 0
-            job.finish_s = max(job.finish_s, choice.finish_s)
-            if choice.must_wait:
-                slots.reserve(choice, task.work_s)
-                patience -= 1
-            else:
-                slots.take(choice.load)
-                effects.append(self._start(job, task, choice, slots.now))
-        return patience
+        done = ServicePass(queue, Slots(loads, now))
+        done.run()
+        return done
 
     def _start(
         self,
-        job: QueuedJob,
-        task: WaitingTask,
-        choice: Choice,
+        assignment: Assignment,
         now: float,
     ) -> messages.StartTask:
+        job, task, choice = assignment
         spec = job.run.job.tasks[task.position]
         load = choice.load
         ticket = messages.Ticket(
@@ -230,8 +224,6 @@
         )
         service = self._manifest.services_by_name[job.run.job.service]
         number = next(self._numbers)
-        job.take(task)
-        self._queue_of(service.name).waiting_tasks -= 1
         load.note_start(number, now, task.work_s)
         job.run.mark_started(task.position)
         self._try_by_ticket[ticket] = Try(number, now, task, job)
