Membership: reports between zones, tested on virtual time

Change: links between zones are dealt out in turn; reports go out when they change and every 60 s; a zone that is heard no more is reported so; merged reports and chosen links are kept instead of worked out at each message. Conclusion: the bound for control holds without configuration pushes.

--- a/src/camphorlink/internal/core/process/membership.py
+++ b/src/camphorlink/internal/core/process/membership.py
@@ -28,12 +28,9 @@
     PeerTable,
     key_of,
 )
+from camphorlink.internal.core.process.report_desk import ReportDesk
 from camphorlink.internal.core.process.timers import Timers
-from camphorlink.internal.core.process.zone_links import (
-    VmKey,
-    choose_peers,
-    is_full_mesh,
-)
+from camphorlink.internal.core.process.zone_links import LinkChooser, VmKey
 from camphorlink.internal.core.process.zone_reports import (
     ZoneReports,
     read_state,
@@ -44,7 +41,6 @@
 HEARTBEAT_S = 1.0
 #: A beat that comes this late shows that this process itself was stopped.
 OWN_PAUSE_S = 2.5
-REPORT_REPEAT_S = 20.0
 
 _SILENT_STATES = frozenset((MemberState.SUSPECT, MemberState.GONE))
 
@@ -71,8 +67,10 @@
         self._key = key_of(me.home)
         self._peers = PeerTable(me.home)
         self._reports = ZoneReports()
-        self._sent: dict[tuple[str, str], tuple[ZoneReport, float]] = {}
+        self._desk = ReportDesk()
+        self._chooser = LinkChooser(self._key)
         self._effects: list[SendPeer] = []
+        self._state_by_home: dict[Home, MemberState] = {}
         self._timers = timers
         self._beat_s = now
         timers.call_at(now + rng.uniform(0, HEARTBEAT_S), self._beat)
@@ -97,8 +95,13 @@
     def hear(self, home: Home, message: PeerMessage, now: float) -> None:
         """Takes a message of a peer, whatever it says, as a sign of life."""
         peer = self._peers.hear(home, now)
-        if peer is not None:
-            self._take(message, peer)
+        if peer is None:
+            return
+        self._take(message, peer, now)
+        # Most messages are heartbeats that change nothing.
+        state = self._peers.judge(peer, now)
+        is_same = self._state_by_home.get(home) is state
+        if not is_same or not isinstance(message, Heartbeat):
             self._refresh(now)
 
     def versions_by_home(self) -> dict[Home, int]:
@@ -106,23 +109,44 @@
         return {peer.home: peer.version for peer in self._peers.by_key.values()}
 
     @singledispatchmethod
-    def _take(self, message: PeerMessage, peer: KnownPeer) -> None:
+    def _take(
+        self,
+        message: PeerMessage,
+        peer: KnownPeer,
+        now: float,
+    ) -> None:
         """Anything else is no more than a sign of life."""
 
     @_take.register
-    def _take_hello(self, message: Hello, peer: KnownPeer) -> None:
+    def _take_hello(
+        self,
+        message: Hello,
+        peer: KnownPeer,
+        now: float,
+    ) -> None:
         peer.address = message.address
         peer.weight = message.weight
+        self._desk.forget(message.address)
 
     @_take.register
-    def _take_heartbeat(self, message: Heartbeat, peer: KnownPeer) -> None:
+    def _take_heartbeat(
+        self,
+        message: Heartbeat,
+        peer: KnownPeer,
+        now: float,
+    ) -> None:
         peer.version = message.version
         peer.said = read_state(message.state)
 
     @_take.register
-    def _take_report(self, message: ZoneReport, peer: KnownPeer) -> None:
+    def _take_report(
+        self,
+        message: ZoneReport,
+        peer: KnownPeer,
+        now: float,
+    ) -> None:
         if message.zone != self._key.zone:
-            self._reports.put(peer.home, message)
+            self._reports.put(peer.home, message, now)
 
     def _beat(self, now: float) -> None:
         if now - self._beat_s > OWN_PAUSE_S:
@@ -134,6 +158,7 @@
         self._refresh(now)
         self._send_reports(now)
         self._peers.prune(now)
+        self._reports.prune(now)
         self._timers.call_at(now + HEARTBEAT_S, self._beat)
 
     def _send_heartbeats(self, now: float) -> None:
@@ -152,79 +177,69 @@
         by_key = self._peers.by_key
         usable = self._usable()
         silent = {key for key in by_key if by_key[key].is_silent(now)}
-        chosen = choose_peers(self._key, usable)
-        if not is_full_mesh(self._key, usable):
+        chosen = set(self._chooser.choose(usable))
+        if not self._chooser.is_full_mesh(usable):
             # A link whose far end is silent gets a substitute, and is tried
             # on: that is how a zone that was cut off is found again.
-            chosen |= choose_peers(self._key, usable - silent)
+            chosen |= self._chooser.choose(usable - silent)
         return chosen | (set(by_key) - silent)
 
     def _usable(self) -> set[VmKey]:
         """Everyone whom it makes sense to talk to."""
         by_key = self._peers.by_key
         known = {key for key in by_key if not by_key[key].is_gone}
-        reported = set(map(key_of, self._reports.members()))
+        reported = set(map(key_of, self._reports.members_by_home))
         return known | reported | set(self._peers.listed_by_key)
 
     def _address_of(self, key: VmKey) -> str:
         address = self._peers.address_of(key)
         if address:
             return address
-        for home, member in self._reports.members().items():
+        for home, member in self._reports.members_by_home.items():
             if key_of(home) == key:
                 return member.address
         return ''
 
     def _send_reports(self, now: float) -> None:
-        if is_full_mesh(self._key, self._usable()):
+        if self._chooser.is_full_mesh(self._usable()):
             return
         zone = self._key.zone
-        own = write_report(zone, self.view.in_zone(zone))
+        own = [write_report(zone, self.view.in_zone(zone))]
         heard = self._reports.first_hand()
         for key, peer in sorted(self._peers.by_key.items()):
-            if peer.is_silent(now) or not self._address_of(key):
-                continue
-            for report in heard if key.zone == zone else [own]:
-                self._send_report(self._address_of(key), report, now)
-
-    def _send_report(
-        self,
-        address: str,
-        report: ZoneReport,
-        now: float,
-    ) -> None:
-        slot = (address, report.zone)
-        last = self._sent.get(slot)
-        if last is None or last[0] != report or now - last[1] > REPORT_REPEAT_S:
-            self._sent[slot] = (report, now)
-            self._effects.append(SendPeer(address, report))
+            address = self._address_of(key)
+            if address and not peer.is_silent(now):
+                owed = heard if key.zone == zone else own
+                self._effects.extend(self._desk.due(address, owed, now))
 
     def _refresh(self, now: float) -> None:
         members = self._peers.members(now)
-        for home, member in members.items():
-            if member.state in _SILENT_STATES:
-                self._reports.drop(home)
+        silent = {
+            home
+            for home, member in members.items()
+            if member.state in _SILENT_STATES
+        }
+        self._reports.drop(silent, now)
         self._add_reported(members)
         members[self.me.home] = self.me
         view = build_view(members.values())
         if view != self.view:
             self.view = view
-            self._drop_sent()
+            self._state_by_home = {
+                member.home: member.state for member in view.members
+            }
+            self._desk.keep_only(
+                {
+                    member.address
+                    for member in view.members
+                    if member.state not in _SILENT_STATES
+                },
+            )
 
     def _add_reported(self, members: dict[Home, Member]) -> None:
-        for home, member in self._reports.members().items():
+        for home, member in self._reports.members_by_home.items():
             if home in self._peers.retired:
                 continue
             peer = self._peers.by_key.get(key_of(home))
             if peer is None or members[peer.home].state in _SILENT_STATES:
                 members[home] = member
-
-    def _drop_sent(self) -> None:
-        addresses = {
-            member.address
-            for member in self.view.members
-            if member.state not in _SILENT_STATES
-        }
-        for slot in list(self._sent):
-            if slot[0] not in addresses:
-                self._sent.pop(slot)
--- a/src/camphorlink/internal/core/process/peer_table.py
+++ b/src/camphorlink/internal/core/process/peer_table.py
@@ -117,7 +117,7 @@
         """Judges every peer."""
         members = dict(self.retired)
         for key, peer in self.by_key.items():
-            state = self._judge(key, peer, now)
+            state = self.judge(peer, now)
             peer.is_gone = state is MemberState.GONE
             members[peer.home] = Member(
                 peer.home,
@@ -135,13 +135,9 @@
         listed = self.listed_by_key.get(key)
         return '' if listed is None else listed.address
 
-    def _judge(
-        self,
-        key: VmKey,
-        peer: KnownPeer,
-        now: float,
-    ) -> MemberState:
-        listed = self.listed_by_key.get(key)
+    def judge(self, peer: KnownPeer, now: float) -> MemberState:
+        """Says what is to be thought of a peer."""
+        listed = self.listed_by_key.get(key_of(peer.home))
         if not peer.is_silent(now):
             if peer.said is MemberState.LIVE and listed and listed.is_leaving:
                 return MemberState.LEAVING
--- a/src/camphorlink/internal/core/process/zone_links.py
+++ b/src/camphorlink/internal/core/process/zone_links.py
@@ -1,18 +1,18 @@
 """Which entry VMs exchange heartbeats: all of a zone, few between zones.
 
-The choice is a rendezvous hash over the names, so that both ends of a link
-mostly choose each other without talking about it.  Who chooses differently,
-because its list differs, is answered all the same.
+Each pair of zones has a few links, dealt out over the VMs of a zone in turn,
+so that no VM carries many.  Both ends work the same links out from the names
+alone; who works out others, because its list differs, is answered all the
+same.
 """
 
-import hashlib
 from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 #: Fleets up to this size have links between all VMs.
 FULL_MESH_VMS = 8
 LINKS_BETWEEN_ZONES = 2
-HASH_BYTES = 8
+MAX_REMEMBERED = 4
 
 
 class VmKey(NamedTuple):
@@ -27,54 +27,60 @@
     vm: str
 
 
-def rank_by_hash(seed: str, keys: Iterable[VmKey]) -> list[VmKey]:
-    """Orders VMs by rendezvous hash, the one with the highest score first."""
-    scores = {entry: _score(seed, entry) for entry in keys}
-    return sorted(scores, key=scores.__getitem__, reverse=True)
+class LinkChooser:
+    """Chooses the peers of one VM, and remembers its latest choices."""
 
+    def __init__(self, me: VmKey) -> None:
+        """Chooses for ``me``."""
+        self._me = me
+        self._chosen: dict[frozenset[VmKey], frozenset[VmKey]] = {}
 
-def choose_peers(me: VmKey, usable: Collection[VmKey]) -> set[VmKey]:
-    """Chooses whom ``me`` sends heartbeats to.
+    def choose(self, usable: Collection[VmKey]) -> frozenset[VmKey]:
+        """Chooses whom to send heartbeats to.
 
-    Args:
-        me: The VM that chooses.
-        usable: All VMs that may be chosen, with or without ``me``.
+        Args:
+            usable: All VMs that may be chosen.
 
-    Returns:
-        Every VM of a small fleet; otherwise all VMs of the own zone and the
-        far ends of those links between zones that fall to ``me``.
-    """
-    everyone = {me, *usable}
-    if len(everyone) <= FULL_MESH_VMS:
-        return everyone - {me}
-    by_zone: dict[str, list[VmKey]] = {}
-    for key in everyone:
-        by_zone.setdefault(key.zone, []).append(key)
-    chosen = {key for key in by_zone[me.zone] if key != me}
-    for zone, far in by_zone.items():
-        if zone != me.zone:
-            chosen.update(_far_ends(me, by_zone[me.zone], far))
-    return chosen
+        Returns:
+            Every VM of a small fleet; otherwise all VMs of the own zone and
+            the far ends of the links between zones that fall to this VM.
+        """
+        everyone = frozenset((self._me, *usable))
+        chosen = self._chosen.get(everyone)
+        if chosen is None:
+            chosen = frozenset(_choose(self._me, everyone))
+            self._chosen[everyone] = chosen
+            if len(self._chosen) > MAX_REMEMBERED:
+                self._chosen.pop(next(iter(self._chosen)))
+        return chosen
+
+    def is_full_mesh(self, usable: Collection[VmKey]) -> bool:
+        """Says whether the fleet is small enough for links between all."""
+        return len({self._me, *usable}) <= FULL_MESH_VMS
 
 
-def is_full_mesh(me: VmKey, usable: Collection[VmKey]) -> bool:
-    """Says whether the fleet is small enough for links between all."""
-    return len({me, *usable}) <= FULL_MESH_VMS
+def _choose(me: VmKey, everyone: frozenset[VmKey]) -> set[VmKey]:
+    if len(everyone) <= FULL_MESH_VMS:
+        return set(everyone) - {me}
+    by_zone: dict[str, list[VmKey]] = {}
+    for entry in sorted(everyone):
+        by_zone.setdefault(entry.zone, []).append(entry)
+    chosen = set(by_zone[me.zone])
+    for far_zone in by_zone:
+        if far_zone != me.zone:
+            chosen.update(_far_ends(me, by_zone, far_zone))
+    return chosen - {me}
 
 
 def _far_ends(
     me: VmKey,
-    near: list[VmKey],
-    far: list[VmKey],
+    by_zone: dict[str, list[VmKey]],
+    far_zone: str,
 ) -> Iterable[VmKey]:
-    seed = '/'.join(sorted((me.zone, far[0].zone)))
-    near_ranked = rank_by_hash(seed, near)
-    far_ranked = rank_by_hash(seed, far)
+    zones = list(by_zone)
+    near, far = by_zone[me.zone], by_zone[far_zone]
+    near_first = zones.index(far_zone) * LINKS_BETWEEN_ZONES
+    far_first = zones.index(me.zone) * LINKS_BETWEEN_ZONES
     for number in range(LINKS_BETWEEN_ZONES):
-        if near_ranked[number % len(near_ranked)] == me:
-            yield far_ranked[number % len(far_ranked)]
-
-
-def _score(seed: str, key: VmKey) -> bytes:
-    text = f'{seed}|{key.zone}|{key.vm}'
-    return hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest()
+        if near[(near_first + number) % len(near)] == me:
+            yield far[(far_first + number) % len(far)]
--- a/src/camphorlink/internal/core/process/zone_reports.py
+++ b/src/camphorlink/internal/core/process/zone_reports.py
@@ -5,7 +5,7 @@
 so none of them goes round.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from camphorlink.internal.core.connection.peer_messages import (
@@ -15,6 +15,9 @@
 from camphorlink.internal.core.process.members import Member, MemberState
 from camphorlink.internal.core.request.identifiers import Home
 
+#: Time after which a process that nobody reports any more is forgotten.
+FORGET_UNREPORTED_S = 600.0
+
 #: States from the best to the worst; the best that anyone reports counts.
 _RANK_BY_STATE = {
     MemberState.LIVE: 0,
@@ -30,46 +33,49 @@
     reporter: Home
 
 
+class _Lost(NamedTuple):
+    member: Member
+    since_s: float
+
+
 class ZoneReports:
     """Newest report about each zone from each reporter."""
 
     def __init__(self) -> None:
         """Starts without reports."""
+        self.members_by_home: dict[Home, Member] = {}
         self._rows_by_source: dict[_Source, tuple[ZoneRow, ...]] = {}
+        self._lost_by_home: dict[Home, _Lost] = {}
 
-    def put(self, reporter: Home, report: ZoneReport) -> None:
+    def put(self, reporter: Home, report: ZoneReport, now: float) -> None:
         """Replaces what a reporter said of a zone."""
-        self._rows_by_source[_Source(report.zone, reporter)] = report.rows
-
-    def drop(self, reporter: Home) -> None:
-        """Forgets what a reporter said that can't be heard any more."""
-        for source in list(self._rows_by_source):
-            if source.reporter == reporter:
-                self._rows_by_source.pop(source)
-
-    def members(self, *, first_hand: bool = False) -> dict[Home, Member]:
-        """Merges the reports.
-
-        Args:
-            first_hand: Only what a zone's own VMs said of their zone.
-
-        Returns:
-            Each process that is reported, in the best state reported.
-        """
-        merged: dict[Home, Member] = {}
-        for source, rows in self._rows_by_source.items():
-            if first_hand and source.reporter.zone != source.zone:
-                continue
-            for row in rows:
-                member = _read_row(source.zone, row)
-                known = merged.get(member.home)
-                if known is None or _rank(member) < _rank(known):
-                    merged[member.home] = member
-        return merged
+        source = _Source(report.zone, reporter)
+        if self._rows_by_source.get(source) != report.rows:
+            self._rows_by_source[source] = report.rows
+            self._merge(now)
+
+    def drop(self, reporters: Collection[Home], now: float) -> None:
+        """Forgets what reporters said that can't be heard any more."""
+        stale = [
+            source
+            for source in self._rows_by_source
+            if source.reporter in reporters
+        ]
+        for source in stale:
+            self._rows_by_source.pop(source)
+        if stale:
+            self._merge(now)
+
+    def prune(self, now: float) -> None:
+        """Forgets who has not been reported for long."""
+        for home, lost in list(self._lost_by_home.items()):
+            if now - lost.since_s > FORGET_UNREPORTED_S:
+                self._lost_by_home.pop(home)
+                self.members_by_home.pop(home, None)
 
     def first_hand(self) -> list[ZoneReport]:
         """Writes what may be passed on: what each zone's own VMs said."""
-        members = self.members(first_hand=True)
+        members = self._read(first_hand=True)
         zones = {
             source.zone
             for source in self._rows_by_source
@@ -87,6 +93,33 @@
             for zone in sorted(zones)
         ]
 
+    def _merge(self, now: float) -> None:
+        """Keeps who is reported no more: its zone says so, or is cut off."""
+        reported = self._read()
+        zones = {home.zone for home in reported}
+        for home, member in self.members_by_home.items():
+            if home not in reported and home not in self._lost_by_home:
+                self._lost_by_home[home] = _Lost(member, now)
+        for home in reported:
+            self._lost_by_home.pop(home, None)
+        for home, lost in self._lost_by_home.items():
+            is_zone_heard = home.zone in zones
+            state = MemberState.GONE if is_zone_heard else MemberState.SUSPECT
+            reported[home] = lost.member._replace(state=state)
+        self.members_by_home = reported
+
+    def _read(self, *, first_hand: bool = False) -> dict[Home, Member]:
+        merged: dict[Home, Member] = {}
+        for source, rows in self._rows_by_source.items():
+            if first_hand and source.reporter.zone != source.zone:
+                continue
+            for row in rows:
+                member = _read_row(source.zone, row)
+                known = merged.get(member.home)
+                if known is None or _rank(member) < _rank(known):
+                    merged[member.home] = member
+        return merged
+
 
 def write_report(zone: str, members: Iterable[Member]) -> ZoneReport:
     """Builds the report about a zone from the members known in it."""
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,136 @@
+"""Membership on virtual time: pauses, restarts, cuts and the cost of it."""
+
+from camphorlink.internal.core.process.members import MemberState
+from camphorlink.internal.core.process.peer_table import ListedVm, key_of
+from fleet import Fleet, all_live
+
+ZONES = {'larissa': 3, 'trikala': 2, 'volos': 3}
+LARGE = {f'zone-{number:02d}': 8 for number in range(18)}
+
+
+def small():
+    fleet = Fleet(ZONES)
+    fleet.run(5)
+    assert all_live(fleet)
+    return fleet, list(fleet.vms.values())
+
+
+def test_a_paused_vm_is_suspected_and_suspects_nobody_when_it_wakes():
+    fleet, (paused, *others) = small()
+    fleet.pause(paused)
+    fleet.run(20)
+    assert {vm.sees(paused) for vm in others} == {MemberState.SUSPECT}
+    paused.inbox.clear()
+    fleet.resume(paused)
+    for _step in range(60):
+        fleet.run(0.05)
+        assert {paused.sees(vm) for vm in others} == {MemberState.LIVE}
+    assert all_live(fleet)
+
+
+def test_a_short_pause_is_tolerated():
+    fleet, (paused, *others) = small()
+    fleet.pause(paused)
+    for _step in range(40):
+        fleet.run(0.05)
+        assert {vm.sees(paused) for vm in others} == {MemberState.LIVE}
+
+
+def test_a_new_incarnation_makes_the_old_one_gone_for_good():
+    fleet, (old, *others) = small()
+    fleet.stop(old)
+    new = fleet.start(old.home.zone, old.home.vm)
+    fleet.run(2)
+    assert {vm.sees(old) for vm in others} == {MemberState.GONE}
+    assert {vm.sees(new) for vm in others} == {MemberState.LIVE}
+    for vm in others:
+        vm.membership.hear(old.home, _beat_of(old), fleet.now)
+        assert vm.sees(old) is MemberState.GONE
+        assert vm.sees(new) is MemberState.LIVE
+
+
+def _beat_of(vm):
+    vm.membership.set_state(MemberState.LIVE, 0)
+    return vm.membership.take_effects()[0].message
+
+
+def test_a_leaving_vm_is_gone_once_it_is_silent():
+    fleet, (leaver, *others) = small()
+    leaver.membership.set_state(MemberState.LEAVING, fleet.now)
+    fleet.run(0.2)
+    assert {vm.sees(leaver) for vm in others} == {MemberState.LEAVING}
+    leaver.membership.set_state(MemberState.SEALED, fleet.now)
+    fleet.run(0.2)
+    assert {vm.sees(leaver) for vm in others} == {MemberState.SEALED}
+    fleet.stop(leaver)
+    fleet.run(5)
+    assert {vm.sees(leaver) for vm in others} == {MemberState.GONE}
+
+
+def test_a_silent_vm_is_gone_only_when_the_platform_agrees():
+    fleet, (dead, *others) = small()
+    fleet.stop(dead)
+    fleet.run(90)
+    assert {vm.sees(dead) for vm in others} == {MemberState.SUSPECT}
+    del fleet.listed[dead.address]
+    fleet.run(3)
+    assert {vm.sees(dead) for vm in others} == {MemberState.GONE}
+
+
+def test_a_vm_that_the_list_lacks_is_live_as_long_as_it_speaks():
+    fleet, (unlisted, *others) = small()
+    del fleet.listed[unlisted.address]
+    fleet.run(60)
+    assert {vm.sees(unlisted) for vm in others} == {MemberState.LIVE}
+
+
+def test_the_platform_can_announce_a_leaving_vm():
+    fleet, (leaver, *others) = small()
+    fleet.listed[leaver.address] = ListedVm(
+        key_of(leaver.home),
+        leaver.address,
+        is_leaving=True,
+    )
+    fleet.run(3)
+    assert {vm.sees(leaver) for vm in others} == {MemberState.LEAVING}
+
+
+def test_a_one_way_cut_harms_only_the_direction_that_it_cuts():
+    fleet, (mute, deaf, *others) = small()
+    fleet.cut(mute, deaf)
+    fleet.run(10)
+    assert deaf.sees(mute) is MemberState.SUSPECT
+    assert mute.sees(deaf) is MemberState.LIVE
+    assert {vm.sees(mute) for vm in others} == {MemberState.LIVE}
+    fleet.cuts.clear()
+    fleet.run(3)
+    assert all_live(fleet)
+
+
+def test_a_large_fleet_sees_everyone_within_the_bound_for_control():
+    fleet = Fleet(LARGE)
+    fleet.run(12, step_s=0.25)
+    assert all_live(fleet)
+    for vm in fleet.vms.values():
+        vm.sent_bytes = 0
+    fleet.run(30, step_s=0.25)
+    assert all_live(fleet)
+    assert max(vm.sent_bytes for vm in fleet.vms.values()) / 30 < 4096
+
+
+def test_a_zone_that_was_cut_off_is_found_again_without_a_storm():
+    fleet = Fleet({f'zone-{number}': 4 for number in range(5)})
+    fleet.run(10)
+    assert all_live(fleet)
+    fleet.cut_zone('zone-1')
+    fleet.run(10)
+    inside, outside = fleet.zone('zone-1'), fleet.zone('zone-2')
+    assert {vm.sees(inside[0]) for vm in outside} == {MemberState.SUSPECT}
+    assert {vm.sees(outside[0]) for vm in inside} == {MemberState.SUSPECT}
+    assert {vm.sees(inside[0]) for vm in inside} == {MemberState.LIVE}
+    fleet.cuts.clear()
+    for vm in fleet.vms.values():
+        vm.sent_bytes = 0
+    fleet.run(10)
+    assert all_live(fleet)
+    assert max(vm.sent_bytes for vm in fleet.vms.values()) / 10 < 4096
