--- a/src/camphorlink/internal/core/version/acceptance.py
+++ b/src/camphorlink/internal/core/version/acceptance.py
@@ -3,6 +3,13 @@
 Operators race each other, so nobody decides at the time of writing.  Each VM
 folds the records of the configuration stream in the order of their offsets
 and reaches the same verdict on every one of them.  A version only rises.
+
+Verdicts must not differ between releases either.  So every check here belongs
+to a numbered set of rules and is frozen once it is released.  A newer set
+takes effect where the stream says so, by a ``ruleset`` record, and never
+because a newer release reads the stream.  A VM whose release lacks the set
+that is called for stops right before that record and keeps what it has: it
+gives no verdict rather than another one.
 """
 
 import enum
@@ -15,13 +22,21 @@
     EMPTY_MANIFEST,
     Manifest,
     check_manifest,
+    digest_document,
 )
 from camphorlink.internal.core.version.merge_patch import (
     apply_patch,
+    is_shallow,
     make_patch,
 )
 
-MAX_OPEN_PROPOSALS = 64
+#: Proposals that may be open at once; the oldest gives way.
+MAX_OPEN_PROPOSALS = 8
+#: The newest set of rules that this release has.
+KNOWN_RULESET = 1
+
+
+_KINDS = ('proposed', 'patched', 'approved', 'snapshot', 'ruleset')
 
 
 class Verdict(enum.Enum):
@@ -35,6 +50,8 @@
     WRONG_DIGEST = 'wrong-digest'
     UNREADABLE = 'unreadable'
     REPEATED = 'repeated'
+    SNAPSHOT = 'snapshot'
+    NEWER_RULES = 'newer-rules'
 
 
 class Proposal(NamedTuple):
@@ -58,6 +75,7 @@
         document: The manifest in force as it was written.
         next_offset: Offset of the first record that is not yet folded in.
         proposals_by_digest: Proposals that may still be approved.
+        ruleset: Set of rules in effect.
     """
 
     version: int = 0
@@ -65,6 +83,7 @@
     document: Any = None
     next_offset: int = 0
     proposals_by_digest: Mapping[str, Proposal] = MappingProxyType({})
+    ruleset: int = 1
 
 
 class Step(NamedTuple):
@@ -106,6 +125,19 @@
     }
 
 
+def ruleset_record(base_version: int, ruleset: int) -> dict[str, Any]:
+    """Builds the record that puts the next set of rules into effect.
+
+    Append it only once no VM runs a release that lacks this set.
+    """
+    return {
+        'kind': 'ruleset',
+        'base_version': base_version,
+        'ruleset': ruleset,
+        'digest': _digest_ruleset(base_version, ruleset),
+    }
+
+
 def fold_record(state: ConfigState, offset: int, record: Any) -> Step:
     """Folds one record of the stream into the state.
 
@@ -120,21 +152,66 @@
     if offset < state.next_offset:
         return Step(state, Verdict.REPEATED)
     advanced = state._replace(next_offset=offset + 1)
-    try:
-        kind, base = str(record['kind']), int(record['base_version'])
-        digest = str(record['digest'])
-    except (KeyError, TypeError, ValueError):
-        return Step(advanced, Verdict.UNREADABLE)
-    if kind not in {'proposed', 'patched', 'approved'}:
+    head = _read_head(record)
+    if head is None:
         return Step(advanced, Verdict.UNREADABLE)
-    if base != state.version:
+    if head.kind == 'snapshot':
+        # Who has folded everything before it has nothing to learn from it.
+        return Step(advanced, Verdict.SNAPSHOT)
+    if head.base_version != state.version:
         return Step(advanced, Verdict.STALE_BASE)
-    if kind == 'proposed':
-        return _fold_proposal(advanced, digest, record.get('manifest'))
-    if kind == 'patched':
+    if head.kind == 'ruleset':
+        return _fold_ruleset(state, advanced, record, head)
+    if head.kind == 'approved':
+        return _fold_approval(advanced, head.digest)
+    if head.kind == 'patched':
         document = apply_patch(state.document, record.get('patch'))
-        return _fold_proposal(advanced, digest, document)
-    return _fold_approval(advanced, digest)
+        return _fold_proposal(advanced, head.digest, document)
+    return _fold_proposal(advanced, head.digest, record.get('manifest'))
+
+
+class _Head(NamedTuple):
+    kind: str
+    base_version: int
+    digest: str
+
+
+def _read_head(record: Any) -> _Head | None:
+    """Reads what every record has, or nothing if the record is corrupted."""
+    if not isinstance(record, dict) or not is_shallow(record):
+        return None
+    kind, digest = record.get('kind'), record.get('digest')
+    if kind not in _KINDS or not isinstance(digest, str):
+        return None
+    base = 0 if kind == 'snapshot' else record.get('base_version')
+    if not isinstance(base, int) or isinstance(base, bool):
+        return None
+    return _Head(kind, base, digest)
+
+
+def _fold_ruleset(
+    before: ConfigState,
+    advanced: ConfigState,
+    record: Mapping[str, Any],
+    head: _Head,
+) -> Step:
+    ruleset = record.get('ruleset')
+    if head.digest != _digest_ruleset(head.base_version, ruleset):
+        return Step(advanced, Verdict.WRONG_DIGEST)
+    if ruleset != before.ruleset + 1:
+        return Step(advanced, Verdict.STALE_BASE)
+    if ruleset > KNOWN_RULESET:
+        return Step(before, Verdict.NEWER_RULES)
+    accepted = advanced._replace(
+        version=before.version + 1,
+        ruleset=ruleset,
+        proposals_by_digest=MappingProxyType({}),
+    )
+    return Step(accepted, Verdict.ACCEPTED)
+
+
+def _digest_ruleset(base_version: int, ruleset: Any) -> str:
+    return digest_document({'base_version': base_version, 'ruleset': ruleset})
 
 
 def _fold_proposal(state: ConfigState, digest: str, document: Any) -> Step:
--- a/src/camphorlink/internal/core/version/manifest.py
+++ b/src/camphorlink/internal/core/version/manifest.py
@@ -16,6 +16,10 @@
 
 from camphorlink.errors import Fault, ManifestError
 from camphorlink.internal.core.process.documents import check_shape
+from camphorlink.internal.core.version.merge_patch import (
+    MAX_DEPTH,
+    is_shallow,
+)
 
 SCHEMA_VERSION = 1
 DEFAULT_MAX_TASK_MS = 10_000
@@ -162,6 +166,9 @@
     Raises:
         ManifestError: With every fault found.
     """
+    if not is_shallow(document):
+        fault = Fault('$', 'deep nesting', f'at most {MAX_DEPTH} levels')
+        raise ManifestError([fault])
     typed = check_shape(_ADAPTER, document, ManifestError)
     faults = _reference_faults(typed)
     if faults:
--- a/src/camphorlink/internal/core/version/merge_patch.py
+++ b/src/camphorlink/internal/core/version/merge_patch.py
@@ -7,9 +7,16 @@
 
 from typing import Any
 
+#: Levels that a document may nest.  Without a bound, a hostile record would
+#: exhaust the stack on some VMs and not on others.
+MAX_DEPTH = 12
+
 
 def apply_patch(document: Any, patch: Any) -> Any:
-    """Returns ``document`` as changed by ``patch``; neither is altered."""
+    """Returns ``document`` as changed by ``patch``; neither is altered.
+
+    Both pass ``is_shallow``; see there.
+    """
     if not isinstance(patch, dict):
         return patch
     merged = dict(document) if isinstance(document, dict) else {}
@@ -36,3 +43,18 @@
         if name not in old or old[name] != entry
     }
     return {**removed, **changed}
+
+
+def is_shallow(document: Any, max_depth: int = MAX_DEPTH) -> bool:
+    """Says whether a JSON value nests no deeper than ``max_depth``."""
+    depth, level = 0, [document]
+    while level and depth <= max_depth:
+        level = [inner for outer in level for inner in _children(outer)]
+        depth += 1
+    return not level
+
+
+def _children(outer: Any) -> list[Any]:
+    if isinstance(outer, dict):
+        return list(outer.values())
+    return outer if isinstance(outer, list) else []
--- a/src/camphorlink/internal/shell/connection/log_client.py
+++ b/src/camphorlink/internal/shell/connection/log_client.py
@@ -7,39 +7,12 @@
 import orjson
 
 from camphorlink.errors import AppendUncertainError, LogServiceError
+from camphorlink.internal.core.connection.log_records import Page, StoredRecord
 
 REQUEST_TIMEOUT_S = 5.0
 MS_PER_S = 1000
 
 
-class StoredRecord(NamedTuple):
-    """A record as the log service keeps it.
-
-    Attributes:
-        offset: Position in its stream.
-        appended_ms: Time of the append, ms since the epoch.
-        record: The record itself.
-    """
-
-    offset: int
-    appended_ms: int
-    record: Any
-
-
-class Page(NamedTuple):
-    """Consecutive records of a stream.
-
-    Attributes:
-        records: In the order of their offsets.
-        earliest_offset: First offset that is still kept.
-        next_offset: Offset that the next append will get.
-    """
-
-    records: tuple[StoredRecord, ...]
-    earliest_offset: int
-    next_offset: int
-
-
 class PlatformVm(NamedTuple):
     """An entry VM on the platform's list.
 
