--- a/src/camphorlink/internal/core/connection/peer_messages.py
+++ b/src/camphorlink/internal/core/connection/peer_messages.py
@@ -7,6 +7,11 @@
 
 from typing import NamedTuple
 
+from camphorlink.internal.core.connection.submission_messages import (
+    SUBMISSION_MESSAGE_BY_KIND,
+    SubmissionMessage,
+)
+
 
 class Hello(NamedTuple):
     """First message on a link: who speaks.
@@ -70,7 +75,7 @@
     rows: tuple[ZoneRow, ...]
 
 
-PeerMessage = Hello | Heartbeat | ZoneReport
+PeerMessage = Hello | Heartbeat | ZoneReport | SubmissionMessage
 
 #: Kinds that the membership takes in; the entry core never sees them.
 MEMBERSHIP_KINDS = (Hello, Heartbeat, ZoneReport)
@@ -79,4 +84,5 @@
     'hello': Hello,
     'heartbeat': Heartbeat,
     'zone-report': ZoneReport,
+    **SUBMISSION_MESSAGE_BY_KIND,
 }
