--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,10 @@
 test: $(VENV)
 	$(PYTHON) -m pytest
 
+.PHONY: experiment
+experiment: $(VENV)
+	$(PYTHON) -m camphorlink.bench.experiment
+
 lint: $(VENV)
 	$(PYTHON) -m ruff format --check $(PATHS)
 	$(PYTHON) -m ruff check $(PATHS)
@@ -31,3 +35,11 @@
 format: $(VENV)
 	$(PYTHON) -m ruff format $(PATHS)
 	$(PYTHON) -m ruff check --fix $(PATHS)
+
+.PHONY: slopes
+slopes: $(VENV)
+	$(PYTHON) -m camphorlink.bench.slopes
+
+.PHONY: capacity
+capacity: $(VENV)
+	$(PYTHON) -m camphorlink.bench.capacity
--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -8,7 +8,10 @@
 
 from aiohttp import web
 
-from camphorlink.internal.core.connection.peer_messages import PeerMessage
+from camphorlink.internal.core.connection.peer_messages import (
+    MEMBERSHIP_KINDS,
+    PeerMessage,
+)
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.entry_core import EntryCore
 from camphorlink.internal.core.request.identifiers import Home, new_home
@@ -18,6 +21,7 @@
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.member_watch import MemberWatch
 from camphorlink.internal.shell.process.metrics import Metrics
 from camphorlink.internal.shell.process.operators_api import OperatorsApi
 from camphorlink.internal.shell.process.planned_stop import PlannedStop
@@ -65,8 +69,12 @@
             ),
         )
         self.peers_port = self.host.links.port
+        self.members = self._stack.enter_context(
+            MemberWatch(self.host, log_client, rng),
+        )
         self.planned_stop = PlannedStop(
             self.host,
+            self.members,
             settings.notice_s,
             settings.drain_s,
         )
@@ -111,7 +119,10 @@
         self.host.post(messages.VersionInForce(state.version, state.manifest))
 
     def _hear_peer(self, peer: Home, message: PeerMessage) -> None:
-        self.host.post(messages.PeerSaid(peer, message))
+        if isinstance(message, MEMBERSHIP_KINDS):
+            self.members.hear(peer, message)
+        else:
+            self.host.post(messages.PeerSaid(peer, message))
 
     async def _serve(self, app: web.Application, listen: Listen) -> int:
         runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
--- a/src/camphorlink/internal/shell/process/planned_stop.py
+++ b/src/camphorlink/internal/shell/process/planned_stop.py
@@ -9,7 +9,9 @@
 from collections.abc import Callable
 
 from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.members import MemberState
 from camphorlink.internal.shell.process.core_host import CoreHost
+from camphorlink.internal.shell.process.member_watch import MemberWatch
 
 POLL_S = 0.05
 
@@ -17,17 +19,25 @@
 class PlannedStop:
     """Takes one entry VM out of service."""
 
-    def __init__(self, host: CoreHost, notice_s: float, drain_s: float) -> None:
+    def __init__(
+        self,
+        host: CoreHost,
+        members: MemberWatch,
+        notice_s: float,
+        drain_s: float,
+    ) -> None:
         """Plans the stop; nothing happens before ``begin``.
 
         Args:
             host: Runs the core that is to be drained.
+            members: Tells the other entry VMs.
             notice_s: Seconds for the balancer to notice, in which the VM
                 still admits submissions.
             drain_s: Seconds that answers are waited for after that.
         """
         self.is_begun = False
         self._host = host
+        self._members = members
         self._notice_s = notice_s
         self._drain_s = drain_s
 
@@ -47,6 +57,7 @@
 
     def _drain(self) -> None:
         if not self._host.core.is_draining:
+            self._members.set_state(MemberState.LEAVING)
             self._host.post(messages.Drain())
 
     async def _poll(
