Client with a retry budget, and camphorlink-submit

Cause: the client retried without bound on shares, read any body as JSON, knew no keys and no cancellation; aiohttp sent each PUT twice by itself when a connection dropped; there was no command for callers. Change: internal/client (transport, replies, delivery, retries); the budget is a share of first sends, Retry-After is kept to, draining VMs are left for another one with a new identifier only after not-run; aiohttp's own resend is off; camphorlink-submit with exit codes 0, 2, 3, 4, 5; docs/CLI.md.

--- /dev/null
+++ b/src/camphorlink/cli/submit.py
@@ -0,0 +1,191 @@
+"""``camphorlink-submit``: runs a job and prints its whole answer.
+
+The answer goes to standard output as one JSON document, progress and advice
+to standard error.  The exit code tells the outcome.
+"""
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+import orjson
+import uvloop
+
+from camphorlink.client import Client
+from camphorlink.errors import (
+    DocumentError,
+    JobFailedError,
+    NotRunError,
+    OutcomeError,
+    OutcomeUnknownError,
+)
+from camphorlink.internal.core.process.documents import parse_json
+from camphorlink.internal.shell.request.job_documents import read_job
+
+# See the comment in internal/shell/process/programs.py.
+os.environ['UV_USE_IO_URING'] = '0'
+
+EXIT_USAGE = 2
+EXIT_CODE_BY_ERROR: dict[type[OutcomeError], int] = {
+    NotRunError: 3,
+    JobFailedError: 4,
+    OutcomeUnknownError: 5,
+}
+OUTCOME_BY_ERROR: dict[type[OutcomeError], str] = {
+    NotRunError: 'not-run',
+    JobFailedError: 'failed',
+    OutcomeUnknownError: 'unknown',
+}
+PROGRESS_PERIOD_S = 0.3
+MS_PER_S = 1000
+
+
+class _Order(NamedTuple):
+    job: dict[str, Any]
+    shows_progress: bool
+    submission_id: str | None
+    key: str | None
+
+
+@click.command(
+    params=[
+        click.Argument(
+            ['job_file'],
+            type=click.Path(path_type=Path),
+            default='-',
+        ),
+        click.Option(
+            ['--entry', 'entry_urls'],
+            multiple=True,
+            required=True,
+            envvar='CAMPHORLINK_ENTRY',
+            help='Base URL of an entry VM or balancer; may be repeated.',
+        ),
+        click.Option(['--id', 'submission_id'], help='Identifier to use.'),
+        click.Option(['--key'], help='Your own key, such as a booking number.'),
+        click.Option(
+            ['--deadline'],
+            type=float,
+            help='Seconds that the job may take.',
+        ),
+        click.Option(
+            ['--idempotent/--not-idempotent'],
+            default=None,
+            help='Whether a task may run more than once.',
+        ),
+        click.Option(
+            ['--progress/--no-progress'],
+            default=None,
+            help='Show progress; the default is to do so on a terminal.',
+        ),
+    ],
+)
+def main(
+    job_file: Path,
+    entry_urls: tuple[str, ...],
+    deadline: float | None,
+    idempotent: bool | None,
+    progress: bool | None,
+    **names: str | None,
+) -> None:
+    """Run the job of JOB_FILE, or of standard input, and print its answer.
+
+    Exit codes: 0 complete, 2 usage or a faulty job, 3 not run, 4 failed,
+    5 unknown.
+    """
+    if names['submission_id'] and names['key']:
+        raise click.UsageError('give --id or --key, not both')
+    changes = {
+        'deadline_ms': None if deadline is None else deadline * MS_PER_S,
+        'idempotent': idempotent,
+    }
+    shows = sys.stderr.isatty() if progress is None else progress
+    order = _Order(_read_job(job_file, changes), shows, **names)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        sys.exit(runner.run(_run(order, entry_urls)))
+
+
+def _read_job(path: Path, changes: dict[str, Any]) -> dict[str, Any]:
+    try:
+        body = _read_body(path)
+        document = parse_json(body, DocumentError)
+        if isinstance(document, dict):
+            kept = {key: new for key, new in changes.items() if new is not None}
+            document.update(kept)
+        read_job(orjson.dumps(document), 0)
+    except OSError as exc:
+        raise click.UsageError(f'{path}: {exc.strerror}') from exc
+    except DocumentError as exc:
+        for fault in exc.faults:
+            click.echo(f'{path}: {fault}', err=True)
+        sys.exit(EXIT_USAGE)
+    return dict(document)
+
+
+def _read_body(path: Path) -> bytes:
+    if str(path) == '-':
+        return sys.stdin.buffer.read()
+    return path.read_bytes()
+
+
+async def _run(order: _Order, entry_urls: tuple[str, ...]) -> int:
+    async with Client(entry_urls) as client:
+        try:
+            results = await _submit(client, order)
+        except OutcomeError as exc:
+            return _report_error(exc)
+    _print({'outcome': 'complete', 'results': results})
+    return 0
+
+
+async def _submit(client: Client, order: _Order) -> dict[str, Any]:
+    if order.key is not None:
+        return await client.submit_key(order.key, order.job)
+    if order.submission_id is None and not order.shows_progress:
+        return await client.submit(order.job)
+    submission_id = order.submission_id or await client.issue_id()
+    click.echo(f'submission {submission_id}', err=True)
+    watch = asyncio.create_task(_watch(client, submission_id))
+    try:
+        return await client.submit_named(submission_id, order.job)
+    finally:
+        watch.cancel()
+
+
+async def _watch(client: Client, submission_id: str) -> None:
+    while True:
+        await asyncio.sleep(PROGRESS_PERIOD_S)
+        shown = await client.show(submission_id)
+        fates = list((shown.get('tasks') or {}).values())
+        done = fates.count('finished')
+        click.echo(
+            f'\r{done} of {len(fates)} tasks finished', err=True, nl=False
+        )
+
+
+def _report_error(exc: OutcomeError) -> int:
+    _print(
+        {
+            'outcome': OUTCOME_BY_ERROR[type(exc)],
+            'reason': exc.reason,
+            'detail': exc.detail,
+            'next': exc.next_step,
+            'tasks': exc.fates,
+            'faults': list(exc.faults),
+            'submission': exc.submission_id,
+            'retry_after_s': exc.retry_after_s,
+        },
+    )
+    click.echo(f'{exc.reason}: {exc.next_step}', err=True)
+    return EXIT_CODE_BY_ERROR[type(exc)]
+
+
+def _print(document: dict[str, Any]) -> None:
+    click.echo(orjson.dumps(document, option=orjson.OPT_INDENT_2))
+
+
+if __name__ == '__main__':
+    main()
--- a/src/camphorlink/client.py
+++ b/src/camphorlink/client.py
@@ -5,49 +5,78 @@
 submission, because only you can tell whether that would be safe.
 """
 
-import asyncio
+import random
 from collections.abc import Mapping, Sequence
+from http import HTTPStatus
 from types import TracebackType
-from typing import Any
+from typing import Any, NamedTuple
+from urllib.parse import quote
 
-import aiohttp
-import orjson
+from camphorlink.errors import NotRunError, OutcomeUnknownError
+from camphorlink.internal.client.delivery import (
+    Delivery,
+    now_s,
+    read_deadline_s,
+)
+from camphorlink.internal.client.errors import (
+    NoAnswerError,
+    UnreadableAnswerError,
+)
+from camphorlink.internal.client.replies import RawReply, read_document
+from camphorlink.internal.client.retries import Patience, RetryLimits
+from camphorlink.internal.client.transport import Transport
 
-from camphorlink.errors import (
-    JobFailedError,
-    NotRunError,
-    OutcomeError,
-    OutcomeUnknownError,
+#: Refusals (not run) that another entry VM, or a later time, may not give.
+TRY_ANEW_REASONS = frozenset(
+    (
+        'draining',
+        'no-manifest',
+        'queue-full',
+        'table-full',
+        'no-backend',
+        'backend-busy',
+        'backend-leaving',
+        'connect-failed',
+    ),
 )
 
-CONNECT_TIMEOUT_S = 1.0
-RETRY_DELAY_S = 0.1
-MAX_TRIES = 4
-MS_PER_S = 1000
-#: Time on top of a job's deadline in which its refusal may arrive, seconds.
-ANSWER_MARGIN_S = 1.0
 
-_ERROR_BY_OUTCOME: dict[str, type[OutcomeError]] = {
-    'not-run': NotRunError,
-    'failed': JobFailedError,
-    'unknown': OutcomeUnknownError,
-}
+class _Issued(NamedTuple):
+    submission_id: str
+    home_url: str | None
 
 
 class Client:
     """Submits jobs to the entry VMs of one site.
 
     Use it as an asynchronous context manager and keep it for as long as you
-    submit: it holds the connections.
+    submit: it holds the connections and the retry budget.
     """
 
-    def __init__(self, entry_urls: Sequence[str]) -> None:
-        """Takes base URLs of entry VMs, nearest first."""
-        self._entry_urls = tuple(entry_urls)
+    def __init__(
+        self,
+        entry_urls: Sequence[str],
+        limits: RetryLimits | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Takes the addresses of entry VMs, or of the balancer before them.
+
+        Args:
+            entry_urls: Base URLs, nearest first.
+            limits: How much may be repeated.
+            rng: Source of jitter; give a seeded one to repeat a run.
+        """
+        self._entry_urls = [url.rstrip('/') for url in entry_urls]
+        self._patience = Patience(
+            limits or RetryLimits(),
+            rng or random.SystemRandom(),
+        )
+        self._transport = Transport()
+        self._unreachable_homes: set[str] = set()
 
     async def __aenter__(self) -> 'Client':
         """Opens the pool of connections."""
-        self._session = aiohttp.ClientSession()
+        await self._transport.__aenter__()
         return self
 
     async def __aexit__(
@@ -57,71 +86,175 @@
         trace: TracebackType | None,
     ) -> None:
         """Closes all connections."""
-        await self._session.close()
+        await self._transport.__aexit__(exc_type, exc, trace)
 
     async def submit(self, job: Mapping[str, Any]) -> dict[str, Any]:
         """Runs a job and returns the result of each task by its id.
 
+        Where an entry VM says that nothing was run and another one might run
+        it, the job is submitted there under a new identifier.
+
         Args:
-            job: The job as the callers' interface describes it.
+            job: The job as ``docs/INTERFACE.md`` describes it.
 
         Raises:
+            JobError: The job lacks what its delivery needs.
             NotRunError: Nothing was started; a new submission is safe.
             JobFailedError: The job can't complete; see the fates.
             OutcomeUnknownError: It may have run; don't just submit again.
         """
-        submission_id = await self._issue_id()
-        return await self.submit_named(submission_id, job)
+        give_up_s = now_s() + read_deadline_s(job)
+        repeats = 0
+        while True:
+            try:
+                return await self._submit_anew(job, give_up_s)
+            except NotRunError as refusal:
+                if refusal.reason not in TRY_ANEW_REASONS:
+                    raise
+                self._turn_to_next()
+                if not await self._may_try_anew(repeats, give_up_s, refusal):
+                    raise
+            repeats += 1
 
     async def submit_named(
         self,
         submission_id: str,
         job: Mapping[str, Any],
     ) -> dict[str, Any]:
-        """Runs a job under an identifier that was issued before."""
-        body = orjson.dumps(dict(job))
-        total_s = job['deadline_ms'] / MS_PER_S + ANSWER_MARGIN_S
-        timeout = aiohttp.ClientTimeout(
-            total=total_s,
-            sock_connect=CONNECT_TIMEOUT_S,
+        """Runs a job under an identifier that was issued before.
+
+        It joins the run that is already there under this identifier.
+        """
+        delivery = Delivery(
+            self._transport,
+            self._patience,
+            _submission_path(submission_id),
+            job,
+            self._entry_urls,
+        )
+        return await delivery.run(now_s() + read_deadline_s(job))
+
+    async def submit_key(
+        self,
+        key: str,
+        job: Mapping[str, Any],
+    ) -> dict[str, Any]:
+        """Runs a job once for all who submit it under the same key.
+
+        Args:
+            key: Yours, such as a booking number; the service of the job is
+                part of it.
+            job: What to run, the same for the same key.
+        """
+        service = quote(str(job.get('service')), safe='')
+        delivery = Delivery(
+            self._transport,
+            self._patience,
+            f'/v1/keys/{service}/{quote(key, safe="")}',
+            job,
+            self._entry_urls,
         )
-        for attempt in range(MAX_TRIES):
-            url = self._entry_urls[attempt % len(self._entry_urls)]
-            request = self._session.put(
-                f'{url}/v1/submissions/{submission_id}',
-                data=body,
-                headers={'Content-Type': 'application/json'},
-                timeout=timeout,
-            )
+        return await delivery.run(now_s() + read_deadline_s(job))
+
+    async def issue_id(self) -> str:
+        """Asks for an identifier to submit a job under.
+
+        Raises:
+            NotRunError: No entry VM answered.
+        """
+        issued = await self._issue()
+        return issued.submission_id
+
+    async def cancel(self, submission_id: str) -> None:
+        """Gives a submission up: tasks that wait never start.
+
+        Raises:
+            OutcomeUnknownError: Nobody said that it was taken.
+        """
+        reply = await self._ask('DELETE', _submission_path(submission_id))
+        if reply is None or reply.status != HTTPStatus.ACCEPTED:
+            raise OutcomeUnknownError('no-answer', 'cancel it again', {})
+
+    async def show(self, submission_id: str) -> dict[str, Any]:
+        """Tells what is known of a submission now, without waiting for it."""
+        reply = await self._ask('GET', _submission_path(submission_id))
+        if reply is None:
+            return {'known': False}
+        try:
+            return read_document(reply)
+        except UnreadableAnswerError:
+            return {'known': False}
+
+    async def _ask(self, method: str, path: str) -> RawReply | None:
+        for url in tuple(self._entry_urls):
             try:
-                async with request as response:
-                    return _read_answer(await response.read())
-            except (aiohttp.ClientError, TimeoutError, OSError):
-                await asyncio.sleep(RETRY_DELAY_S * (attempt + 1))
-        raise OutcomeUnknownError(
-            'no-answer',
-            f'ask again for {submission_id} when the entry VMs answer',
-            {},
+                return await self._transport.send(method, url + path)
+            except NoAnswerError:
+                self._turn_to_next()
+        return None
+
+    async def _submit_anew(
+        self,
+        job: Mapping[str, Any],
+        give_up_s: float,
+    ) -> dict[str, Any]:
+        issued = await self._issue()
+        urls = list(self._entry_urls)
+        if issued.home_url is not None and issued.home_url not in urls:
+            urls.insert(0, issued.home_url)
+        delivery = Delivery(
+            self._transport,
+            self._patience,
+            _submission_path(issued.submission_id),
+            job,
+            urls,
+            is_first=True,
         )
+        try:
+            return await delivery.run(give_up_s)
+        finally:
+            self._unreachable_homes |= delivery.unreachable
 
-    async def _issue_id(self) -> str:
-        for url in self._entry_urls:
-            request = self._session.post(
-                f'{url}/v1/submission-ids',
-                timeout=aiohttp.ClientTimeout(total=CONNECT_TIMEOUT_S),
-            )
+    async def _issue(self) -> _Issued:
+        for url in tuple(self._entry_urls):
             try:
-                async with request as response:
-                    issued = orjson.loads(await response.read())
-                    return str(issued['submission_id'])
-            except (aiohttp.ClientError, TimeoutError, OSError):
-                await asyncio.sleep(0)
+                return self._read_issued(
+                    await self._transport.send(
+                        'POST',
+                        f'{url}/v1/submission-ids',
+                    ),
+                )
+            except NoAnswerError:
+                self._turn_to_next()
         raise NotRunError('no-entry-vm', 'check the addresses, then retry', {})
 
+    def _read_issued(self, reply: RawReply) -> _Issued:
+        document = read_document(reply)
+        submission_id = document.get('submission_id')
+        if not isinstance(submission_id, str):
+            raise UnreadableAnswerError(reply.status, 'no identifier')
+        home_url = f'http://{document.get("home_address")}'
+        if not document.get('home_address'):
+            return _Issued(submission_id, None)
+        if home_url in self._unreachable_homes:
+            return _Issued(submission_id, None)
+        return _Issued(submission_id, home_url)
+
+    async def _may_try_anew(
+        self,
+        repeats: int,
+        give_up_s: float,
+        refusal: NotRunError,
+    ) -> bool:
+        # Another VM is asked at once when this one only is leaving.
+        at_least_s = refusal.retry_after_s
+        if refusal.reason == 'draining' and len(self._entry_urls) > 1:
+            at_least_s = None
+        return await self._patience.may_repeat(repeats, give_up_s, at_least_s)
+
+    def _turn_to_next(self) -> None:
+        self._entry_urls.append(self._entry_urls.pop(0))
+
 
-def _read_answer(body: bytes) -> dict[str, Any]:
-    answer = orjson.loads(body)
-    if answer['outcome'] == 'complete':
-        return dict(answer['results'])
-    error = _ERROR_BY_OUTCOME[answer['outcome']]
-    raise error(answer['reason'], answer['next'], answer['tasks'])
+def _submission_path(submission_id: str) -> str:
+    return f'/v1/submissions/{quote(submission_id, safe="")}'
--- a/src/camphorlink/errors.py
+++ b/src/camphorlink/errors.py
@@ -89,7 +89,17 @@
 
 
 class OutcomeError(CamphorlinkError):
-    """Base of the errors that end a submission without a whole answer."""
+    """Base of the errors that end a submission without a whole answer.
+
+    Attributes:
+        reason: Code of ``docs/INTERFACE.md``.
+        next_step: What to do next, in one line.
+        fates: Fate of each task by its id, may be empty.
+        retry_after_s: Seconds to wait before a new submission, or ``None``.
+        submission_id: The identifier or key, to ask again with.
+        detail: For a person, may be empty.
+        faults: Of a job that does not pass its check.
+    """
 
     def __init__(
         self,
@@ -104,6 +114,9 @@
         self.next_step = next_step
         self.fates = dict(fates)
         self.retry_after_s = retry_after_s
+        self.submission_id = ''
+        self.detail = ''
+        self.faults: tuple[Mapping[str, str], ...] = ()
 
 
 class NotRunError(OutcomeError):
--- /dev/null
+++ b/src/camphorlink/internal/client/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the client for callers."""
--- /dev/null
+++ b/src/camphorlink/internal/client/delivery.py
@@ -0,0 +1,153 @@
+"""Sends one named submission until it has an answer."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import orjson
+
+from camphorlink.errors import (
+    Fault,
+    JobError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from camphorlink.internal.client.errors import (
+    NoAnswerError,
+    UnreadableAnswerError,
+)
+from camphorlink.internal.client.replies import read_results
+from camphorlink.internal.client.retries import Patience
+from camphorlink.internal.client.transport import Transport
+
+MS_PER_S = 1000
+#: Time on top of a job's deadline in which its refusal may arrive, seconds.
+ANSWER_MARGIN_S = 1.0
+MIN_LEFT_S = 0.001
+#: Answers of *unknown* that may become known by asking again.
+ASK_AGAIN_REASONS = frozenset(('home-unreachable', 'internal-error'))
+
+
+class Delivery:
+    """Sends a job under one name, as often as it takes and is allowed.
+
+    The name stays the same, so no repeat can start anything twice.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        patience: Patience,
+        path: str,
+        job: Mapping[str, Any],
+        urls: Sequence[str],
+        is_first: bool = False,
+    ) -> None:
+        """Prepares to send; ``run`` does it.
+
+        Args:
+            transport: Connections to send over.
+            patience: Says whether and when a repeat is made.
+            path: Path of the submission or the key.
+            job: What to run.
+            urls: Base URLs to try in turn.
+            is_first: Whether nobody can have sent this name before.
+
+        Raises:
+            JobError: The job lacks what its delivery needs.
+        """
+        self._transport = transport
+        self._patience = patience
+        self._path = path
+        self._job = job
+        self._task_ids = read_task_ids(job)
+        self._urls = list(urls)
+        self._may_have_arrived = not is_first
+        self._why = 'no-answer'
+        self.unreachable: set[str] = set()
+
+    async def run(self, give_up_s: float) -> dict[str, Any]:
+        """Returns the result of each task by its id.
+
+        Raises:
+            OutcomeError: How it ended else.
+        """
+        self._patience.note_first_send()
+        repeats = 0
+        while True:
+            url = self._urls[repeats % len(self._urls)]
+            delay_s = None
+            try:
+                return await self._try(url, give_up_s)
+            except OutcomeUnknownError as answer:
+                if answer.reason not in ASK_AGAIN_REASONS:
+                    raise
+                self._may_have_arrived = True
+                self._why = answer.reason
+                delay_s = answer.retry_after_s
+            except NoAnswerError as exc:
+                self._note_silence(url, exc)
+            if not await self._patience.may_repeat(repeats, give_up_s, delay_s):
+                raise self._give_up()
+            repeats += 1
+
+    async def _try(self, url: str, give_up_s: float) -> dict[str, Any]:
+        left_s = max(give_up_s - now_s(), MIN_LEFT_S)
+        body = orjson.dumps({**self._job, 'deadline_ms': left_s * MS_PER_S})
+        reply = await self._transport.send(
+            'PUT',
+            url + self._path,
+            body,
+            left_s + ANSWER_MARGIN_S,
+        )
+        return read_results(reply, self._task_ids)
+
+    def _note_silence(self, url: str, exc: NoAnswerError) -> None:
+        self._may_have_arrived |= exc.may_have_arrived
+        if isinstance(exc, UnreadableAnswerError):
+            self._why = 'unreadable-answer'
+        elif not exc.may_have_arrived:
+            self.unreachable.add(url)
+
+    def _give_up(self) -> NotRunError | OutcomeUnknownError:
+        if not self._may_have_arrived:
+            return NotRunError('no-entry-vm', 'submit it again later', {})
+        name = self._path.rsplit('/', 1)[-1]
+        error = OutcomeUnknownError(
+            self._why,
+            f'ask again for {name} under the same name',
+            {},
+        )
+        error.submission_id = name
+        return error
+
+
+def now_s() -> float:
+    """Tells the time of the running loop, in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+def read_deadline_s(job: Mapping[str, Any]) -> float:
+    """Tells how long a job may take, in seconds.
+
+    Raises:
+        JobError: It doesn't say.
+    """
+    try:
+        return float(job['deadline_ms']) / MS_PER_S
+    except (KeyError, TypeError, ValueError) as exc:
+        fault = Fault('$.deadline_ms', 'no number', 'say how long it may take')
+        raise JobError([fault]) from exc
+
+
+def read_task_ids(job: Mapping[str, Any]) -> list[str]:
+    """Lists the tasks that a whole answer has results for.
+
+    Raises:
+        JobError: The tasks have no ids.
+    """
+    try:
+        return [task['id'] for task in job['tasks']]
+    except (KeyError, TypeError) as exc:
+        fault = Fault('$.tasks', 'no tasks with ids', 'name each task')
+        raise JobError([fault]) from exc
--- /dev/null
+++ b/src/camphorlink/internal/client/transport.py
@@ -0,0 +1,79 @@
+"""Sends single requests, each once, with typed errors."""
+
+from types import TracebackType
+
+import aiohttp
+
+from camphorlink.internal.client.errors import NoAnswerError
+from camphorlink.internal.client.replies import RawReply
+
+CONNECT_TIMEOUT_S = 1.0
+_HEADERS = {'Content-Type': 'application/json'}
+
+
+class Transport:
+    """Connections of one client to the entry VMs."""
+
+    async def __aenter__(self) -> 'Transport':
+        """Opens the pool of connections."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+        )
+        # aiohttp sends a PUT once more on its own when a connection drops,
+        # past the retry budget, and has no public switch for it.  A test
+        # counts the sends and fails when this one no longer works.
+        self._session._retry_connection = False  # noqa: WPS437
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def send(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> RawReply:
+        """Sends one request and reads the whole response.
+
+        Raises:
+            NoAnswerError: It says whether the request may have arrived.
+        """
+        try:
+            return await self._request(method, url, body, timeout_s)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            raise NoAnswerError(f'no connection to {url}', False) from None
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            raise NoAnswerError(f'no answer of {url}', True) from exc
+
+    async def _request(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        timeout_s: float,
+    ) -> RawReply:
+        request = self._session.request(
+            method,
+            url,
+            data=body,
+            headers=_HEADERS,
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(
+                total=timeout_s,
+                sock_connect=CONNECT_TIMEOUT_S,
+            ),
+        )
+        async with request as response:
+            return RawReply(
+                response.status,
+                response.headers,
+                await response.read(),
+            )
--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -29,6 +29,8 @@
 from camphorlink.internal.shell.request.callers_api import CallersApi
 from camphorlink.internal.shell.version.config_tail import ConfigTail
 
+ANY_ADDRESS = '0.0.0.0'
+
 
 class EntryDaemon:
     """Everything that one entry VM runs, as one context manager."""
@@ -88,6 +90,8 @@
             callers.build_app(),
             settings.callers,
         )
+        if settings.callers.ip != ANY_ADDRESS:
+            callers.address = f'{settings.callers.ip}:{self.callers_port}'
         self._log.info('started', extra={'home': str(self.host.core.home)})
         return self
 
--- a/src/camphorlink/internal/shell/request/callers_api.py
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -38,6 +38,8 @@
         """Serves submissions with one core."""
         self._host = host
         self._rng = rng
+        #: IP number and port that this interface is reached at, if known.
+        self.address: str | None = None
 
     def build_app(self) -> web.Application:
         """Returns the application with all routes of the interface."""
@@ -60,7 +62,10 @@
         """Issues an identifier whose home is this VM."""
         submission_id = self._mint()
         return json_response(
-            {'submission_id': str(submission_id)},
+            {
+                'submission_id': str(submission_id),
+                'home_address': self.address,
+            },
             HTTPStatus.CREATED,
         )
 
--- /dev/null
+++ b/tests/nocover/test_client.py
@@ -0,0 +1,209 @@
+"""The client against servers that answer what a test tells them to."""
+
+import asyncio
+import contextlib
+import random
+
+import orjson
+import pytest
+from aiohttp import web
+
+from camphorlink import JobFailedError, NotRunError, OutcomeUnknownError
+from camphorlink.client import Client
+from camphorlink.errors import JobError
+from camphorlink.internal.client.retries import RetryBudget, RetryLimits
+from camphorlink.standin.servers import LocalServer
+
+JOB = {
+    'service': 'caster',
+    'team': 'surveyors',
+    'deadline_ms': 4000,
+    'tasks': [{'id': 'a', 'payload': None}],
+}
+COMPLETE = (200, {'outcome': 'complete', 'results': {'a': 7}}, {})
+FAST = RetryLimits(base_delay_s=0.001, max_delay_s=0.002)
+CLOSE = 'close the connection'
+
+
+def refusal(status, outcome, reason, **headers):
+    body = {'outcome': outcome, 'reason': reason, 'next': 'n', 'tasks': {}}
+    return (status, body, headers)
+
+
+class FakeEntry:
+    """Issues identifiers and gives its answers in turn, the last for ever."""
+
+    def __init__(self, name, *answers):
+        self.name = name
+        self.answers = list(answers)
+        self.puts = []
+        self.arrivals = []
+
+    def build_app(self):
+        app = web.Application()
+        app.add_routes(
+            [
+                web.post('/v1/submission-ids', self.issue),
+                web.put('/v1/{kind:submissions|keys}/{name:.+}', self.run),
+            ],
+        )
+        return app
+
+    async def issue(self, request):
+        issued = {'submission_id': f'{self.name}-{random.random()}'}
+        return web.json_response(issued)
+
+    async def run(self, request):
+        self.puts.append(request.match_info['name'])
+        self.arrivals.append(asyncio.get_running_loop().time())
+        answers = self.answers
+        answer = answers.pop(0) if len(answers) > 1 else answers[0]
+        if answer == CLOSE:
+            request.transport.close()
+            return web.Response()
+        status, body, headers = answer
+        if isinstance(body, bytes):
+            return web.Response(status=status, body=body, headers=headers)
+        return web.Response(
+            status=status,
+            body=orjson.dumps(body),
+            headers={**headers, 'Content-Type': 'application/json'},
+        )
+
+
+def with_client(entries, scenario, limits=FAST):
+    async def run():
+        async with contextlib.AsyncExitStack() as stack:
+            urls = []
+            for entry in entries:
+                server = LocalServer(entry.build_app(), '127.0.0.1', 0)
+                await stack.enter_async_context(server)
+                urls.append(f'http://{server.address}')
+            client = Client(urls, limits, random.Random(7))
+            await stack.enter_async_context(client)
+            return await scenario(client)
+
+    return asyncio.run(run())
+
+
+def submit(client):
+    return client.submit(JOB)
+
+
+def test_a_lost_answer_is_asked_for_under_the_same_identifier():
+    entry = FakeEntry('a', CLOSE, CLOSE, COMPLETE)
+    assert with_client([entry], submit) == {'a': 7}
+    assert len(set(entry.puts)) == 1
+    assert len(entry.puts) >= 3
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        CLOSE,
+        (502, b'<html>Bad Gateway</html>', {}),
+        (200, b'{"outcome": "compl', {}),
+        (200, b'[]', {}),
+        (200, {'outcome': 'complete', 'results': {}}, {}),
+        (200, {'outcome': 'complete', 'results': {'b': 1}}, {}),
+        (503, {'message': 'no server is available'}, {}),
+        (302, b'', {'Location': '/elsewhere'}),
+        refusal(504, 'unknown', 'home-unreachable'),
+    ],
+)
+def test_what_is_no_answer_ends_as_unknown_and_is_never_submitted_anew(answer):
+    entry = FakeEntry('a', answer)
+    with pytest.raises(OutcomeUnknownError) as caught:
+        with_client([entry], submit)
+    assert len(set(entry.puts)) == 1
+    assert caught.value.submission_id == entry.puts[0]
+
+
+@pytest.mark.parametrize(
+    ('answer', 'error'),
+    [
+        (refusal(504, 'unknown', 'task-lost'), OutcomeUnknownError),
+        (refusal(410, 'unknown', 'answer-gone'), OutcomeUnknownError),
+        (refusal(502, 'failed', 'task-failed'), JobFailedError),
+        (refusal(404, 'not-run', 'unknown-service'), NotRunError),
+    ],
+)
+def test_a_final_answer_is_not_asked_for_again(answer, error):
+    entry = FakeEntry('a', answer)
+    with pytest.raises(error):
+        with_client([entry], submit)
+    assert len(entry.puts) == 1
+
+
+def test_a_draining_vm_is_left_for_another_with_a_new_identifier():
+    leaving = FakeEntry('a', refusal(503, 'not-run', 'draining'))
+    other = FakeEntry('b', COMPLETE)
+    assert with_client([leaving, other], submit) == {'a': 7}
+    assert [name[0] for name in leaving.puts + other.puts] == ['a', 'b']
+
+
+def test_retry_after_is_kept_to():
+    answer = refusal(429, 'not-run', 'queue-full', **{'Retry-After': '1'})
+    entry = FakeEntry('a', answer, COMPLETE)
+    assert with_client([entry], submit) == {'a': 7}
+    first, second = entry.arrivals
+    assert second - first >= 1
+    assert len(set(entry.puts)) == 2
+
+
+def test_retry_after_beyond_the_deadline_ends_as_not_run():
+    answer = refusal(429, 'not-run', 'queue-full', **{'Retry-After': '60'})
+    entry = FakeEntry('a', answer)
+    with pytest.raises(NotRunError) as caught:
+        with_client([entry], submit)
+    assert caught.value.retry_after_s == 60
+    assert len(entry.puts) == 1
+
+
+def test_nothing_that_listens_is_told_as_not_run_or_as_unknown():
+    async def scenario(_client):
+        closed = ['http://127.0.0.1:9']
+        async with Client(closed, FAST, random.Random(7)) as client:
+            with pytest.raises(NotRunError):
+                await client.submit(JOB)
+            # Somebody else may have sent it under this identifier before.
+            with pytest.raises(OutcomeUnknownError):
+                await client.submit_named('x', JOB)
+
+    with_client([], scenario)
+
+
+def test_a_key_keeps_its_name_and_service():
+    entry = FakeEntry('a', CLOSE, COMPLETE)
+    with_client([entry], lambda client: client.submit_key('B 7/9', JOB))
+    assert set(entry.puts) == {'caster/B 7/9'}
+
+
+def test_a_faulty_job_is_told_before_anything_is_sent():
+    entry = FakeEntry('a', COMPLETE)
+    for job in ({}, {'deadline_ms': 5}, {'deadline_ms': 5, 'tasks': [1]}):
+        with pytest.raises(JobError):
+            with_client([entry], lambda client, job=job: client.submit(job))
+    assert entry.puts == []
+
+
+def test_repeats_are_a_share_of_first_sends():
+    entry = FakeEntry('a', CLOSE)
+    limits = FAST._replace(share=0.1, reserve=3)
+
+    async def scenario(client):
+        for _ in range(50):
+            with pytest.raises(OutcomeUnknownError):
+                await client.submit_named('x', JOB)
+
+    with_client([entry], scenario, limits)
+    assert 50 < len(entry.puts) <= 50 + 3 + 50 * 0.1
+
+
+def test_the_budget_is_spent_and_earned():
+    budget = RetryBudget(RetryLimits(share=0.5, reserve=2))
+    assert [budget.take() for _ in range(3)] == [True, True, False]
+    budget.note_first_send()
+    assert not budget.take()
+    budget.note_first_send()
+    assert budget.take()
--- a/tests/nocover/test_whole_path.py
+++ b/tests/nocover/test_whole_path.py
@@ -55,7 +55,7 @@
 def test_a_resubmission_joins_and_starts_nothing_twice():
     async def scenario():
         async with LocalSite(SiteShape()) as site, Client(urls_of(site)) as cli:
-            named = await cli._issue_id()
+            named = await cli.issue_id()
             answers = await asyncio.gather(
                 *(cli.submit_named(named, job_of(10)) for _ in range(5)),
             )
