Counters for every reason from the start, gauges, fewer threads

Cause: a reason's counter appeared with its first count, refusals before the core (bad JSON, routes, types) were not counted, no gauges; a daemon had 6 threads. Change: plain integers handed to aioprometheus when read; gauges for tasks queued and in flight, callers waiting, version; aiomisc gets a loop and so starts no pool; libuv's pool of address look-ups has one thread.

--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -12,6 +12,7 @@
 from camphorlink.internal.core.request.identifiers import Home, SubmissionId
 from camphorlink.internal.core.request.job import (
     Answer,
+    Fate,
     Job,
     not_run,
     unknown,
@@ -68,6 +69,13 @@
         """Whether every submission has its answer."""
         return not self.table.open_runs()
 
+    @property
+    def queued_tasks(self) -> int:
+        """Tasks of open submissions that are not started."""
+        return sum(
+            run.fates.count(Fate.NOT_STARTED) for run in self.table.open_runs()
+        )
+
     @singledispatchmethod
     def _apply(self, message: messages.Message) -> None:
         raise TypeError(message)
--- a/src/camphorlink/internal/shell/process/core_host.py
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -9,6 +9,7 @@
 from camphorlink.internal.core.process.entry_core import EntryCore
 from camphorlink.internal.core.request.identifiers import SubmissionId
 from camphorlink.internal.core.request.job import Answer, Job
+from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.shell.connection.backend_client import BackendClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
 from camphorlink.internal.shell.process.logs import PartLog
@@ -35,6 +36,7 @@
         self._answer_by_caller: dict[int, asyncio.Future[Answer]] = {}
         self._sends: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
+        self._add_gauges()
 
     def __enter__(self) -> 'CoreHost':
         """Takes ownership of the sends that will be in flight."""
@@ -72,27 +74,54 @@
             return await answer
         finally:
             self._stop_waiting(str(submission_id), caller)
-            self._metrics.response_s.observe({}, self._loop.time() - started_s)
+            self._metrics.note_response(self._loop.time() - started_s)
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Counts a request that is refused before it reaches the core."""
+        self._metrics.count_refusal(reason)
 
     def _stop_waiting(self, submission_id: str, caller: int) -> None:
         answer = self._answer_by_caller.pop(caller)
         if answer.cancelled():
             self.post(messages.Leave(submission_id, caller))
 
+    def _add_gauges(self) -> None:
+        add_gauge = self._metrics.add_gauge
+        add_gauge(
+            'tasks_in_flight',
+            'Tasks sent that have not ended.',
+            lambda: len(self._sends),
+        )
+        add_gauge(
+            'tasks_queued',
+            'Tasks admitted that wait for a slot.',
+            lambda: self.core.queued_tasks,
+        )
+        add_gauge(
+            'callers_waiting',
+            'Requests that wait for the answer to their submission.',
+            lambda: len(self._answer_by_caller),
+        )
+        add_gauge(
+            'version_in_force',
+            'Version of the configuration in force, 0 before the first.',
+            lambda: self.core.version,
+        )
+
     @singledispatchmethod
     def _carry_out(self, effect: messages.Effect) -> None:
         raise TypeError(effect)
 
     @_carry_out.register
     def _start_task(self, effect: messages.StartTask) -> None:
-        self._metrics.starts.inc({'service': effect.service})
+        self._metrics.count_start(effect.service)
         send = self._loop.create_task(self._send(effect))
         self._sends.add(send)
         send.add_done_callback(self._sends.discard)
 
     @_carry_out.register
     def _deliver(self, effect: messages.Deliver) -> None:
-        self._metrics.answers.inc({'outcome': effect.answer.outcome.value})
+        self._metrics.count_answer(effect.answer.outcome)
         waiter = self._answer_by_caller.get(effect.caller)
         if waiter is not None and not waiter.done():
             waiter.set_result(effect.answer)
--- a/src/camphorlink/internal/shell/process/metrics.py
+++ b/src/camphorlink/internal/shell/process/metrics.py
@@ -1,33 +1,91 @@
-"""Counters and histograms of one entry VM, in a registry of its own."""
+"""Counters, gauges and histograms of one entry VM, in a registry of its own.
 
-from aioprometheus import Counter, Histogram, Registry, render
+Counts are kept as plain integers and handed to the registry only when
+somebody reads them: the paths that count run for every task.
+"""
+
+import collections
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from camphorlink.internal.core.request.job import Outcome
+from camphorlink.internal.core.request.reasons import Reason
 
 #: Upper bounds of the response-time histogram, in seconds.
-RESPONSE_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+RESPONSE_BUCKETS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+)  # fmt: skip
+REASON_FAMILIES = ('refusals', 'failures', 'retries')
+
+
+class _Family(NamedTuple):
+    counter: Counter
+    label: str
+    count_by_value: collections.Counter[str]
+
+
+class _LiveGauge(NamedTuple):
+    gauge: Gauge
+    read: Callable[[], float]
 
 
 class Metrics:
     """What an entry VM counts; each refusal and retry reason has its own."""
 
     def __init__(self) -> None:
-        """Registers every family, so that each is there from the start."""
+        """Registers every family, each reason with 0 from the start."""
         self._registry = Registry()
-        self.starts = self._counter('starts_total', 'Tasks sent.')
-        self.answers = self._counter('answers_total', 'Answers by outcome.')
-        self._by_reason = {
-            name: self._counter(f'{name}_total', f'{name} by reason.'.title())
-            for name in ('refusals', 'failures', 'retries')
+        reasons = [reason.value for reason in Reason]
+        self._family_by_name = {
+            name: self._family(name, f'{name.title()} by reason.', reasons)
+            for name in REASON_FAMILIES
         }
-        self.response_s = Histogram(
+        self._starts = self._family('starts', 'Tasks sent.', (), 'service')
+        self._answers = self._family(
+            'answers',
+            'Answers by outcome.',
+            [outcome.value for outcome in Outcome],
+            'outcome',
+        )
+        self._response_s = Histogram(
             'camphorlink_response_seconds',
             'Time from a submission to its answer.',
             buckets=list(RESPONSE_BUCKETS_S),
             registry=self._registry,
         )
+        self._gauges: list[_LiveGauge] = []
 
     def count_reason(self, family: str, reason: str) -> None:
         """Adds one to the counter of a reason."""
-        self._by_reason[family].inc({'reason': reason})
+        self._family_by_name[family].count_by_value[reason] += 1
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Adds one for a request that is refused before it reaches a core."""
+        self.count_reason('refusals', reason.value)
+
+    def count_start(self, service: str) -> None:
+        """Adds one task that is sent."""
+        self._starts.count_by_value[service] += 1
+
+    def count_answer(self, outcome: Outcome) -> None:
+        """Adds one answer to a submission."""
+        self._answers.count_by_value[outcome.value] += 1
+
+    def note_response(self, response_s: float) -> None:
+        """Takes the time from a submission to its answer, in seconds."""
+        self._response_s.observe({}, response_s)
+
+    def add_gauge(
+        self,
+        name: str,
+        doc: str,
+        read: Callable[[], float],
+    ) -> None:
+        """Shows a value that ``read`` tells whenever it is asked for."""
+        gauge = Gauge(f'camphorlink_{name}', doc, registry=self._registry)
+        self._gauges.append(_LiveGauge(gauge, read))
 
     def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
         """Writes all families in the format asked for.
@@ -38,7 +96,29 @@
         Returns:
             Body and headers of the answer.
         """
+        families = (
+            *self._family_by_name.values(),
+            self._starts,
+            self._answers,
+        )
+        for family in families:
+            for label_value, count in family.count_by_value.items():
+                family.counter.set({family.label: label_value}, count)
+        for gauge, read in self._gauges:
+            gauge.set({}, read())
         return render(self._registry, accept)
 
-    def _counter(self, name: str, doc: str) -> Counter:
-        return Counter(f'camphorlink_{name}', doc, registry=self._registry)
+    def _family(
+        self,
+        name: str,
+        doc: str,
+        label_values: Iterable[str],
+        label: str = 'reason',
+    ) -> _Family:
+        counter = Counter(
+            f'camphorlink_{name}_total',
+            doc,
+            registry=self._registry,
+        )
+        counts = collections.Counter(dict.fromkeys(label_values, 0))
+        return _Family(counter, label, counts)
--- a/src/camphorlink/internal/shell/process/operators_api.py
+++ b/src/camphorlink/internal/shell/process/operators_api.py
@@ -7,7 +7,7 @@
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.metrics import Metrics
 from camphorlink.internal.shell.process.planned_stop import PlannedStop
-from camphorlink.internal.shell.request.error_answers import answer_errors
+from camphorlink.internal.shell.request.error_answers import build_middleware
 from camphorlink.internal.shell.request.responses import json_response
 from camphorlink.internal.shell.version.config_tail import ConfigTail
 
@@ -30,7 +30,9 @@
 
     def build_app(self) -> web.Application:
         """Returns the application with all routes of the interface."""
-        app = web.Application(middlewares=[answer_errors])
+        app = web.Application(
+            middlewares=[build_middleware(self._metrics.count_refusal)],
+        )
         app.add_routes(
             [
                 web.get('/healthz', self.health),
--- a/src/camphorlink/internal/shell/process/programs.py
+++ b/src/camphorlink/internal/shell/process/programs.py
@@ -5,13 +5,15 @@
 from typing import Any
 
 import aiomisc
+import uvloop
 
 # uvloop opens an io_uring in every loop unless it is told not to before the
 # loop is made; the machines that this runs on forbid it.
 os.environ['UV_USE_IO_URING'] = '0'
+# libuv looks addresses up on a pool of threads, IP numbers too; one thread
+# is the least that it can be told.  No Python code runs there.
+os.environ['UV_THREADPOOL_SIZE'] = '1'
 
-#: The pool is never used; aiomisc asks for one thread at the least.
-POOL_THREADS = 1
 STOP_TIMEOUT_S = 10.0
 
 
@@ -39,11 +41,12 @@
         contexts: What to run, left in the order given.
         stop_timeout_s: Seconds after which a stop is cut short.
     """
+    # A loop of our own keeps aiomisc from starting its pool of threads.
     services = [ContextService(owned=context) for context in contexts]
     with aiomisc.entrypoint(
         *services,
         log_config=False,
-        pool_size=POOL_THREADS,
+        loop=uvloop.new_event_loop(),
         shutdown_timeout=stop_timeout_s,
     ) as loop:
         loop.run_forever()
--- a/src/camphorlink/internal/shell/request/callers_api.py
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -17,7 +17,7 @@
 from camphorlink.internal.core.request.job import not_run, unknown
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.shell.process.core_host import CoreHost
-from camphorlink.internal.shell.request.error_answers import answer_errors
+from camphorlink.internal.shell.request.error_answers import build_middleware
 from camphorlink.internal.shell.request.job_documents import read_job
 from camphorlink.internal.shell.request.responses import (
     ID_HEADER,
@@ -45,7 +45,7 @@
         """Returns the application with all routes of the interface."""
         app = web.Application(
             client_max_size=MAX_BODY_BYTES,
-            middlewares=[answer_errors],
+            middlewares=[build_middleware(self._host.count_refusal)],
         )
         app.add_routes(
             [
@@ -78,6 +78,7 @@
         try:
             submission_id = parse_submission_id(request.match_info['id'])
         except IdentifierError as exc:
+            self._host.count_refusal(Reason.BAD_IDENTIFIER)
             return problem_response(not_run(Reason.BAD_IDENTIFIER, str(exc)))
         return await self._run(request, submission_id)
 
@@ -122,7 +123,9 @@
         try:
             job = read_job(body, asyncio.get_running_loop().time())
         except JobError as exc:
-            return faults_response(Reason(exc.reason), exc.faults, headers)
+            reason = Reason(exc.reason)
+            self._host.count_refusal(reason)
+            return faults_response(reason, exc.faults, headers)
         return answer_response(key, await self._host.submit(submission_id, job))
 
 
--- a/src/camphorlink/internal/shell/request/error_answers.py
+++ b/src/camphorlink/internal/shell/request/error_answers.py
@@ -1,15 +1,18 @@
 """Turns what a handler raises into problem details, for every route."""
 
+import functools
+from collections.abc import Callable
 from http import HTTPStatus
 
 from aiohttp import web
-from aiohttp.typedefs import Handler
+from aiohttp.typedefs import Handler, Middleware
 
 from camphorlink.internal.core.request.job import not_run, unknown
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.request.responses import problem_response
 
+OnRefusal = Callable[[Reason], None]
 _REASON_BY_STATUS = {
     HTTPStatus.NOT_FOUND: Reason.UNKNOWN_ROUTE,
     HTTPStatus.METHOD_NOT_ALLOWED: Reason.WRONG_METHOD,
@@ -19,24 +22,37 @@
 _log = PartLog('http')
 
 
-@web.middleware
-async def answer_errors(
+def build_middleware(on_refusal: OnRefusal) -> Middleware:
+    """Builds the middleware of one application.
+
+    Args:
+        on_refusal: Told the reason of each request that a handler raised on.
+    """
+    return web.middleware(functools.partial(_answer_errors, on_refusal))
+
+
+async def _answer_errors(
+    on_refusal: OnRefusal,
     request: web.Request,
     handler: Handler,
 ) -> web.StreamResponse:
-    """Answers with problem details where a handler raises."""
     try:
         return await handler(request)
     except web.HTTPException as exc:
+        on_refusal(_reason_of(exc))
         return _refuse(exc)
     except Exception:
         # One request that can't be served must not take the others along.
         # What it had started is not known here, so the answer says so.
+        on_refusal(Reason.INTERNAL_ERROR)
         _log.exception('request failed', extra={'route': request.path})
         return problem_response(unknown(Reason.INTERNAL_ERROR))
 
 
+def _reason_of(exc: web.HTTPException) -> Reason:
+    return _REASON_BY_STATUS.get(HTTPStatus(exc.status), Reason.BAD_REQUEST)
+
+
 def _refuse(exc: web.HTTPException) -> web.Response:
-    reason = _REASON_BY_STATUS.get(HTTPStatus(exc.status), Reason.BAD_REQUEST)
     headers = {'Allow': exc.headers['Allow']} if 'Allow' in exc.headers else {}
-    return problem_response(not_run(reason, exc.reason), headers)
+    return problem_response(not_run(_reason_of(exc), exc.reason), headers)
--- /dev/null
+++ b/tests/nocover/test_operations.py
@@ -0,0 +1,112 @@
+"""What operators see of a running daemon, and what it takes of the system."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from camphorlink.internal.core.request.reasons import Reason
+from processes import ProcessSite, call
+
+SAMPLE = re.compile(r'^([a-z_]+)(?:{(.*)})? ([0-9.e+-]+)$', re.MULTILINE)
+JOB = {
+    'service': 'caster',
+    'team': 'surveyors',
+    'deadline_ms': 5000,
+    'tasks': [
+        {'id': 'a', 'payload': {'work_ms': 1}},
+        {'id': 'b', 'payload': {'work_ms': 1}},
+    ],
+}
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory):
+    with ProcessSite(tmp_path_factory.mktemp('site')) as started:
+        yield started
+
+
+@pytest.fixture
+def entry(site):
+    return site.entries['larissa-entry-0']
+
+
+def read_samples(entry):
+    answer = call('GET', entry.addresses['operators'], '/metrics')
+    assert answer.status == 200
+    return {
+        (name, labels or ''): float(number)
+        for name, labels, number in SAMPLE.findall(answer.body.decode())
+    }
+
+
+def test_every_reason_is_counted_from_the_start(entry):
+    samples = read_samples(entry)
+    for family in ('refusals', 'failures', 'retries'):
+        for reason in Reason:
+            key = f'camphorlink_{family}_total', f'reason="{reason.value}"'
+            assert key in samples
+
+
+def test_counters_gauges_and_histogram_follow_what_happens(entry):
+    callers = entry.addresses['callers']
+    before = read_samples(entry)
+    assert call('POST', callers, '/v1/submissions', JOB).status == 200
+    bad = {**JOB, 'service': 'nobody'}
+    assert call('POST', callers, '/v1/submissions', bad).status == 404
+    assert call('POST', callers, '/v1/submissions', b'{').status == 400
+    assert call('GET', callers, '/nowhere').status == 404
+    after = read_samples(entry)
+
+    def rise(name, labels=''):
+        key = (f'camphorlink_{name}', labels)
+        return after[key] - before.get(key, 0)
+
+    assert rise('starts_total', 'service="caster"') == 2
+    assert rise('answers_total', 'outcome="complete"') == 1
+    assert rise('refusals_total', 'reason="unknown-service"') == 1
+    assert rise('refusals_total', 'reason="bad-json"') == 1
+    assert rise('refusals_total', 'reason="unknown-route"') == 1
+    assert rise('response_seconds_count') == 2
+    assert after['camphorlink_tasks_in_flight', ''] == 0
+    assert after['camphorlink_tasks_queued', ''] == 0
+    assert after['camphorlink_version_in_force', ''] == 1
+
+
+def test_the_daemon_has_no_io_uring_and_no_child(entry):
+    pid = entry.process.pid
+    names = [str(link.readlink()) for link in Path(f'/proc/{pid}/fd').iterdir()]
+    assert any('socket' in name for name in names)
+    assert [name for name in names if 'uring' in name] == []
+    children = Path(f'/proc/{pid}/task/{pid}/children').read_text()
+    assert children == ''
+
+
+def test_the_daemon_has_one_thread_beside_that_of_libuv(entry):
+    threads = Path(f'/proc/{entry.process.pid}/task').iterdir()
+    assert len(list(threads)) <= 2
+
+
+def test_logs_are_json_lines_with_the_prefix_of_their_part(entry):
+    lines = [json.loads(line) for line in entry.log().splitlines()]
+    assert lines
+    for line in lines:
+        assert line['message'].startswith(f'[{line["part"]}] ')
+        assert line['vm'] in {'larissa-entry-0', ''}
+
+
+def test_a_vm_without_a_manifest_is_healthy_and_not_ready(site, entry):
+    lonely = site.start_entry(
+        'larissa',
+        'larissa-lonely',
+        log_service='http://127.0.0.1:9',
+    )
+    operators = lonely.addresses['operators']
+    assert call('GET', operators, '/healthz').status == 200
+    ready = call('GET', operators, '/readyz')
+    callers = lonely.addresses['callers']
+    answer = call('POST', callers, '/v1/submissions', JOB)
+    assert (ready.status, ready.body['version']) == (503, 0)
+    assert (answer.status, answer.body['reason']) == (503, 'no-manifest')
+    assert lonely.stop() == 0
