--- a/src/camphorlink/internal/core/request/table_taker.py
+++ b/src/camphorlink/internal/core/request/table_taker.py
@@ -75,7 +75,7 @@
             self._parts[key] = {}
             self._timers.call_at(
                 now + PARTIAL_S,
-                lambda _now: self._parts.pop(key, None),
+                lambda _now: self._drop(key),
             )
         parts = self._parts[key]
         parts[chunk.number] = chunk
@@ -83,6 +83,9 @@
             self._own(home, key, now)
         return True
 
+    def _drop(self, key: tuple[str, int]) -> None:
+        self._parts.pop(key, None)
+
     def _own(self, home: Home, key: tuple[str, int], now: float) -> None:
         parts = self._parts.pop(key)
         table = read_chunks(parts.values(), self._tables.limits)
--- a/src/camphorlink/internal/shell/request/callers_api.py
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -13,9 +13,10 @@
     mint_submission_id,
     parse_submission_id,
 )
-from camphorlink.internal.core.request.job import not_run
+from camphorlink.internal.core.request.job import not_run, unknown
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.shell.process.core_host import CoreHost
+from camphorlink.internal.shell.request.error_answers import build_middleware
 from camphorlink.internal.shell.request.job_documents import read_job
 from camphorlink.internal.shell.request.responses import (
     ID_HEADER,
@@ -26,6 +27,7 @@
 )
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+JSON_TYPE = 'application/json'
 
 
 class CallersApi:
@@ -35,10 +37,15 @@
         """Serves submissions with one core."""
         self._host = host
         self._rng = rng
+        #: IP number and port that this interface is reached at, if known.
+        self.address: str | None = None
 
     def build_app(self) -> web.Application:
         """Returns the application with all routes of the interface."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES,
+            middlewares=[build_middleware(self._host.count_refusal)],
+        )
         app.add_routes(
             [
                 web.post('/v1/submission-ids', self.issue_id),
@@ -54,7 +61,10 @@
         """Issues an identifier whose home is this VM."""
         submission_id = self._mint()
         return json_response(
-            {'submission_id': str(submission_id)},
+            {
+                'submission_id': str(submission_id),
+                'home_address': self.address,
+            },
             HTTPStatus.CREATED,
         )
 
@@ -67,6 +77,7 @@
         try:
             submission_id = parse_submission_id(request.match_info['id'])
         except IdentifierError as exc:
+            self._host.count_refusal(Reason.BAD_IDENTIFIER)
             return problem_response(not_run(Reason.BAD_IDENTIFIER, str(exc)))
         return await self._run(request, submission_id)
 
@@ -74,7 +85,10 @@
         """Tells what is known of a submission, without waiting."""
         run = self._host.core.tables.find_run(request.match_info['id'])
         if run is None:
-            return json_response({'known': False}, HTTPStatus.NOT_FOUND)
+            return problem_response(
+                unknown(Reason.UNKNOWN_SUBMISSION),
+                more={'known': False},
+            )
         return json_response(
             {
                 'known': True,
@@ -109,13 +123,18 @@
     ) -> web.Response:
         key = str(submission_id)
         headers = {ID_HEADER: key}
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
-            detail = f'a body may have {MAX_BODY_BYTES} bytes'
-            return problem_response(not_run(Reason.BAD_JOB, detail), headers)
+        if request.headers.get('Content-Type', JSON_TYPE) != JSON_TYPE:
+            _check_content_type(request)
+        body = await request.read()
         try:
             job = read_job(body, asyncio.get_running_loop().time())
         except JobError as exc:
-            return faults_response(Reason.BAD_JOB, exc.faults, headers)
+            reason = Reason(exc.reason)
+            self._host.count_refusal(reason)
+            return faults_response(reason, exc.faults, headers)
         return answer_response(key, await self._host.submit(submission_id, job))
+
+
+def _check_content_type(request: web.Request) -> None:
+    if request.content_type != JSON_TYPE:
+        raise web.HTTPUnsupportedMediaType(reason=f'send {JSON_TYPE}')
