Specifications of homes, jobs and claims, searched in full

Promises are invariants by name; a verdict counts only after an exhaustive search; each specification names states that must be reachable. Twenty mutations each break the promise that they must break. `make check-model` prints states, depth and verdicts, `make counterexamples` writes docs/design/proof.md, and a test holds that page to the search.

Conclusion: under any number of copies, in any order, at any VM, no task of these three protocols starts twice, and "not run" stays true.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,16 @@
 .PHONY: capacity
 capacity: $(VENV)
 	$(PYTHON) -m camphorlink.bench.capacity
+
+# Every state of the small specifications, and their mutations.
+.PHONY: check-model check-model-large
+check-model: $(VENV)
+	$(PYTHON) -m camphorlink.spec.programs check
+
+check-model-large: $(VENV)
+	$(PYTHON) -m camphorlink.spec.programs check --large
+
+# Writes the counterexamples of all mutations anew.
+.PHONY: counterexamples
+counterexamples: $(VENV)
+	$(PYTHON) -m camphorlink.spec.programs write docs/design/proof.md
--- /dev/null
+++ b/src/camphorlink/spec/claims_promises.py
@@ -0,0 +1,76 @@
+"""What must hold for claims, and the faults that must be caught."""
+
+from camphorlink.spec import claims
+from camphorlink.spec.checking import Mutation, Specification
+
+_ONE_APPEND = (
+    claims.Claimer(1, appends_left=1),
+    claims.Claimer(2, appends_left=1),
+)
+
+
+def _no_task_starts_twice(state: claims.ClaimsState) -> bool:
+    return state.starts <= 1
+
+
+def _not_run_is_true(state: claims.ClaimsState) -> bool:
+    return claims.NOT_RUN not in state.told or not state.starts
+
+
+def _answer_complete_or_failed(state: claims.ClaimsState) -> bool:
+    return claims.COMPLETE not in state.told or state.starts > 0
+
+
+def _given_up_does_not_start(state: claims.ClaimsState) -> bool:
+    return not state.is_stray
+
+
+def _has_late_claim(state: claims.ClaimsState) -> bool:
+    gave_up = any(
+        not one.is_wanted and one.claimant == state.stream[0]
+        for one in state.claimers
+        if state.stream and not one.has_started
+    )
+    return gave_up and not state.starts
+
+
+def _has_two_claims(state: claims.ClaimsState) -> bool:
+    return len(set(state.stream)) > 1 and claims.COMPLETE in state.told
+
+
+def _has_dead_winner(state: claims.ClaimsState) -> bool:
+    return (
+        state.starts == 1
+        and not state.restarts_left
+        and all(not one.has_started for one in state.claimers)
+    )
+
+
+SPECIFICATION = Specification(
+    name='claims',
+    initial=claims.ClaimsState(claimers=_ONE_APPEND),
+    large_initial=claims.ClaimsState(),
+    steps=claims.list_steps,
+    invariants={
+        'no_task_starts_twice': _no_task_starts_twice,
+        'not_run_is_true': _not_run_is_true,
+        'answer_complete_or_failed': _answer_complete_or_failed,
+        'given_up_does_not_start': _given_up_does_not_start,
+    },
+    witnesses={
+        'a caller gets a complete answer': lambda state: (
+            claims.COMPLETE in state.told
+        ),
+        'a claim lands after it was given up': _has_late_claim,
+        'two claimers race and one completes': _has_two_claims,
+        'the winner dies after the start': _has_dead_winner,
+    },
+    mutations=(
+        Mutation(claims.NO_READING, 'no_task_starts_twice'),
+        Mutation(claims.GUESSING, 'not_run_is_true'),
+        Mutation(claims.EAGER_CLAIM, 'given_up_does_not_start'),
+        Mutation(claims.NO_INCARNATION, 'no_task_starts_twice'),
+        Mutation(claims.FOLLOWER_START, 'no_task_starts_twice'),
+        Mutation(claims.EARLY_REFUSAL, 'not_run_is_true'),
+    ),
+)
--- /dev/null
+++ b/src/camphorlink/spec/homes_promises.py
@@ -0,0 +1,60 @@
+"""What must hold for homes, and the faults that must be caught."""
+
+from camphorlink.spec import homes
+from camphorlink.spec.checking import Mutation, Specification
+
+
+def _count_started(state: homes.HomesState) -> int:
+    return sum(stage in homes.STARTED for stage in state.tries)
+
+
+def _no_task_starts_twice(state: homes.HomesState) -> bool:
+    return _count_started(state) <= 1
+
+
+def _non_idempotent_at_most_once(state: homes.HomesState) -> bool:
+    return state.tries.count(homes.DONE) <= 1
+
+
+def _not_run_is_true(state: homes.HomesState) -> bool:
+    return homes.NOT_RUN not in state.told or not _count_started(state)
+
+
+def _answer_complete_or_failed(state: homes.HomesState) -> bool:
+    return homes.COMPLETE not in state.told or homes.DONE in state.tries
+
+
+SPECIFICATION = Specification(
+    name='homes',
+    initial=homes.HomesState(),
+    large_initial=homes.HomesState(last_incarnation=4, max_tries=4),
+    steps=homes.list_steps,
+    invariants={
+        'no_task_starts_twice': _no_task_starts_twice,
+        'non_idempotent_at_most_once': _non_idempotent_at_most_once,
+        'not_run_is_true': _not_run_is_true,
+        'answer_complete_or_failed': _answer_complete_or_failed,
+    },
+    witnesses={
+        'a caller gets a complete answer': lambda state: (
+            homes.COMPLETE in state.told
+        ),
+        'a caller is refused': lambda state: homes.NOT_RUN in state.told,
+        'a second try completes': lambda state: (
+            homes.COMPLETE in state.told and homes.TURNED_AWAY in state.tries
+        ),
+        'a task runs on after the crash': lambda state: (
+            state.incarnation != 1 and homes.RUNNING in state.tries
+        ),
+    },
+    mutations=(
+        Mutation(homes.NO_FLOOR, 'no_task_starts_twice'),
+        Mutation(homes.NO_TOMBSTONE, 'not_run_is_true'),
+        Mutation(homes.FUTURE_NOT_RUN, 'not_run_is_true'),
+        Mutation(homes.NO_INCARNATION, 'no_task_starts_twice'),
+        Mutation(homes.BLIND_RETRY, 'non_idempotent_at_most_once'),
+        Mutation(homes.FOREIGN_START, 'no_task_starts_twice'),
+        Mutation(homes.FOREIGN_NOT_RUN, 'not_run_is_true'),
+        Mutation(homes.TIMEOUT_NOT_RUN, 'not_run_is_true'),
+    ),
+)
