--- a/src/camphorlink/spec/checking.py
+++ b/src/camphorlink/spec/checking.py
@@ -20,10 +20,12 @@
     Attributes:
         name: What the faulty protocol does, as a short name.
         breaks: Invariant that the fault must violate.
+        is_deep: Whether it shows only from the larger run's first state.
     """
 
     name: str
     breaks: str
+    is_deep: bool = False
 
 
 class Specification(NamedTuple):
@@ -98,7 +100,8 @@
         has not refuted.
     """
     started_s = time.perf_counter()
-    first = spec.initial if initial is None else initial
+    is_deep = mutation is not None and mutation.is_deep
+    first = initial or (spec.large_initial if is_deep else spec.initial)
     counter = _DepthCounter(spec, mutation, first)
     found = check_safety(_build_protocol(spec, counter), MAX_STATES)
     properties = found['properties']
