--- a/src/camphorlink/internal/core/connection/peer_messages.py
+++ b/src/camphorlink/internal/core/connection/peer_messages.py
@@ -8,10 +8,12 @@
 from typing import NamedTuple
 
 from camphorlink.internal.core.connection.slot_messages import (
-    SlotLoan,
+    SLOT_MESSAGE_BY_KIND,
     SlotMessage,
-    SlotReturn,
-    SlotWant,
+)
+from camphorlink.internal.core.connection.submission_messages import (
+    SUBMISSION_MESSAGE_BY_KIND,
+    SubmissionMessage,
 )
 
 
@@ -77,7 +79,7 @@
     rows: tuple[ZoneRow, ...]
 
 
-PeerMessage = Hello | Heartbeat | ZoneReport | SlotMessage
+PeerMessage = Hello | Heartbeat | ZoneReport | SlotMessage | SubmissionMessage
 
 #: Kinds that the membership takes in; the entry core never sees them.
 MEMBERSHIP_KINDS = (Hello, Heartbeat, ZoneReport)
@@ -85,8 +87,7 @@
 PEER_MESSAGE_BY_KIND: dict[str, type[PeerMessage]] = {
     'hello': Hello,
     'heartbeat': Heartbeat,
-    'slot-want': SlotWant,
-    'slot-loan': SlotLoan,
-    'slot-return': SlotReturn,
+    **SLOT_MESSAGE_BY_KIND,
     'zone-report': ZoneReport,
+    **SUBMISSION_MESSAGE_BY_KIND,
 }
--- a/src/camphorlink/internal/core/connection/slot_messages.py
+++ b/src/camphorlink/internal/core/connection/slot_messages.py
@@ -41,3 +41,9 @@
 
 
 SlotMessage = SlotWant | SlotLoan | SlotReturn
+
+SLOT_MESSAGE_BY_KIND: dict[str, type[SlotMessage]] = {
+    'slot-want': SlotWant,
+    'slot-loan': SlotLoan,
+    'slot-return': SlotReturn,
+}
