Specifications of planned stops and of the configuration

Change: two more protocols in camphorlink.spec. Planned stop: sealed table in parts, refusals of successors, restarts at the same address, late parts. The homes' specification now has the floor of what may have run.

Conclusion: two rules of the planned stop turn out to be needed: a successor's refusal is final, and parts are meant for one incarnation.

--- a/src/camphorlink/spec/checking.py
+++ b/src/camphorlink/spec/checking.py
@@ -20,10 +20,12 @@
     Attributes:
         name: What the faulty protocol does, as a short name.
         breaks: Invariant that the fault must violate.
+        is_deep: Whether it shows only from the larger run's first state.
     """
 
     name: str
     breaks: str
+    is_deep: bool = False
 
 
 class Specification(NamedTuple):
@@ -99,6 +101,8 @@
     """
     started_s = time.perf_counter()
     first = spec.initial if initial is None else initial
+    if mutation is not None and mutation.is_deep:
+        first = spec.large_initial
     counter = _DepthCounter(spec, mutation, first)
     found = check_safety(_build_protocol(spec, counter), MAX_STATES)
     properties = found['properties']
--- /dev/null
+++ b/src/camphorlink/spec/configuration_fold.py
@@ -0,0 +1,63 @@
+"""How one record of the configuration stream is folded in."""
+
+from camphorlink.spec import configuration_states as config
+
+
+def fold(
+    folded: config.Folded,
+    record: config.Record,
+    release: int,
+    mutation: str = '',
+) -> config.Folded:
+    """Folds in the record at ``folded.next_offset``.
+
+    A release that lacks the rules that a record calls for stops before it.
+    """
+    advanced = folded._replace(next_offset=folded.next_offset + 1)
+    if record.kind == config.SNAPSHOT:
+        if mutation == config.LATE_SNAPSHOT and record.folded is not None:
+            return record.folded._replace(next_offset=advanced.next_offset)
+        return advanced
+    if record.base != folded.version and mutation != config.NO_BASE:
+        return advanced
+    if record.kind == config.RULESET:
+        if release >= 2:
+            return _accept(advanced, record)._replace(ruleset=2)
+        return advanced if mutation == config.OLD_JUDGE else folded
+    if record.kind == config.APPROVED:
+        if record.manifest in folded.proposals:
+            accepted = _accept(advanced, record)
+            return accepted._replace(manifest=record.manifest)
+        return advanced
+    return _propose(advanced, record)
+
+
+def fold_prefix(
+    stream: tuple[config.Record, ...],
+    length: int,
+) -> config.Folded:
+    """Folds the first ``length`` records as the newest release does."""
+    folded = config.Folded()
+    for record in stream[:length]:
+        folded = fold(folded, record, release=2)
+    return folded
+
+
+def _propose(
+    advanced: config.Folded,
+    record: config.Record,
+) -> config.Folded:
+    if advanced.ruleset > 1 and record.manifest == config.BAD_MANIFEST:
+        return advanced
+    return advanced._replace(
+        proposals=advanced.proposals | {record.manifest},
+    )
+
+
+def _accept(advanced: config.Folded, record: config.Record) -> config.Folded:
+    is_unseen = record.base != advanced.version
+    return advanced._replace(
+        version=advanced.version + 1,
+        proposals=frozenset(),
+        has_overwritten=advanced.has_overwritten or is_unseen,
+    )
--- /dev/null
+++ b/src/camphorlink/spec/handover_promises.py
@@ -0,0 +1,70 @@
+"""What must hold for planned stops, and the faults to be caught."""
+
+from camphorlink.spec import handover_states as states
+from camphorlink.spec.checking import Mutation, Specification
+from camphorlink.spec.handover import list_steps
+
+
+def _no_task_starts_twice(state: states.HandoverState) -> bool:
+    return state.starts <= 1
+
+
+def _not_run_is_true(state: states.HandoverState) -> bool:
+    return not (state.was_refused and state.starts)
+
+
+def _one_owner_or_none(state: states.HandoverState) -> bool:
+    owners = sum(one.is_owner for one in state.successors)
+    return owners + (state.phase == states.SERVING) <= 1
+
+
+def _has_successor_started(state: states.HandoverState) -> bool:
+    return any(
+        one.is_owner and one.entry == states.RUNNING for one in state.successors
+    )
+
+
+def _has_second_successor(state: states.HandoverState) -> bool:
+    is_owned = any(one.is_owner for one in state.successors)
+    return is_owned and len(state.tried) > 1
+
+
+def _has_nobody(state: states.HandoverState) -> bool:
+    return state.phase == states.GONE and not any(
+        one.is_owner for one in state.successors
+    )
+
+
+def _has_handed_answer(state: states.HandoverState) -> bool:
+    return any(
+        one.is_owner and one.entry == states.ANSWERED
+        for one in state.successors
+    )
+
+
+SPECIFICATION = Specification(
+    name='handover',
+    initial=states.HandoverState(),
+    large_initial=states.HandoverState(restarts_left=2, turns_left=3),
+    steps=list_steps,
+    invariants={
+        'no_task_starts_twice': _no_task_starts_twice,
+        'not_run_is_true': _not_run_is_true,
+        'one_owner_or_none': _one_owner_or_none,
+    },
+    witnesses={
+        'a successor has the answer': _has_handed_answer,
+        'a successor starts what was never seen': _has_successor_started,
+        'a second successor owns the table': _has_second_successor,
+        'an interrupted stop leaves no owner': _has_nobody,
+    },
+    mutations=(
+        Mutation(states.NO_SEAL, 'no_task_starts_twice'),
+        Mutation(states.EARLY_COMMIT, 'no_task_starts_twice'),
+        Mutation(states.SECOND_COMMIT, 'one_owner_or_none'),
+        Mutation(states.REOPENED, 'one_owner_or_none'),
+        Mutation(states.ROOM_AGAIN, 'one_owner_or_none'),
+        Mutation(states.BY_ADDRESS, 'no_task_starts_twice'),
+        Mutation(states.NO_TOMBSTONE, 'not_run_is_true'),
+    ),
+)
--- a/src/camphorlink/spec/homes.py
+++ b/src/camphorlink/spec/homes.py
@@ -32,6 +32,7 @@
 END_TICK = 3
 
 NO_FLOOR = 'eviction-without-a-window'
+ONE_FLOOR = 'one-floor-for-what-ran-and-what-was-refused'
 NO_TOMBSTONE = 'refusal-without-a-tombstone'
 FUTURE_NOT_RUN = 'early-identifier-refused-as-not-run'
 NO_INCARNATION = 'home-without-incarnation'
@@ -52,6 +53,7 @@
         max_tries: Tries of the task that the home may make.
         entry: What the home's table holds.
         has_floor: Whether the eviction floor has passed the identifier.
+        has_ran_floor: Whether the floor of what may have run has passed it.
         tries: What each try came to at the backend server.
         told: Outcomes that some caller was told.
     """
@@ -63,6 +65,7 @@
     max_tries: int = 2
     entry: str = ABSENT
     has_floor: bool = False
+    has_ran_floor: bool = False
     tries: tuple[str, ...] = ()
     told: frozenset[str] = frozenset()
 
@@ -84,7 +87,12 @@
     if state.tick < END_TICK:
         yield 'time passes', state._replace(tick=state.tick + 1)
     if state.incarnation:
-        crashed = state._replace(incarnation=0, entry=ABSENT, has_floor=False)
+        crashed = state._replace(
+            incarnation=0,
+            entry=ABSENT,
+            has_floor=False,
+            has_ran_floor=False,
+        )
         yield 'the home crashes', crashed
     elif state.next_incarnation <= state.last_incarnation:
         yield (
@@ -125,7 +133,8 @@
         outcome = NOT_RUN if mutation == FUTURE_NOT_RUN else UNKNOWN
         yield 'a copy is too early', _tell(state, outcome)
     elif state.has_floor or state.tick > LAST_TICK:
-        yield 'a copy is too old', _tell(state, UNKNOWN)
+        outcome = UNKNOWN if state.has_ran_floor else NOT_RUN
+        yield 'a copy is too old', _tell(state, outcome)
     else:
         yield 'a copy is admitted', state._replace(entry=QUEUED)
         entry = ABSENT if mutation == NO_TOMBSTONE else NOT_RUN
@@ -158,8 +167,12 @@
 
 def _forget(state: HomesState, mutation: str) -> Labelled:
     if state.entry in ANSWERS:
-        floor = mutation != NO_FLOOR
-        evicted = state._replace(entry=ABSENT, has_floor=floor)
+        has_run = state.entry != NOT_RUN and mutation != ONE_FLOOR
+        evicted = state._replace(
+            entry=ABSENT,
+            has_floor=mutation != NO_FLOOR,
+            has_ran_floor=state.has_ran_floor or has_run,
+        )
         yield 'the answer is evicted', evicted
 
 
--- a/src/camphorlink/spec/homes_promises.py
+++ b/src/camphorlink/spec/homes_promises.py
@@ -49,6 +49,7 @@
     },
     mutations=(
         Mutation(homes.NO_FLOOR, 'no_task_starts_twice'),
+        Mutation(homes.ONE_FLOOR, 'not_run_is_true'),
         Mutation(homes.NO_TOMBSTONE, 'not_run_is_true'),
         Mutation(homes.FUTURE_NOT_RUN, 'not_run_is_true'),
         Mutation(homes.NO_INCARNATION, 'no_task_starts_twice'),
--- a/src/camphorlink/spec/programs.py
+++ b/src/camphorlink/spec/programs.py
@@ -7,6 +7,8 @@
 
 from camphorlink.spec import (
     claims_promises,
+    configuration_promises,
+    handover_promises,
     homes_promises,
     jobs_promises,
 )
@@ -20,7 +22,10 @@
 SPECIFICATIONS: tuple[Specification, ...] = (
     homes_promises.SPECIFICATION,
     jobs_promises.SPECIFICATION,
+    handover_promises.SPECIFICATION,
     claims_promises.SPECIFICATION,
+    configuration_promises.RACE,
+    configuration_promises.EXPIRY,
 )
 GENERATED_MARK = '<!-- Below: written by `make counterexamples`. -->\n'
 _WORD_BY_VERDICT = {True: 'holds', False: 'VIOLATED', None: 'UNDECIDED'}
