--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -14,22 +14,23 @@
 )
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.entry_core import EntryCore
-from camphorlink.internal.core.process.members import MemberState
 from camphorlink.internal.core.request.identifiers import Home, new_home
 from camphorlink.internal.core.version.acceptance import ConfigState
 from camphorlink.internal.shell.connection.backend_client import BackendClient
 from camphorlink.internal.shell.connection.log_client import LogClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
 from camphorlink.internal.shell.process.core_host import CoreHost
+from camphorlink.internal.shell.process.leaving import hand_over_tables
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.member_watch import MemberWatch
 from camphorlink.internal.shell.process.metrics import Metrics
 from camphorlink.internal.shell.process.operators_api import OperatorsApi
+from camphorlink.internal.shell.process.planned_stop import PlannedStop
 from camphorlink.internal.shell.process.settings import EntrySettings, Listen
 from camphorlink.internal.shell.request.callers_api import CallersApi
 from camphorlink.internal.shell.version.config_tail import ConfigTail
 
-DRAIN_POLL_S = 0.05
+ANY_ADDRESS = '0.0.0.0'
 
 
 class EntryDaemon:
@@ -74,7 +75,13 @@
         self.members = self._stack.enter_context(
             MemberWatch(self.host, log_client, rng),
         )
-        operators = OperatorsApi(self.host, metrics, tail)
+        self.planned_stop = PlannedStop(
+            self.host,
+            self.members,
+            settings.notice_s,
+            settings.drain_s,
+        )
+        operators = OperatorsApi(self.host, metrics, tail, self.planned_stop)
         self.operators_port = await self._serve(
             operators.build_app(),
             settings.operators,
@@ -84,6 +91,8 @@
             callers.build_app(),
             settings.callers,
         )
+        if settings.callers.ip != ANY_ADDRESS:
+            callers.address = f'{settings.callers.ip}:{self.callers_port}'
         self._log.info('started', extra={'home': str(self.host.core.home)})
         return self
 
@@ -93,19 +102,15 @@
         exc: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Drains what is in flight, then stops all parts."""
+        """Drains, hands the tables over, then stops all parts."""
         await self.drain()
+        await hand_over_tables(self.host, self.members)
         await self._stack.aclose()
         self._log.info('stopped')
 
     async def drain(self) -> None:
-        """Admits nothing new and waits for the answers that are due."""
-        self.members.set_state(MemberState.LEAVING)
-        self.host.post(messages.Drain())
-        loop = asyncio.get_running_loop()
-        give_up_s = loop.time() + self.settings.drain_s
-        while not self.host.core.is_idle and loop.time() < give_up_s:
-            await asyncio.sleep(DRAIN_POLL_S)
+        """Takes the VM out of service and waits for the answers due."""
+        await self.planned_stop.finish()
 
     def _build_core(self, rng: random.Random) -> EntryCore:
         settings = self.settings
