Planned stop: a refusal is final, and parts are meant for one process

Cause: the specification of planned stops holds only with two rules that the code lacked. (1) A successor that refused a table for want of room could take a later copy of a part, while the owner had named another one: two owners. (2) A part was addressed to an IP number and port. A successor that owned the table, started a task, crashed and started again within the resend time took the re-sent commit as a fresh process: the task started a second time.

Change: a taker remembers what it has refused; a part names the process that it is meant for, and others pass it over.

--- a/src/camphorlink/internal/core/connection/submission_messages.py
+++ b/src/camphorlink/internal/core/connection/submission_messages.py
@@ -113,6 +113,8 @@
         ran_floor_ms: Issue time below which something may have run.
         answers: Whole answers.
         endings: Outcomes without answers.
+        successor: Text form of the process that it is meant for.  Another
+            one that has started at the same address passes it over.
     """
 
     table: str
@@ -123,6 +125,7 @@
     ran_floor_ms: int
     answers: tuple[RelayAnswer, ...]
     endings: tuple[EndingGroup, ...]
+    successor: str = ''
 
 
 class ChunkReply(NamedTuple):
--- a/src/camphorlink/internal/core/request/table_giver.py
+++ b/src/camphorlink/internal/core/request/table_giver.py
@@ -112,10 +112,15 @@
             return
         last = len(self._chunks) - 1
         for number in sorted(self._missing - {last})[:WINDOW]:
-            self._post.send(self._successor, self._chunks[number])
+            self._send_part(self._successor, number)
         if self._missing == {last}:
             self._commits += 1
-            self._post.send(self._successor, self._chunks[last])
+            self._send_part(self._successor, last)
+
+    def _send_part(self, successor: Home, number: int) -> None:
+        # The address may have passed to another process by now.
+        chunk = self._chunks[number]._replace(successor=str(successor))
+        self._post.send(successor, chunk)
 
     def _watch(self, now: float, successor: Home) -> None:
         self._timers.call_at(
--- a/src/camphorlink/internal/core/request/table_taker.py
+++ b/src/camphorlink/internal/core/request/table_taker.py
@@ -50,11 +50,23 @@
         self._on_owned = on_owned
         self._parts: dict[tuple[str, int], dict[int, TableChunk]] = {}
         self._owned: set[tuple[str, int]] = set()
+        self._refused: set[tuple[str, int]] = set()
 
     def hear(self, peer: Home, chunk: TableChunk, now: float) -> None:
-        """Takes one part, or refuses it, which goes for the whole table."""
+        """Takes one part, or refuses it, which goes for the whole table.
+
+        A refusal is final: on hearing it, its owner names another successor,
+        so a copy of a part that comes later must not be taken any more.
+        """
+        if chunk.successor != str(self._post.home):
+            return
         key = (chunk.table, chunk.generation)
-        is_taken = key in self._owned or self._take(chunk, now)
+        is_barred = key in self._refused
+        is_taken = key in self._owned or (
+            not is_barred and self._take(chunk, now)
+        )
+        if not is_taken:
+            self._refused.add(key)
         reply = ChunkReply(
             chunk.table,
             chunk.generation,
