--- a/src/camphorlink/spec/configuration_promises.py
+++ b/src/camphorlink/spec/configuration_promises.py
@@ -33,7 +33,7 @@
 
 def _has_restarted_from_snapshot(state: config.ConfigState) -> bool:
     return config.RESTART not in state.events and any(
-        vm.folded.version and vm.folded.next_offset >= state.earliest > 2
+        vm.folded.version and 2 < state.earliest <= vm.folded.next_offset
         for vm in state.vms
     )
 
--- a/src/camphorlink/spec/handover_promises.py
+++ b/src/camphorlink/spec/handover_promises.py
@@ -1,52 +1,52 @@
 """What must hold for planned stops, and the faults to be caught."""
 
-from camphorlink.spec import handover
+from camphorlink.spec import handover_states as states
 from camphorlink.spec.checking import Mutation, Specification
+from camphorlink.spec.handover import list_steps
 
 
-def _no_task_starts_twice(state: handover.HandoverState) -> bool:
+def _no_task_starts_twice(state: states.HandoverState) -> bool:
     return state.starts <= 1
 
 
-def _not_run_is_true(state: handover.HandoverState) -> bool:
+def _not_run_is_true(state: states.HandoverState) -> bool:
     return not (state.was_refused and state.starts)
 
 
-def _one_owner_or_none(state: handover.HandoverState) -> bool:
+def _one_owner_or_none(state: states.HandoverState) -> bool:
     owners = sum(one.is_owner for one in state.successors)
-    return owners + (state.phase == handover.SERVING) <= 1
+    return owners + (state.phase == states.SERVING) <= 1
 
 
-def _has_successor_started(state: handover.HandoverState) -> bool:
+def _has_successor_started(state: states.HandoverState) -> bool:
     return any(
-        one.is_owner and one.entry == handover.RUNNING
-        for one in state.successors
+        one.is_owner and one.entry == states.RUNNING for one in state.successors
     )
 
 
-def _has_second_successor(state: handover.HandoverState) -> bool:
+def _has_second_successor(state: states.HandoverState) -> bool:
     is_owned = any(one.is_owner for one in state.successors)
     return is_owned and len(state.tried) > 1
 
 
-def _has_nobody(state: handover.HandoverState) -> bool:
-    return state.phase == handover.GONE and not any(
+def _has_nobody(state: states.HandoverState) -> bool:
+    return state.phase == states.GONE and not any(
         one.is_owner for one in state.successors
     )
 
 
-def _has_handed_answer(state: handover.HandoverState) -> bool:
+def _has_handed_answer(state: states.HandoverState) -> bool:
     return any(
-        one.is_owner and one.entry == handover.ANSWERED
+        one.is_owner and one.entry == states.ANSWERED
         for one in state.successors
     )
 
 
 SPECIFICATION = Specification(
     name='handover',
-    initial=handover.HandoverState(),
-    large_initial=handover.HandoverState(restarts_left=2, turns_left=3),
-    steps=handover.list_steps,
+    initial=states.HandoverState(),
+    large_initial=states.HandoverState(restarts_left=2, turns_left=3),
+    steps=list_steps,
     invariants={
         'no_task_starts_twice': _no_task_starts_twice,
         'not_run_is_true': _not_run_is_true,
@@ -59,12 +59,12 @@
         'an interrupted stop leaves no owner': _has_nobody,
     },
     mutations=(
-        Mutation(handover.NO_SEAL, 'no_task_starts_twice'),
-        Mutation(handover.EARLY_COMMIT, 'no_task_starts_twice'),
-        Mutation(handover.SECOND_COMMIT, 'one_owner_or_none'),
-        Mutation(handover.REOPENED, 'one_owner_or_none'),
-        Mutation(handover.ROOM_AGAIN, 'one_owner_or_none'),
-        Mutation(handover.BY_ADDRESS, 'no_task_starts_twice'),
-        Mutation(handover.NO_TOMBSTONE, 'not_run_is_true'),
+        Mutation(states.NO_SEAL, 'no_task_starts_twice'),
+        Mutation(states.EARLY_COMMIT, 'no_task_starts_twice'),
+        Mutation(states.SECOND_COMMIT, 'one_owner_or_none'),
+        Mutation(states.REOPENED, 'one_owner_or_none'),
+        Mutation(states.ROOM_AGAIN, 'one_owner_or_none'),
+        Mutation(states.BY_ADDRESS, 'no_task_starts_twice'),
+        Mutation(states.NO_TOMBSTONE, 'not_run_is_true'),
     ),
 )
