--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -20,7 +20,12 @@
 from camphorlink.internal.core.request.job import Answer, Fate, Job, not_run
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
-from camphorlink.internal.core.request.scheduler import Scheduler, WaitingTask
+from camphorlink.internal.core.request.scheduler import (
+    DEFAULT_POLICY,
+    PlacementPolicy,
+    Scheduler,
+    Try,
+)
 from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
 
 MAX_ATTEMPTS = 5
@@ -35,6 +40,7 @@
         wall_offset_s: float,
         max_entries: int,
         answer_bytes: int = DEFAULT_ANSWER_BYTES,
+        policy: PlacementPolicy = DEFAULT_POLICY,
     ) -> None:
         """Starts without a manifest.
 
@@ -44,6 +50,7 @@
             max_entries: Submissions that the table may remember with their
                 answers.
             answer_bytes: Memory of the answers that are held, in bytes.
+            policy: How tasks are placed.
         """
         self.home = home
         self.timers = Timers()
@@ -61,7 +68,7 @@
         self.manifest: Manifest = EMPTY_MANIFEST
         self.is_draining = False
         self._wall_offset_s = wall_offset_s
-        self._scheduler = Scheduler(home.zone)
+        self._scheduler = Scheduler(home, self.timers, policy)
         self._desk = self._submissions.desk
         self._now = 0.0
 
@@ -117,7 +124,7 @@
     @_apply.register
     def _finished(self, message: messages.TaskFinished) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
+        run, _ended = self._end(message)
         if run is not None:
             answer = run.finish_task(ticket.position, message.task_result)
             self._desk.deliver(run, answer)
@@ -125,7 +132,7 @@
     @_apply.register
     def _failed(self, message: messages.TaskFailed) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
+        run, _ended = self._end(message)
         if run is not None:
             answer = run.fail_task(ticket.position, message.detail)
             self._desk.deliver(run, answer)
@@ -133,8 +140,8 @@
     @_apply.register
     def _not_started(self, message: messages.TaskNotStarted) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
-        if run is None:
+        run, ended = self._end(message)
+        if run is None or ended is None:
             return
         run.mark_not_started(ticket.position)
         if not run.is_open:
@@ -143,14 +150,12 @@
             self._desk.deliver(run, run.close(message.reason))
             return
         self._desk.count_retry(message.reason)
-        self._scheduler.queue_task(
-            WaitingTask(run, ticket.position, ticket.attempt + 1),
-        )
+        self._scheduler.retry_task(ended)
 
     @_apply.register
     def _lost(self, message: messages.TaskLost) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
+        run, _ended = self._end(message)
         if run is not None:
             answer = run.lose_task(ticket.position, message.reason.value)
             self._desk.deliver(run, answer)
@@ -179,7 +184,7 @@
             return
         run = table.open_run(message.submission_id, message.job, self.version)
         self._desk.wait(run, message.caller)
-        self._scheduler.queue_job(run)
+        self._scheduler.queue_job(run, self._now)
 
     def _refuse_job(self, job: Job) -> Answer | None:
         if self.is_draining:
@@ -188,9 +193,13 @@
             return not_run(Reason.TABLE_FULL, retry_after_s=FULL_RETRY_S)
         return refuse_job(job, self.manifest, self._now)
 
-    def _end(self, ticket: messages.Ticket) -> JobRun | None:
-        self._scheduler.end_task(ticket, self._now)
+    def _end(
+        self,
+        message: messages.TaskEnd,
+    ) -> tuple[JobRun | None, Try | None]:
+        ended = self._scheduler.note_end(message, self._now)
+        ticket = message.ticket
         run = self.tables.find_run(ticket.submission_id)
         if run is None or not run.awaits(ticket.position, ticket.attempt):
-            return None
-        return run
+            return None, ended
+        return run, ended
