make measure: response time, starts a second and memory of one entry VM

Cause: the stated targets for speed had no measurement. Change: bench/load puts direct calls, jobs of 1 and jobs of 50 on an entry VM process bound to one core, with four backend servers as processes; the process harness of the tests moved to bench/programs, where both use it.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PATHS = src tests examples
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: venv run test lint format
+.PHONY: venv run measure test lint format
 
 venv: .venv/ready
 
@@ -19,6 +19,10 @@
 run: $(VENV)
 	$(PYTHON) -m camphorlink.cli.dev
 
+# Response time, starts a second and memory, against the stated targets.
+measure: $(VENV)
+	$(PYTHON) -m camphorlink.bench.load
+
 test: $(VENV)
 	$(PYTHON) -m pytest
 
--- /dev/null
+++ b/src/camphorlink/bench/load.py
@@ -0,0 +1,206 @@
+"""``make measure``: response time, starts a second and memory of an entry VM.
+
+In one run and on one core for the entry VM: direct calls of the backend
+servers as the baseline, the same calls as jobs of one task, then jobs of 50
+short tasks, then 10,000 submissions remembered.  Every part is bounded by its
+number of calls.
+"""
+
+import asyncio
+import os
+import platform
+import statistics
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import aiohttp
+import click
+import orjson
+import uvloop
+
+from camphorlink.bench.load_site import LoadSite
+
+os.environ['UV_USE_IO_URING'] = '0'
+
+MS_PER_S = 1000
+MEDIAN_WORK_MS = 50
+ROUNDS = 3
+CALLS = 1200
+CALLERS = 32
+BATCH_TASKS = 50
+BATCH_JOBS = 400
+BATCH_CALLERS = 12
+REMEMBERED = 10_000
+#: Stated targets.
+MAX_RATIO = 1.05
+MIN_STARTS_PER_CORE_S = 4000
+MAX_MEMORY_MIB = 128
+
+Call = Callable[[int], Awaitable[None]]
+
+
+class Batch(NamedTuple):
+    """Figures of one round of jobs of 50 tasks.
+
+    Attributes:
+        starts_per_s: Task starts by the wall clock, per second.
+        starts_per_core_s: Task starts per second of the entry VM's core.
+    """
+
+    starts_per_s: float
+    starts_per_core_s: float
+
+
+class Load:
+    """Puts the load on one site."""
+
+    def __init__(self, site: LoadSite, session: aiohttp.ClientSession) -> None:
+        """Takes a site that is up and a session without limits."""
+        self._site = site
+        self._session = session
+
+    async def call_directly(self, number: int) -> None:
+        """Runs one task of 50 ms at a backend server."""
+        backends = self._site.backends
+        address = backends[number % len(backends)]
+        request = self._session.post(
+            f'http://{address}/v1/tasks',
+            data=orjson.dumps({'work_ms': MEDIAN_WORK_MS}),
+            headers={'Task-Reference': f'direct/{number}'},
+        )
+        async with request as response:
+            await _expect_ok(response)
+
+    async def submit_one(self, number: int) -> None:
+        """Runs the same task as a job of one."""
+        await self._submit(1, MEDIAN_WORK_MS)
+
+    async def submit_batch(self, number: int) -> None:
+        """Runs 50 tasks of no work as one job."""
+        await self._submit(BATCH_TASKS, 0)
+
+    async def submit_empty(self, number: int) -> None:
+        """Runs one task of no work as a job of one."""
+        await self._submit(1, 0)
+
+    async def _submit(self, tasks: int, work_ms: float) -> None:
+        job = {
+            'service': 'caster',
+            'team': 'surveyors',
+            'deadline_ms': 30_000,
+            'tasks': [
+                {'id': f'task-{index}', 'payload': {'work_ms': work_ms}}
+                for index in range(tasks)
+            ],
+        }
+        request = self._session.post(
+            f'{self._site.entry_url}/v1/submissions',
+            data=orjson.dumps(job),
+            headers={'Content-Type': 'application/json'},
+        )
+        async with request as response:
+            await _expect_ok(response)
+
+
+async def _expect_ok(response: aiohttp.ClientResponse) -> None:
+    body = await response.read()
+    if response.status != aiohttp.http.HTTPStatus.OK:
+        raise click.ClickException(f'{response.status}: {body[:200]!r}')
+
+
+async def run_calls(call: Call, calls: int, callers: int) -> list[float]:
+    """Makes calls from a fixed number of callers, each one at a time.
+
+    Returns:
+        Response time of each call, in ms.
+    """
+    numbers = iter(range(calls))
+    times_ms: list[float] = []
+
+    async def run_caller() -> None:  # noqa: WPS430 shares the iterator
+        for number in numbers:
+            started_s = time.perf_counter()
+            await call(number)
+            times_ms.append((time.perf_counter() - started_s) * MS_PER_S)
+
+    await asyncio.gather(*(run_caller() for _ in range(callers)))
+    return times_ms
+
+
+async def measure_medians(load: Load) -> tuple[float, float]:
+    """Returns medians of direct calls and of jobs of one, in ms."""
+    direct: list[float] = []
+    jobs: list[float] = []
+    for _ in range(ROUNDS):
+        direct += await run_calls(load.call_directly, CALLS, CALLERS)
+        jobs += await run_calls(load.submit_one, CALLS, CALLERS)
+    return statistics.median(direct), statistics.median(jobs)
+
+
+async def measure_batch(load: Load, site: LoadSite) -> Batch:
+    """Returns the starts a second of one round of jobs of 50."""
+    cpu_s = site.entry_cpu_s()
+    started_s = time.perf_counter()
+    await run_calls(load.submit_batch, BATCH_JOBS, BATCH_CALLERS)
+    wall_s = time.perf_counter() - started_s
+    starts = BATCH_JOBS * BATCH_TASKS
+    return Batch(starts / wall_s, starts / (site.entry_cpu_s() - cpu_s))
+
+
+async def measure() -> dict[str, Any]:
+    """Runs all parts and returns the figures by their name."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with (
+        LoadSite() as site,
+        aiohttp.ClientSession(connector=connector) as session,
+    ):
+        load = Load(site, session)
+        await run_calls(load.submit_batch, BATCH_CALLERS, BATCH_CALLERS)
+        direct_ms, job_ms = await measure_medians(load)
+        batches = [await measure_batch(load, site) for _ in range(ROUNDS)]
+        memory_before = site.entry_memory_mib()
+        await run_calls(load.submit_empty, REMEMBERED, CALLERS)
+        return {
+            'direct_median_ms': round(direct_ms, 2),
+            'job_of_1_median_ms': round(job_ms, 2),
+            'ratio': round(job_ms / direct_ms, 3),
+            'starts_per_s': _median(batch.starts_per_s for batch in batches),
+            'starts_per_core_s': _median(
+                batch.starts_per_core_s for batch in batches
+            ),
+            'memory_before_mib': round(memory_before, 1),
+            'memory_mib': round(site.entry_memory_mib(), 1),
+        }
+
+
+def _median(figures: Any) -> int:
+    return round(statistics.median(figures))
+
+
+@click.command()
+def main() -> None:
+    """Measure an entry VM on one core and say which targets are met."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        figures = runner.run(measure())
+    machine = f'{platform.machine()}, {os.cpu_count()} cores'
+    click.echo(f'machine: {machine}, Python {platform.python_version()}')
+    for name, figure in figures.items():
+        click.echo(f'{name}: {figure}')
+    is_met_by_target = {
+        f'ratio <= {MAX_RATIO}': figures['ratio'] <= MAX_RATIO,
+        f'starts_per_core_s >= {MIN_STARTS_PER_CORE_S}': (
+            figures['starts_per_core_s'] >= MIN_STARTS_PER_CORE_S
+        ),
+        f'memory_mib < {MAX_MEMORY_MIB}': (
+            figures['memory_mib'] < MAX_MEMORY_MIB
+        ),
+    }
+    for target, is_met in is_met_by_target.items():
+        click.echo(f'{"met" if is_met else "MISSED"}: {target}')
+    sys.exit(0 if all(is_met_by_target.values()) else 1)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -7,27 +7,26 @@
 import contextlib
 import http.client
 import json
-import os
-import select
-import subprocess
-import sys
 import time
-from pathlib import Path
 from typing import NamedTuple
 
+from camphorlink.bench.programs import (
+    FREE_PORT,
+    SOURCE,
+    START_TIMEOUT_S,
+    entry_program,
+    standin_program,
+)
 from camphorlink.internal.core.version.acceptance import (
     approval_record,
     proposal_record,
 )
 from camphorlink.internal.core.version.manifest import digest_document
 
-SOURCE = Path(__file__).parents[1] / 'src'
-LOOPBACK = '127.0.0.1'
-FREE_PORT = {'ip': LOOPBACK, 'port': 0}
-START_TIMEOUT_S = 30.0
-STOP_TIMEOUT_S = 30.0
 POLL_S = 0.02
 
+__all__ = ('SOURCE', 'ProcessSite', 'call', 'is_ready', 'wait_until')
+
 
 class Response(NamedTuple):
     """What came back over HTTP; the body is decoded when it is JSON."""
@@ -65,97 +64,6 @@
     raise AssertionError(f'not within {timeout_s} s: {what}')
 
 
-class Program:
-    """One process of ``python -m MODULE``; its first line says where."""
-
-    def __init__(self, directory, name, module, arguments):
-        self.name = name
-        self.log_path = Path(directory) / f'{name}.log'
-        self._command = [sys.executable, '-m', module, *arguments]
-        self.addresses = {}
-
-    def __enter__(self):
-        with self.log_path.open('ab') as log:
-            self.process = subprocess.Popen(
-                self._command,
-                stdout=subprocess.PIPE,
-                stderr=log,
-                env={**os.environ, 'PYTHONPATH': str(SOURCE)},
-            )
-        try:
-            self.addresses = json.loads(self._first_line())
-        except BaseException:
-            self.kill()
-            raise
-        return self
-
-    def __exit__(self, *exc_info):
-        if self.process.poll() is None:
-            self.stop()
-        self.process.stdout.close()
-
-    @property
-    def address(self):
-        return self.addresses['address']
-
-    def signal(self, number):
-        self.process.send_signal(number)
-
-    def stop(self):
-        """Ends the process with SIGTERM and returns its exit code."""
-        self.process.terminate()
-        try:
-            return self.process.wait(STOP_TIMEOUT_S)
-        except subprocess.TimeoutExpired:
-            self.kill()
-            raise
-
-    def kill(self):
-        """Ends the process at once, as a VM that dies."""
-        self.process.kill()
-        return self.process.wait(STOP_TIMEOUT_S)
-
-    def log(self):
-        return self.log_path.read_text()
-
-    def _first_line(self):
-        ready, _, _ = select.select(
-            [self.process.stdout], [], [], START_TIMEOUT_S
-        )
-        line = self.process.stdout.readline() if ready else b''
-        if not line:
-            raise AssertionError(f'{self.name} did not start:\n{self.log()}')
-        return line
-
-
-def write_settings(directory, name, document):
-    path = Path(directory) / f'{name}.json'
-    path.write_text(json.dumps(document))
-    return path
-
-
-def entry_program(directory, name, settings):
-    """An entry VM; ``addresses`` has callers, operators and peers."""
-    path = write_settings(directory, name, settings)
-    return Program(
-        directory,
-        name,
-        'camphorlink.cli.entry',
-        ['--settings', str(path)],
-    )
-
-
-def standin_program(directory, name, kind, settings):
-    """A stand-in of the kind ``backend`` or ``log-service``."""
-    path = write_settings(directory, name, settings)
-    return Program(
-        directory,
-        name,
-        'camphorlink.cli.standin',
-        [kind, '--settings', str(path)],
-    )
-
-
 class ProcessSite:
     """A log service, backend servers and entry VMs, each a process.
 
