--- a/src/camphorlink/cli/entry.py
+++ b/src/camphorlink/cli/entry.py
@@ -14,8 +14,8 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_SYSTEM_ERROR = 1
-#: Time for closing connections after the last answer, in seconds.
-STOP_MARGIN_S = 10.0
+#: Time for the hand-over and for closing connections, in seconds.
+STOP_MARGIN_S = 15.0
 
 
 class AnnouncedDaemon(EntryDaemon):
