--- a/src/camphorlink/internal/core/connection/peer_messages.py
+++ b/src/camphorlink/internal/core/connection/peer_messages.py
@@ -75,14 +75,41 @@
     rows: tuple[ZoneRow, ...]
 
 
-PeerMessage = Hello | Heartbeat | ZoneReport | SubmissionMessage
+class ConfigAsk(NamedTuple):
+    """Asks for the configuration state, which the sender heard is newer.
+
+    Attributes:
+        version: Version in force at the sender.
+    """
+
+    version: int
+
+
+class ConfigGive(NamedTuple):
+    """Gives a configuration state to one who asked.
+
+    Attributes:
+        version: Version of the state.
+        body: The state as a snapshot record, JSON compressed by zlib.
+    """
+
+    version: int
+    body: bytes
+
+
+ConfigMessage = ConfigAsk | ConfigGive
+PeerMessage = Hello | Heartbeat | ZoneReport | ConfigMessage | SubmissionMessage
 
 #: Kinds that the membership takes in; the entry core never sees them.
 MEMBERSHIP_KINDS = (Hello, Heartbeat, ZoneReport)
+#: Kinds by which VMs give each other the configuration.
+CONFIG_KINDS = (ConfigAsk, ConfigGive)
 
 PEER_MESSAGE_BY_KIND: dict[str, type[PeerMessage]] = {
     'hello': Hello,
     'heartbeat': Heartbeat,
     'zone-report': ZoneReport,
+    'config-ask': ConfigAsk,
+    'config-give': ConfigGive,
     **SUBMISSION_MESSAGE_BY_KIND,
 }
--- /dev/null
+++ b/src/camphorlink/internal/core/process/audit_batch.py
@@ -0,0 +1,93 @@
+"""Collects audit records into batches that fit the log service's budget.
+
+Recording never waits and never fails.  When the log is away for longer than
+the buffer lasts, the oldest records give way and are counted; the count goes
+out with the next batch, so the stream itself says that something is missing.
+"""
+
+import collections
+from collections.abc import Mapping
+from typing import Any
+
+DROPPED = 'dropped'
+MAX_BUFFERED = 5000
+MAX_BATCH = 250
+#: The newest records that ``find`` can show, sent or not.
+MAX_RECENT = 5000
+
+
+class AuditBatch:
+    """Audit records of one process that wait to be appended."""
+
+    def __init__(self, home: str) -> None:
+        """Names the process that writes; ``sequence`` tells its records."""
+        self.recorded = 0
+        self.dropped = 0
+        self._home = home
+        self._unreported_drops = 0
+        self._waiting: collections.deque[dict[str, Any]] = collections.deque()
+        self._recent: collections.deque[dict[str, Any]] = collections.deque(
+            maxlen=MAX_RECENT,
+        )
+
+    def record(
+        self,
+        kind: str,
+        wall_ms: int,
+        facts: Mapping[str, Any],
+    ) -> None:
+        """Adds a record.
+
+        Args:
+            kind: What it is about, such as ``outcome``.
+            wall_ms: Time in ms since the epoch.
+            facts: Plain JSON values by name.
+        """
+        entry = self._number({**facts, 'kind': kind, 'at_ms': wall_ms})
+        self._recent.append(entry)
+        self._waiting.append(entry)
+        self._drop_surplus()
+
+    def take_batch(self, wall_ms: int) -> list[dict[str, Any]]:
+        """Takes the oldest records out, at most one batch of them."""
+        batch = []
+        if self._unreported_drops:
+            notice = {'kind': DROPPED, 'at_ms': wall_ms}
+            notice['count'] = self._unreported_drops
+            batch.append(self._number(notice))
+            self._unreported_drops = 0
+        while self._waiting and len(batch) < MAX_BATCH:
+            batch.append(self._waiting.popleft())
+        return batch
+
+    def give_back(self, batch: list[dict[str, Any]]) -> None:
+        """Puts back a batch that was not appended for certain.
+
+        If it was after all, readers know its records by home and sequence.
+        """
+        self._waiting.extendleft(reversed(batch))
+        self._drop_surplus()
+
+    def find(self, submission_id: str) -> list[dict[str, Any]]:
+        """Lists the recent records about a submission."""
+        return [
+            entry
+            for entry in self._recent
+            if entry.get('submission_id') == submission_id
+        ]
+
+    def _number(self, entry: dict[str, Any]) -> dict[str, Any]:
+        self.recorded += 1
+        entry['home'] = self._home
+        entry['sequence'] = self.recorded
+        return entry
+
+    def _drop_surplus(self) -> None:
+        while len(self._waiting) > MAX_BUFFERED:
+            entry = self._waiting.popleft()
+            if entry['kind'] == DROPPED:
+                # Its count must not get lost with it.
+                self._unreported_drops += entry['count']
+            else:
+                self.dropped += 1
+                self._unreported_drops += 1
--- a/src/camphorlink/internal/core/process/membership.py
+++ b/src/camphorlink/internal/core/process/membership.py
@@ -87,6 +87,11 @@
         self._send_heartbeats(now)
         self._refresh(now)
 
+    def announce_version(self, version: int, now: float) -> None:
+        """Announces a new version at once, so that nobody waits a beat."""
+        self.version = version
+        self._send_heartbeats(now)
+
     def take_list(self, listed: Iterable[ListedVm], now: float) -> None:
         """Takes the platform's newest list."""
         self._peers.take_list(listed)
--- a/src/camphorlink/internal/core/process/zone_links.py
+++ b/src/camphorlink/internal/core/process/zone_links.py
@@ -6,13 +6,17 @@
 same.
 """
 
+import hashlib
 from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
+from camphorlink.internal.core.request.identifiers import Home
+
 #: Fleets up to this size have links between all VMs.
 FULL_MESH_VMS = 8
 LINKS_BETWEEN_ZONES = 2
 MAX_REMEMBERED = 4
+HASH_BYTES = 8
 
 
 class VmKey(NamedTuple):
@@ -59,6 +63,20 @@
         return len({self._me, *usable}) <= FULL_MESH_VMS
 
 
+def first_by_hash(seed: str, homes: Iterable[Home]) -> Home | None:
+    """Chooses one of several processes by rendezvous hash.
+
+    Who has the same list chooses the same one; who has another list may
+    choose another, so use it only where two are as good as one.
+    """
+    return max(homes, key=lambda home: _score(seed, home), default=None)
+
+
+def _score(seed: str, home: Home) -> bytes:
+    text = f'{seed}|{home}'
+    return hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest()
+
+
 def _choose(me: VmKey, everyone: frozenset[VmKey]) -> set[VmKey]:
     if len(everyone) <= FULL_MESH_VMS:
         return set(everyone) - {me}
--- a/src/camphorlink/internal/shell/process/core_host.py
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -11,6 +11,7 @@
 from camphorlink.internal.core.request.job import Answer, Job
 from camphorlink.internal.shell.connection.backend_client import BackendClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
+from camphorlink.internal.shell.process.audit import Audit
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.metrics import Metrics
 
@@ -27,6 +28,7 @@
         """Binds the core to the running loop."""
         self.core = core
         self.links: PeerLinks | None = None
+        self.audit: Audit | None = None
         self._decisions = PartLog('decisions', core.home.vm)
         self._loop = asyncio.get_running_loop()
         self._backend_client = backend_client
@@ -93,6 +95,8 @@
     @_carry_out.register
     def _deliver(self, effect: messages.Deliver) -> None:
         self._metrics.answers.inc({'outcome': effect.answer.outcome.value})
+        if self.audit is not None:
+            self.audit.note_answer(effect)
         waiter = self._answer_by_caller.get(effect.caller)
         if waiter is not None and not waiter.done():
             waiter.set_result(effect.answer)
@@ -112,6 +116,8 @@
             effect.event,
             extra={'submission_id': effect.submission_id, **effect.facts},
         )
+        if self.audit is not None:
+            self.audit.note_decision(effect)
 
     async def _send(self, start: messages.StartTask) -> None:
         self.post(await self._backend_client.run_task(start))
--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -8,27 +8,22 @@
 
 from aiohttp import web
 
-from camphorlink.internal.core.connection.peer_messages import (
-    MEMBERSHIP_KINDS,
-    PeerMessage,
-)
+from camphorlink.internal.core.connection.peer_messages import PeerMessage
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.entry_core import EntryCore
 from camphorlink.internal.core.process.members import MemberState
 from camphorlink.internal.core.request.identifiers import Home, new_home
-from camphorlink.internal.core.version.acceptance import ConfigState
 from camphorlink.internal.shell.connection.backend_client import BackendClient
 from camphorlink.internal.shell.connection.log_client import LogClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
+from camphorlink.internal.shell.process.control import Control
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.leaving import hand_over_tables
 from camphorlink.internal.shell.process.logs import PartLog
-from camphorlink.internal.shell.process.member_watch import MemberWatch
 from camphorlink.internal.shell.process.metrics import Metrics
 from camphorlink.internal.shell.process.operators_api import OperatorsApi
 from camphorlink.internal.shell.process.settings import EntrySettings, Listen
 from camphorlink.internal.shell.request.callers_api import CallersApi
-from camphorlink.internal.shell.version.config_tail import ConfigTail
 
 DRAIN_POLL_S = 0.05
 
@@ -57,12 +52,6 @@
         self.host = self._stack.enter_context(
             CoreHost(self._build_core(rng), backend_client, metrics),
         )
-        tail = ConfigTail(
-            log_client,
-            self._install,
-            PartLog('config', settings.vm),
-        )
-        self._stack.enter_context(_BackgroundTask(tail.run()))
         self.host.links = await self._stack.enter_async_context(
             PeerLinks(
                 self.host.core.home,
@@ -72,10 +61,11 @@
             ),
         )
         self.peers_port = self.host.links.port
-        self.members = self._stack.enter_context(
-            MemberWatch(self.host, log_client, rng),
+        self.control = await self._stack.enter_async_context(
+            Control(self.host, log_client, settings, rng),
         )
-        operators = OperatorsApi(self.host, metrics, tail)
+        self.members = self.control.members
+        operators = OperatorsApi(self.host, metrics, self.control)
         self.operators_port = await self._serve(
             operators.build_app(),
             settings.operators,
@@ -118,14 +108,8 @@
             max_entries=settings.max_remembered,
         )
 
-    def _install(self, state: ConfigState) -> None:
-        self.host.post(messages.VersionInForce(state.version, state.manifest))
-
     def _hear_peer(self, peer: Home, message: PeerMessage) -> None:
-        if isinstance(message, MEMBERSHIP_KINDS):
-            self.members.hear(peer, message)
-        else:
-            self.host.post(messages.PeerSaid(peer, message))
+        self.control.hear(peer, message)
 
     async def _serve(self, app: web.Application, listen: Listen) -> int:
         runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
@@ -134,17 +118,3 @@
         site = web.TCPSite(runner, listen.ip, listen.port)
         await site.start()
         return int(runner.addresses[0][1])
-
-
-class _BackgroundTask:
-    """Runs a coroutine for as long as the context is open."""
-
-    def __init__(self, coroutine) -> None:  # type: ignore[no-untyped-def]
-        self._coroutine = coroutine
-
-    def __enter__(self) -> asyncio.Task[None]:
-        self._task = asyncio.get_running_loop().create_task(self._coroutine)
-        return self._task
-
-    def __exit__(self, *exc_info: object) -> None:
-        self._task.cancel()
--- a/src/camphorlink/internal/shell/process/member_watch.py
+++ b/src/camphorlink/internal/shell/process/member_watch.py
@@ -74,6 +74,11 @@
         self.membership.set_state(state, self._loop.time())
         self._settle()
 
+    def announce_version(self, version: int) -> None:
+        """Tells the peers which configuration is in force here."""
+        self.membership.announce_version(version, self._loop.time())
+        self._settle()
+
     async def _poll_list(self) -> None:
         while True:
             with contextlib.suppress(LogServiceError):
@@ -122,6 +127,5 @@
 
     def _tick(self) -> None:
         self._wake = None
-        self.membership.version = self._host.core.version
         self._timers.advance(self._loop.time())
         self._settle()
--- a/src/camphorlink/internal/shell/process/operators_api.py
+++ b/src/camphorlink/internal/shell/process/operators_api.py
@@ -5,10 +5,10 @@
 from aiohttp import web
 
 from camphorlink.internal.core.process import messages
+from camphorlink.internal.shell.process.control import Control
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.metrics import Metrics
 from camphorlink.internal.shell.request.responses import json_response
-from camphorlink.internal.shell.version.config_tail import ConfigTail
 
 
 class OperatorsApi:
@@ -18,12 +18,12 @@
         self,
         host: CoreHost,
         metrics: Metrics,
-        tail: ConfigTail,
+        control: Control,
     ) -> None:
         """Shows one core, its counters and its configuration."""
         self._host = host
         self._metrics = metrics
-        self._tail = tail
+        self._control = control
 
     def build_app(self) -> web.Application:
         """Returns the application with all routes of the interface."""
@@ -34,6 +34,8 @@
                 web.get('/readyz', self.readiness),
                 web.get('/metrics', self.show_metrics),
                 web.get('/v1/config', self.show_config),
+                web.get('/v1/members', self.show_members),
+                web.get('/v1/explain/{id}', self.explain),
                 web.post('/v1/drain', self.drain),
             ]
         )
@@ -69,7 +71,48 @@
                 'home': str(core.home),
                 'version': core.version,
                 'digest': core.manifest.digest,
-                'next_offset': self._tail.state.next_offset,
+                **self._control.tail.describe(),
+            }
+        )
+
+    async def show_members(self, request: web.Request) -> web.Response:
+        """Tells what this VM thinks of the others."""
+        return json_response(
+            {
+                'members': [
+                    {
+                        'home': str(member.home),
+                        'address': member.address,
+                        'state': member.state.value,
+                    }
+                    for member in self._host.core.view.members
+                ],
+            }
+        )
+
+    async def explain(self, request: web.Request) -> web.Response:
+        """Tells what this VM still holds about a submission."""
+        key = request.match_info['id']
+        run = self._host.core.table.find(key)
+        answer = run.answer if run else None
+        return json_response(
+            {
+                'home': str(self._host.core.home),
+                'known': run is not None,
+                'outcome': answer.outcome.value if answer else None,
+                'reason': (
+                    answer.reason.value if answer and answer.reason else None
+                ),
+                'version': run.version if run else None,
+                'tasks': (
+                    {
+                        task: fate.value
+                        for task, fate in run.fates_by_task().items()
+                    }
+                    if run
+                    else {}
+                ),
+                'records': self._control.audit.batch.find(key),
             }
         )
 
--- a/src/camphorlink/internal/shell/process/settings.py
+++ b/src/camphorlink/internal/shell/process/settings.py
@@ -10,6 +10,8 @@
 from camphorlink.internal.core.process.documents import check_shape, parse_json
 
 DEFAULT_MAX_ENTRIES = 50_000
+DEFAULT_LOG_KEEP_S = 7 * 24 * 3600.0
+DEFAULT_SNAPSHOT_RECORDS = 1000
 DEFAULT_DRAIN_S = 10.0
 MAX_PORT = 65_535
 
@@ -37,6 +39,8 @@
     operators: ListenDocument
     peers: ListenDocument
     log_service: Annotated[str, Field(pattern=r'^http://[0-9.]+:\d{1,5}$')]
+    log_keep_s: NotRequired[Annotated[float, Field(ge=60, strict=False)]]
+    snapshot_records: NotRequired[Annotated[int, Field(ge=10)]]
     max_remembered: NotRequired[Annotated[int, Field(ge=100, le=1_000_000)]]
     drain_s: NotRequired[Annotated[float, Field(ge=0, le=300, strict=False)]]
 
@@ -63,6 +67,8 @@
         operators: Where health, metrics and operators' calls are served.
         peers: Where other entry VMs send their messages.
         log_service: Base URL of the platform's log service.
+        log_keep_s: Time that the log service keeps a record, in seconds.
+        snapshot_records: Records after which a snapshot is written.
         max_remembered: Submissions that are remembered.
         drain_s: Longest time that a planned stop waits, in seconds.
     """
@@ -73,6 +79,8 @@
     operators: Listen
     peers: Listen
     log_service: str
+    log_keep_s: float = DEFAULT_LOG_KEEP_S
+    snapshot_records: int = DEFAULT_SNAPSHOT_RECORDS
     max_remembered: int = DEFAULT_MAX_ENTRIES
     drain_s: float = DEFAULT_DRAIN_S
 
@@ -108,6 +116,11 @@
         operators=_build_listen(typed['operators']),
         peers=_build_listen(typed['peers']),
         log_service=typed['log_service'],
+        log_keep_s=typed.get('log_keep_s', DEFAULT_LOG_KEEP_S),
+        snapshot_records=typed.get(
+            'snapshot_records',
+            DEFAULT_SNAPSHOT_RECORDS,
+        ),
         max_remembered=typed.get('max_remembered', DEFAULT_MAX_ENTRIES),
         drain_s=typed.get('drain_s', DEFAULT_DRAIN_S),
     )
--- /dev/null
+++ b/src/camphorlink/internal/shell/version/config_keeper.py
@@ -0,0 +1,181 @@
+"""Keeps the configuration alive: snapshots into the log, states to peers."""
+
+import asyncio
+import random
+import time
+import zlib
+from functools import singledispatchmethod
+from types import TracebackType
+from typing import NamedTuple
+
+import orjson
+
+from camphorlink.errors import LogServiceError
+from camphorlink.internal.core.connection.peer_messages import (
+    ConfigAsk,
+    ConfigGive,
+    ConfigMessage,
+    Heartbeat,
+)
+from camphorlink.internal.core.process.members import MemberState
+from camphorlink.internal.core.request.identifiers import Home
+from camphorlink.internal.core.version.exchange import ConfigExchange
+from camphorlink.internal.core.version.snapshots import snapshot_record
+from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.process.core_host import CoreHost
+from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.version.config_tail import (
+    CONFIG_STREAM,
+    ConfigTail,
+)
+
+MS_PER_S = 1000
+#: A snapshot is renewed when this share of the log's retention has passed.
+SNAPSHOT_SHARE = 0.25
+SNAPSHOT_CHECK_S = 5.0
+#: Writers spread over this time; who sees another's snapshot writes none.
+SNAPSHOT_SPREAD_S = 10.0
+EXCHANGE_POLL_S = 0.1
+MAX_STATE_BYTES = 64 * 1024 * 1024
+
+
+class Retention(NamedTuple):
+    """How long the log service keeps the configuration stream.
+
+    Attributes:
+        keep_s: Time that it keeps a record, in seconds.
+        max_records: Records after which a snapshot is written anyway.
+    """
+
+    keep_s: float
+    max_records: int
+
+
+class ConfigKeeper:
+    """Writes snapshots when they are due, and exchanges states with peers."""
+
+    def __init__(
+        self,
+        host: CoreHost,
+        tail: ConfigTail,
+        log_client: LogClient,
+        retention: Retention,
+        rng: random.Random,
+    ) -> None:
+        """Takes the tail whose state it keeps."""
+        self._host = host
+        self._tail = tail
+        self._log_client = log_client
+        self.retention = retention
+        self._rng = rng
+        self._exchange = ConfigExchange(rng)
+        self._log = PartLog('config', host.core.home.vm)
+
+    def __enter__(self) -> 'ConfigKeeper':
+        """Starts both loops."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._write_snapshots()),
+            loop.create_task(self._ask_peers()),
+        ]
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops both."""
+        for task in self._tasks:
+            task.cancel()
+
+    def note_heartbeat(self, peer: Home, message: Heartbeat) -> None:
+        """Takes the version that a peer announced."""
+        self._exchange.note(peer, message.version)
+
+    @singledispatchmethod
+    def hear(self, message: ConfigMessage, peer: Home) -> None:
+        """Answers a peer that asks, or takes what it gives."""
+        raise TypeError(message)
+
+    @hear.register
+    def _give(self, message: ConfigAsk, peer: Home) -> None:
+        state = self._tail.state
+        member = self._host.core.view.find(peer)
+        if member is None or state.version <= message.version:
+            return
+        body = zlib.compress(orjson.dumps(snapshot_record(state)))
+        if self._host.links is not None:
+            give = ConfigGive(state.version, body)
+            self._host.links.send(member.address, give)
+
+    @hear.register
+    def _take(self, message: ConfigGive, peer: Home) -> None:
+        if message.version <= self._tail.state.version:
+            return
+        try:
+            record = orjson.loads(_inflate(message.body))
+        except (zlib.error, orjson.JSONDecodeError) as exc:
+            self._log.warning('unreadable state', extra={'why': str(exc)})
+            return
+        self._tail.take_peer_state(record)
+
+    async def _ask_peers(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(EXCHANGE_POLL_S)
+            self._exchange.keep_only(self._talking_peers())
+            version = self._tail.state.version
+            peer = self._exchange.choose(version, loop.time())
+            if peer is not None:
+                self._ask(peer, ConfigAsk(version))
+
+    def _ask(self, peer: Home, ask: ConfigAsk) -> None:
+        member = self._host.core.view.find(peer)
+        if member is not None and self._host.links is not None:
+            self._host.links.send(member.address, ask)
+
+    def _talking_peers(self) -> set[Home]:
+        silent = {MemberState.SUSPECT, MemberState.GONE}
+        return {
+            member.home
+            for member in self._host.core.view.members
+            if member.state not in silent
+        }
+
+    async def _write_snapshots(self) -> None:
+        while True:
+            await asyncio.sleep(SNAPSHOT_CHECK_S)
+            if self._is_due():
+                spread = self._rng.uniform(0, SNAPSHOT_SPREAD_S)
+                await asyncio.sleep(spread)
+                await self.write_snapshot()
+
+    async def write_snapshot(self) -> None:
+        """Writes a snapshot if one is still due."""
+        if not self._is_due():
+            return
+        state = self._tail.state
+        try:
+            await self._log_client.append(
+                CONFIG_STREAM,
+                [snapshot_record(state)],
+            )
+        except LogServiceError as exc:
+            # Uncertain or not: the tail shows it, or it stays due.
+            self._log.warning('no snapshot written', extra={'why': str(exc)})
+            return
+        self._log.info('wrote a snapshot', extra={'version': state.version})
+
+    def _is_due(self) -> bool:
+        return self._tail.fold.is_snapshot_due(
+            int(time.time() * MS_PER_S),
+            self.retention.keep_s * SNAPSHOT_SHARE * MS_PER_S,
+            self.retention.max_records,
+        )
+
+
+def _inflate(body: bytes) -> bytes:
+    """Decompresses no more than a state may have."""
+    return zlib.decompressobj().decompress(body, MAX_STATE_BYTES)
--- /dev/null
+++ b/tests/core/test_audit_batch.py
@@ -0,0 +1,56 @@
+"""The audit never blocks: what does not fit is dropped and counted."""
+
+from camphorlink.internal.core.process.audit_batch import (
+    MAX_BATCH,
+    MAX_BUFFERED,
+    AuditBatch,
+)
+
+
+def drain(audit):
+    records = []
+    while batch := audit.take_batch(0):
+        assert len(batch) <= MAX_BATCH
+        records.extend(batch)
+    return records
+
+
+def test_records_come_out_in_order_and_only_once():
+    audit = AuditBatch('home')
+    for number in range(3 * MAX_BATCH):
+        audit.record('outcome', number, {'submission_id': f's{number}'})
+    sequences = [entry['sequence'] for entry in drain(audit)]
+    assert sequences == list(range(1, 3 * MAX_BATCH + 1))
+
+
+def test_a_batch_that_was_not_appended_comes_first_again():
+    audit = AuditBatch('home')
+    for number in range(MAX_BATCH + 5):
+        audit.record('outcome', number, {})
+    audit.give_back(audit.take_batch(0))
+    assert [entry['sequence'] for entry in drain(audit)] == list(
+        range(1, MAX_BATCH + 6),
+    )
+
+
+def test_what_is_dropped_is_counted_in_the_stream_itself():
+    audit = AuditBatch('home')
+    for number in range(MAX_BUFFERED + 30):
+        audit.record('outcome', number, {})
+    batch = audit.take_batch(0)
+    for number in range(MAX_BATCH):
+        audit.record('outcome', number, {})
+    audit.give_back(batch)
+    records = drain(audit)
+    said = sum(entry.get('count', 0) for entry in records)
+    kept = sum(entry['kind'] == 'outcome' for entry in records)
+    assert kept + said == MAX_BUFFERED + 30 + MAX_BATCH
+    assert audit.dropped == said
+
+
+def test_recent_records_of_a_submission_can_be_found():
+    audit = AuditBatch('home')
+    audit.record('outcome', 1, {'submission_id': 'a', 'reason': 'x'})
+    audit.record('outcome', 2, {'submission_id': 'b'})
+    drain(audit)
+    assert [entry['reason'] for entry in audit.find('a')] == ['x']
--- a/tests/core/test_config_fold.py
+++ b/tests/core/test_config_fold.py
@@ -110,6 +110,8 @@
         st.tuples(st.just('snapshot'), st.integers(0, 8)),
         st.tuples(st.just('expire'), st.integers(1, 6)),
         st.tuples(st.just('read'), st.integers(0, 2)),
+        st.tuples(st.just('read'), st.integers(0, 2)),
+        st.tuples(st.just('read'), st.integers(0, 2)),
         st.tuples(st.just('give'), st.permutations(range(3))),
     ),
     min_size=5,
@@ -240,6 +242,8 @@
     assert not ahead.take_peer_state(old)
     assert behind.take_peer_state(snapshot_record(ahead.state))
     assert behind.state == ahead.state
+    shorter = {**snapshot_record(ahead.state), 'covers': 3}
+    assert not behind.take_peer_state(shorter)
     assert not behind.take_peer_state({**old, 'covers': 99, 'version': 1})
     assert not behind.take_peer_state({**old, 'covers': 99, 'digest': ''})
     assert behind.state == ahead.state
@@ -254,8 +258,9 @@
         stream.accept(team)
     stream.earliest = 1
     taker = ConfigFold()
-    catch_up(taker, stream)
+    taker.take_page(stream.page(0))
     assert taker.health is Health.GAP
+    assert taker.read_from == 4
     taker.take_peer_state(snapshot_record(giver.state))
     catch_up(taker, stream)
     assert taker.health is Health.CURRENT
--- /dev/null
+++ b/tests/nocover/test_configuration.py
@@ -0,0 +1,153 @@
+"""Configuration and audit through real parts on loopback."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+from test_member_view import await_that
+from test_whole_path import job_of, urls_of
+
+from camphorlink import NotRunError
+from camphorlink.client import Client
+from camphorlink.internal.core.version.acceptance import (
+    approval_record,
+    patch_record,
+)
+from camphorlink.internal.core.version.config_fold import Health
+from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.process.daemon import EntryDaemon
+from camphorlink.internal.shell.process.settings import EntrySettings, Listen
+from camphorlink.internal.shell.version.config_keeper import Retention
+from camphorlink.standin.local_site import LocalSite, SiteShape
+from camphorlink.standin.log_service import Faults, LogService
+from camphorlink.standin.servers import LocalServer
+
+FREE = Listen('127.0.0.1', 0)
+
+
+class ListOnly(LogService):
+    """A platform that still lists VMs while its streams are away."""
+
+    async def read(self, request):
+        raise web.HTTPServiceUnavailable
+
+
+def settings_of(log_url, vm='late', **changes):
+    return EntrySettings(
+        zone='larissa',
+        vm=vm,
+        callers=FREE,
+        operators=FREE,
+        peers=FREE,
+        log_service=log_url,
+        **changes,
+    )
+
+
+async def publish(site, **sections):
+    state = site.daemons[0].control.tail.state
+    document = {**site.manifest_document(), **sections}
+    record = patch_record(state, document)
+    async with LogClient(site.log_url) as log_client:
+        await log_client.append(
+            'config',
+            [record, approval_record(state.version, record['digest'])],
+        )
+    return state.version + 1
+
+
+def versions_of(daemons):
+    return {entry.host.core.version for entry in daemons}
+
+
+async def await_version(site, version):
+    await await_that(lambda: versions_of(site.daemons) == {version})
+
+
+def test_a_new_vm_takes_the_state_from_peers_while_the_log_is_away():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            platform = ListOnly(10)
+            platform.vms = site.log_service.vms
+            async with LocalServer(
+                platform.build_app(), '127.0.0.1', 0
+            ) as server:
+                daemon = EntryDaemon(settings_of(f'http://{server.address}'))
+                async with daemon:
+                    site._register(daemon)
+                    await await_that(lambda: daemon.host.core.version == 1)
+                    version = await publish(
+                        site, teams={'surveyors': {}, 'x': {}}
+                    )
+                    await await_that(
+                        lambda: (
+                            versions_of([daemon, *site.daemons]) == {version}
+                        ),
+                    )
+                    state = daemon.control.tail.state
+                    assert state == site.daemons[0].control.tail.state
+                    assert daemon.control.tail.is_log_away
+
+    asyncio.run(scenario())
+
+
+def test_a_daemon_that_starts_before_the_platform_recovers_by_itself():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            site.log_service.faults = Faults(down=True)
+            async with EntryDaemon(settings_of(site.log_url)) as daemon:
+                await await_that(lambda: daemon.control.tail.is_log_away)
+                assert daemon.host.core.version == 0
+                site.log_service.faults = Faults()
+                await await_that(lambda: daemon.host.core.version == 1)
+                await await_that(lambda: not daemon.control.tail.is_log_away)
+
+    asyncio.run(scenario())
+
+
+def test_snapshots_are_written_before_records_expire_and_close_the_gap():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            for number in range(6):
+                await publish(site, teams={f'team-{number}': {}})
+                await await_version(site, number + 2)
+            kept = site.log_service._records_by_stream['config']
+            for entry in site.daemons:
+                entry.control.keeper.retention = Retention(3600, 10)
+                # Racing on purpose: several writers are harmless.
+                await entry.control.keeper.write_snapshot()
+            await await_that(
+                lambda: any(
+                    entry.record['kind'] == 'snapshot' for entry in kept
+                ),
+            )
+            while kept[0].record['kind'] != 'snapshot':
+                kept.popleft()
+            async with EntryDaemon(settings_of(site.log_url)) as daemon:
+                await await_that(lambda: daemon.host.core.version == 7)
+                assert daemon.control.tail.fold.health is Health.CURRENT
+
+    asyncio.run(scenario())
+
+
+def test_outcomes_other_than_success_reach_the_audit_stream():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site, Client(urls_of(site)) as cli:
+            site.log_service.faults = Faults(down=True)
+            await cli.submit(job_of(3))
+            with pytest.raises(NotRunError):
+                await cli.submit(job_of(1, service='nobody'))
+            site.log_service.faults = Faults()
+            kept = site.log_service._records_by_stream['audit']
+
+            def outcomes():
+                return [
+                    entry.record['reason']
+                    for entry in kept
+                    if entry.record['kind'] == 'outcome'
+                ]
+
+            await await_that(outcomes)
+            return outcomes()
+
+    assert asyncio.run(scenario()) == ['unknown-service']
