--- /dev/null
+++ b/src/camphorlink/cli/ctl_fleet.py
@@ -0,0 +1,161 @@
+"""Subcommands of ``camphorlink-ctl`` that ask entry VMs."""
+
+import time
+from typing import Any
+
+import orjson
+
+from camphorlink.cli.ctl_report import (
+    DIGEST_CHARS,
+    EXIT_VMS,
+    Report,
+    Site,
+    find_vms,
+    open_publisher,
+)
+from camphorlink.errors import VmUnreachableError
+from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.process.audit import AUDIT_STREAM
+from camphorlink.internal.shell.process.vm_client import VmAnswer, VmClient
+
+#: Facts that every audit record has.
+_COMMON_FACTS = frozenset(('submission_id', 'kind', 'home', 'sequence'))
+
+
+async def show_status(site: Site) -> Report:
+    """Compares the stream with what is in force on each VM."""
+    async with open_publisher(site) as publisher, VmClient() as client:
+        history = await publisher.read_history()
+        answers = await client.ask_all(await find_vms(site), '/v1/config')
+    state = history.state
+    rows = [_status_row(answer) for answer in answers]
+    in_step = bool(rows) and all(
+        row['version'] == state.version for row in rows
+    )
+    document = {
+        'version': state.version,
+        'digest': state.manifest.digest,
+        'next_offset': state.next_offset,
+        'health': history.health,
+        'in_step': in_step,
+        'vms': rows,
+    }
+    head = (
+        f'stream: version {state.version} digest '
+        f'{state.manifest.digest[:DIGEST_CHARS]} next offset '
+        f'{state.next_offset} ({history.health})'
+    )
+    lines = [head, *map(_status_line, rows)]
+    return Report(document, lines, 0 if in_step else EXIT_VMS)
+
+
+async def drain_vm(site: Site, name: str) -> Report:
+    """Begins the planned stop of one VM."""
+    async with VmClient() as client:
+        for vm in await find_vms(site):
+            if name in {vm.name, vm.operators}:
+                answer = await client.ask(vm, '/v1/drain', 'POST')
+                line = f'{vm.name} admits nothing new; stop it with SIGTERM'
+                return Report({'vm': vm.name, **answer}, [line])
+    raise VmUnreachableError(
+        f'{name} is on no list; see camphorlink-ctl status'
+    )
+
+
+async def explain_submission(site: Site, submission: str) -> Report:
+    """Joins the audit stream with what the VMs still hold."""
+    async with LogClient(site.log_url) as log_client, VmClient() as client:
+        stored = await _read_audit(log_client, submission)
+        path = f'/v1/explain/{submission}'
+        answers = await client.ask_all(await find_vms(site), path)
+    found = [answer.document for answer in answers if answer.document]
+    for told in found:
+        stored.extend(told.get('records', []))
+    explained = {
+        'records': _unique(stored),
+        'held': [held for held in found if held.get('known')],
+        'unreachable': [
+            answer.vm.name for answer in answers if not answer.document
+        ],
+    }
+    exit_code = EXIT_VMS if explained['unreachable'] else 0
+    return Report(explained, _explained_lines(explained), exit_code)
+
+
+def _explained_lines(explained: dict[str, list[Any]]) -> list[str]:
+    lines = [_record_line(record) for record in explained['records']]
+    for held in explained['held']:
+        outcome = held['outcome'] or 'still open'
+        lines.append(
+            f'held by {held["home"]}: {outcome}, version {held["version"]}',
+        )
+    if not lines:
+        lines.append('nothing is known; plain successes are not recorded')
+    lines.extend(f'no answer from {name}' for name in explained['unreachable'])
+    return lines
+
+
+def _unique(records: list[Any]) -> list[Any]:
+    """Drops the copies of a record: an append may have been repeated."""
+    by_identity = {
+        (record.get('home'), record.get('sequence')): record
+        for record in records
+    }
+    return sorted(by_identity.values(), key=_by_time)
+
+
+async def _read_audit(log_client: LogClient, submission: str) -> list[Any]:
+    found: list[Any] = []
+    page = await log_client.read(AUDIT_STREAM, 0)
+    while page.records:
+        found.extend(
+            stored.record
+            for stored in page.records
+            if isinstance(stored.record, dict)
+            and stored.record.get('submission_id') == submission
+        )
+        next_offset = page.records[-1].offset + 1
+        page = await log_client.read(AUDIT_STREAM, next_offset)
+    return found
+
+
+def _status_row(answer: VmAnswer) -> dict[str, Any]:
+    document = answer.document or {}
+    since_s = document.get('in_force_since')
+    age_s = None if since_s is None else round(time.time() - since_s, 1)
+    return {
+        'vm': answer.vm.name,
+        'reachable': answer.document is not None,
+        'version': document.get('version'),
+        'digest': document.get('digest'),
+        'next_offset': document.get('next_offset'),
+        'age_s': age_s,
+        'health': document.get('health'),
+        'log_away': document.get('log_away'),
+        'fault': answer.fault,
+    }
+
+
+def _status_line(row: dict[str, Any]) -> str:
+    if not row['reachable']:
+        return f'{row["vm"]}: no answer ({row["fault"]})'
+    log = ', log away' if row['log_away'] else ''
+    return (
+        f'{row["vm"]}: version {row["version"]} digest '
+        f'{row["digest"][:DIGEST_CHARS]} next offset {row["next_offset"]} '
+        f'in force for {row["age_s"]} s ({row["health"]}{log})'
+    )
+
+
+def _record_line(record: dict[str, Any]) -> str:
+    facts = {name: record[name] for name in record if name not in _COMMON_FACTS}
+    told = orjson.dumps(facts).decode()
+    return f'{record.get("home")} {record.get("kind")}: {told}'
+
+
+def _by_time(record: dict[str, Any]) -> tuple[int, str, int]:
+    return (
+        int(record.get('at_ms', 0)),
+        str(record.get('home')),
+        int(record.get('sequence', 0)),
+    )
--- /dev/null
+++ b/src/camphorlink/cli/ctl_publish.py
@@ -0,0 +1,176 @@
+"""Subcommands of ``camphorlink-ctl`` that read and write configuration."""
+
+from typing import Any
+
+from camphorlink.cli.ctl_report import (
+    DIGEST_CHARS,
+    EXIT_LOST,
+    ReadDocument,
+    Report,
+    Site,
+    open_publisher,
+    pretty,
+)
+from camphorlink.internal.core.version.acceptance import Verdict
+from camphorlink.internal.core.version.manifest import check_manifest
+from camphorlink.internal.core.version.merge_patch import (
+    apply_patch,
+    make_patch,
+)
+from camphorlink.internal.shell.version.publishing import (
+    History,
+    HistoryEntry,
+)
+
+
+async def check_document(site: Site, read: ReadDocument) -> Report:
+    """Checks a manifest without asking anybody."""
+    manifest = check_manifest(read())
+    document = {
+        'digest': manifest.digest,
+        'services': len(manifest.services_by_name),
+        'backends': len(manifest.backends_by_name),
+        'teams': len(manifest.teams_by_name),
+    }
+    return Report(document, [f'good: digest {manifest.digest}'])
+
+
+async def propose_document(
+    site: Site,
+    read: ReadDocument,
+    base: int | None,
+) -> Report:
+    """Proposes a manifest over a base version."""
+    document = read()
+    digest = check_manifest(document).digest
+    async with open_publisher(site) as publisher:
+        if base is None:
+            base = (await publisher.read_history()).state.version
+        history = await publisher.propose(base, document)
+    entry = _newest_of(history, site.author, digest)
+    if entry.verdict == Verdict.PROPOSED.value:
+        lines = [
+            f'proposed over version {base} at offset {entry.offset}',
+            f'next: camphorlink-ctl approve {digest}',
+        ]
+        return Report(entry._asdict(), lines)
+    return _lost(history, entry, base)
+
+
+async def approve_digest(site: Site, digest: str) -> Report:
+    """Approves a proposal by the digest that the board has seen."""
+    async with open_publisher(site) as publisher:
+        history = await publisher.read_history()
+        state = history.state
+        if state.manifest.digest == digest:
+            line = f'already in force as version {state.version}'
+            return Report({'version': state.version, 'digest': digest}, [line])
+        history = await publisher.approve(state.version, digest)
+    entry = _newest_of(history, site.author, digest)
+    if entry.verdict == Verdict.ACCEPTED.value:
+        line = f'accepted as version {entry.version} at offset {entry.offset}'
+        return Report(entry._asdict(), [line])
+    return _lost(history, entry, state.version)
+
+
+async def show_history(site: Site) -> Report:
+    """Lists the records of the configuration stream."""
+    async with open_publisher(site) as publisher:
+        history = await publisher.read_history()
+    lines = [_history_line(entry) for entry in history.entries]
+    document = {
+        'version': history.state.version,
+        'health': history.health,
+        'records': [entry._asdict() for entry in history.entries],
+    }
+    return Report(document, [*lines, f'the stream is {history.health}'])
+
+
+async def show_manifest(site: Site, version: int | None) -> Report:
+    """Prints a manifest as it was written."""
+    async with open_publisher(site) as publisher:
+        history = await publisher.read_history()
+    wanted = history.state.version if version is None else version
+    document = history.documents.get(wanted)
+    if document is None:
+        return Report(
+            {'error': 'unknown version'},
+            [f'version {wanted} is not in the stream any more'],
+            EXIT_LOST,
+        )
+    return Report(document, [pretty(document)])
+
+
+async def rebase_document(
+    site: Site,
+    read: ReadDocument,
+    base: int,
+) -> Report:
+    """Carries a file's changes over to the manifest in force."""
+    document = read()
+    async with open_publisher(site) as publisher:
+        history = await publisher.read_history()
+    old = history.documents.get(base)
+    if old is None:
+        line = f'version {base} is not in the stream any more'
+        return Report({'error': 'unknown version'}, [line], EXIT_LOST)
+    return _rebase(old, document, history.state.document)
+
+
+def _rebase(old: Any, ours: Any, current: Any) -> Report:
+    change = make_patch(old, ours)
+    clashes = _clashes(change, make_patch(old, current), '$')
+    if clashes:
+        lines = [f'{path}: changed by both' for path in clashes]
+        return Report({'clashes': clashes}, lines, EXIT_LOST)
+    rebased = apply_patch(current, change)
+    check_manifest(rebased)
+    return Report(rebased, [pretty(rebased)])
+
+
+def _newest_of(history: History, author: str, digest: str) -> HistoryEntry:
+    return next(
+        entry
+        for entry in reversed(history.entries)
+        if entry.author == author and entry.digest == digest
+    )
+
+
+def _lost(history: History, entry: HistoryEntry, base: int) -> Report:
+    winner = history.winner_over(base)
+    lines = [f'rejected: {entry.verdict} (offset {entry.offset})']
+    if winner is not None:
+        author = winner.author or 'unknown'
+        digest = winner.digest[:DIGEST_CHARS]
+        lines.append(
+            f'version {winner.version} won: digest {digest} by {author} '
+            f'at offset {winner.offset}',
+        )
+        lines.append(
+            f'next: camphorlink-ctl rebase FILE --base {base} > NEW, then '
+            'propose NEW',
+        )
+    document = {
+        'verdict': entry.verdict,
+        'offset': entry.offset,
+        'winner': winner._asdict() if winner else None,
+    }
+    return Report(document, lines, EXIT_LOST)
+
+
+def _history_line(entry: HistoryEntry) -> str:
+    return (
+        f'{entry.offset}: {entry.kind} over {entry.base_version} '
+        f'{entry.digest[:DIGEST_CHARS]} by {entry.author or "unknown"}: '
+        f'{entry.verdict}, version {entry.version}'
+    )
+
+
+def _clashes(ours: Any, theirs: Any, path: str) -> list[str]:
+    if not isinstance(ours, dict) or not isinstance(theirs, dict):
+        return [] if ours == theirs else [path]
+    return [
+        clash
+        for name in sorted(set(ours) & set(theirs))
+        for clash in _clashes(ours[name], theirs[name], f'{path}.{name}')
+    ]
--- /dev/null
+++ b/src/camphorlink/cli/ctl_report.py
@@ -0,0 +1,74 @@
+"""What the subcommands of ``camphorlink-ctl`` have in common."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from typing import Any, NamedTuple
+
+import orjson
+
+from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.process.vm_client import VmAddress
+from camphorlink.internal.shell.version.publishing import Publisher
+
+EXIT_DOCUMENT = 2
+EXIT_LOST = 3
+EXIT_PLATFORM = 4
+EXIT_UNCERTAIN = 5
+EXIT_VMS = 6
+DIGEST_CHARS = 12
+
+
+class Site(NamedTuple):
+    """What the command line says about the site.
+
+    Attributes:
+        log_url: Base URL of the platform.
+        vms: Operators' addresses to ask instead of the platform's list.
+        author: Name that goes into records.
+        as_json: Whether to print JSON.
+    """
+
+    log_url: str
+    vms: tuple[str, ...]
+    author: str
+    as_json: bool
+
+
+class Report(NamedTuple):
+    """What a subcommand found.
+
+    Attributes:
+        document: For ``--json``.
+        lines: For a person.
+        exit_code: Exit code of the command.
+    """
+
+    document: Any
+    lines: list[str]
+    exit_code: int = 0
+
+
+ReadDocument = Callable[[], Any]
+
+
+@contextlib.asynccontextmanager
+async def open_publisher(site: Site) -> AsyncIterator[Publisher]:
+    """Opens the configuration stream."""
+    async with LogClient(site.log_url) as log_client:
+        yield Publisher(log_client, site.author)
+
+
+async def find_vms(site: Site) -> list[VmAddress]:
+    """Lists the VMs to ask, by the command line or by the platform."""
+    if site.vms:
+        return [VmAddress(address, address) for address in site.vms]
+    async with LogClient(site.log_url) as log_client:
+        return [
+            VmAddress(f'{vm.zone}.{vm.vm}', vm.operators)
+            for vm in await log_client.list_vms()
+        ]
+
+
+def pretty(document: Any) -> str:
+    """Writes JSON for a person."""
+    return orjson.dumps(document, option=orjson.OPT_INDENT_2).decode()
--- a/src/camphorlink/errors.py
+++ b/src/camphorlink/errors.py
@@ -68,12 +68,24 @@
     """
 
 
-class PeerMessageError(CamphorlinkError):
-    """A frame from another entry VM is no message of a known kind."""
+class PublishUncertainError(CamphorlinkError):
+    """It can't be told whether a configuration record was appended.
+
+    It may still land.  Look at the history before you write another.
+    """
+
+    def __init__(self, nonce: str) -> None:
+        """Keep the nonce by which the record can be found."""
+        super().__init__(f'record {nonce} may or may not be in the stream')
+        self.nonce = nonce
 
 
-class LinkLostError(CamphorlinkError):
-    """An open link to another entry VM broke; what was queued is dropped."""
+class VmUnreachableError(CamphorlinkError):
+    """An entry VM did not answer its operators."""
+
+
+class PeerMessageError(CamphorlinkError):
+    """A frame from another entry VM is no message of a known kind."""
 
 
 class OutcomeError(CamphorlinkError):
--- a/src/camphorlink/internal/shell/connection/peer_links.py
+++ b/src/camphorlink/internal/shell/connection/peer_links.py
@@ -16,7 +16,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
-from camphorlink.errors import LinkLostError, PeerMessageError
+from camphorlink.errors import CamphorlinkError, PeerMessageError
 from camphorlink.internal.core.connection.peer_messages import (
     Hello,
     PeerMessage,
@@ -40,6 +40,10 @@
 OnMessage = Callable[[Home, PeerMessage], None]
 
 
+class LinkLostError(CamphorlinkError):
+    """An open link to another entry VM broke; what was queued is dropped."""
+
+
 class PeerLinks:
     """Receives from all peers, and sends to any address."""
 
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/vm_client.py
@@ -0,0 +1,84 @@
+"""Client of the operators' interface of entry VMs."""
+
+import asyncio
+from types import TracebackType
+from typing import Any, NamedTuple
+
+import aiohttp
+import orjson
+
+from camphorlink.errors import VmUnreachableError
+
+ANSWER_TIMEOUT_S = 5.0
+
+
+class VmAddress(NamedTuple):
+    """Where an entry VM answers its operators.
+
+    Attributes:
+        name: Zone and VM, or the address when no more is known.
+        operators: IP number and port.
+    """
+
+    name: str
+    operators: str
+
+
+class VmAnswer(NamedTuple):
+    """What one VM answered.
+
+    Attributes:
+        vm: The VM that was asked.
+        document: The decoded answer, or ``None``.
+        fault: Why there is none, or empty.
+    """
+
+    vm: VmAddress
+    document: Any
+    fault: str = ''
+
+
+class VmClient:
+    """Asks entry VMs, one or all at once."""
+
+    async def __aenter__(self) -> 'VmClient':
+        """Opens the pool of connections."""
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S),
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes all connections."""
+        await self._session.close()
+
+    async def ask(self, vm: VmAddress, path: str, method: str = 'GET') -> Any:
+        """Asks one VM.
+
+        Raises:
+            VmUnreachableError: It gave no usable answer.
+        """
+        url = f'http://{vm.operators}{path}'
+        try:
+            async with self._session.request(method, url) as response:
+                return orjson.loads(await response.read())
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
+            reason = f'{vm.name} at {vm.operators}: {exc!r}'
+            raise VmUnreachableError(reason) from exc
+
+    async def ask_all(self, vms: list[VmAddress], path: str) -> list[VmAnswer]:
+        """Asks all VMs at once; who gives no answer is part of the result."""
+        return list(
+            await asyncio.gather(*(self._try(vm, path) for vm in vms)),
+        )
+
+    async def _try(self, vm: VmAddress, path: str) -> VmAnswer:
+        try:
+            return VmAnswer(vm, await self.ask(vm, path))
+        except VmUnreachableError as exc:
+            return VmAnswer(vm, None, str(exc))
--- /dev/null
+++ b/src/camphorlink/internal/shell/version/publishing.py
@@ -0,0 +1,199 @@
+"""Proposes and approves manifests, and tells what became of each record.
+
+Nothing is decided here: records are appended, and the stream is read back
+for the verdict that every VM reaches.  That also resolves an append whose
+answer was lost, since each record carries a nonce of its own.
+"""
+
+import asyncio
+import contextlib
+import secrets
+from typing import Any, NamedTuple
+
+from camphorlink.errors import (
+    AppendUncertainError,
+    LogServiceError,
+    PublishUncertainError,
+)
+from camphorlink.internal.core.connection.log_records import Page, StoredRecord
+from camphorlink.internal.core.version.acceptance import (
+    ConfigState,
+    Verdict,
+    approval_record,
+    patch_record,
+    proposal_record,
+)
+from camphorlink.internal.core.version.config_fold import ConfigFold, Folded
+from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.version.config_tail import CONFIG_STREAM
+
+NONCE_BYTES = 12
+RESOLVE_TIMEOUT_S = 15.0
+RESOLVE_DELAY_S = 0.25
+
+
+class HistoryEntry(NamedTuple):
+    """One record of the configuration stream and what it came to.
+
+    Attributes:
+        offset: Its position in the stream.
+        at_ms: Time of its append, in ms since the epoch.
+        kind: What kind of record it is.
+        verdict: What every VM makes of it.
+        version: Version in force after it.
+        base_version: Version that it is based on, or ``None``.
+        digest: Digest of the manifest that it is about, or empty.
+        author: Who wrote it, or empty.
+        nonce: Random text of its writer, or empty.
+    """
+
+    offset: int
+    at_ms: int
+    kind: str
+    verdict: str
+    version: int
+    base_version: int | None
+    digest: str
+    author: str
+    nonce: str
+
+
+class History(NamedTuple):
+    """The configuration stream, read to its end.
+
+    Attributes:
+        state: What it amounts to.
+        health: How the state stands to the stream.
+        entries: Its records, oldest first.
+        documents: Manifests as written, by the version they are in force as.
+    """
+
+    state: ConfigState
+    health: str
+    entries: tuple[HistoryEntry, ...]
+    documents: dict[int, Any]
+
+    def find(self, nonce: str) -> HistoryEntry | None:
+        """Returns the record with a nonce."""
+        for entry in self.entries:
+            if entry.nonce == nonce:
+                return entry
+        return None
+
+    def winner_over(self, base_version: int) -> HistoryEntry | None:
+        """Returns the acceptance that ended a base version."""
+        for entry in self.entries:
+            is_accepted = entry.verdict == Verdict.ACCEPTED.value
+            if is_accepted and entry.base_version == base_version:
+                return entry
+        return None
+
+
+class Publisher:
+    """An operator's hand on the configuration stream."""
+
+    def __init__(self, log_client: LogClient, author: str) -> None:
+        """Takes the name that goes into each record."""
+        self._log_client = log_client
+        self._author = author
+
+    async def read_history(self) -> History:
+        """Reads the stream to its end.
+
+        Raises:
+            LogServiceError: The log service gave no usable answer.
+        """
+        fold = ConfigFold()
+        reader = _HistoryReader(fold)
+        start, end = -1, -1
+        while fold.read_from not in {start, end}:
+            start = fold.read_from
+            page = await self._log_client.read(CONFIG_STREAM, start)
+            reader.take(page)
+            end = page.next_offset
+        return reader.history()
+
+    async def propose(self, base_version: int, document: Any) -> History:
+        """Appends a proposal and reads the stream back.
+
+        Raises:
+            ManifestError: The document does not pass its check.
+            LogServiceError: Nothing was appended.
+            PublishUncertainError: It can't be told what was appended.
+        """
+        history = await self.read_history()
+        if history.state.version == base_version and base_version > 0:
+            record = patch_record(history.state, document)
+        else:
+            record = proposal_record(base_version, document)
+        return await self._append(record)
+
+    async def approve(self, base_version: int, digest: str) -> History:
+        """Appends an approval and reads the stream back.
+
+        Raises:
+            LogServiceError: Nothing was appended.
+            PublishUncertainError: It can't be told what was appended.
+        """
+        return await self._append(approval_record(base_version, digest))
+
+    async def _append(self, record: dict[str, Any]) -> History:
+        nonce = secrets.token_hex(NONCE_BYTES)
+        record = {**record, 'author': self._author, 'nonce': nonce}
+        with contextlib.suppress(AppendUncertainError):
+            await self._log_client.append(CONFIG_STREAM, [record])
+        return await self._resolve(nonce)
+
+    async def _resolve(self, nonce: str) -> History:
+        """Reads until the record shows; it may land late, or never."""
+        loop = asyncio.get_running_loop()
+        give_up_s = loop.time() + RESOLVE_TIMEOUT_S
+        while loop.time() < give_up_s:
+            with contextlib.suppress(LogServiceError):
+                history = await self.read_history()
+                if history.find(nonce) is not None:
+                    return history
+            await asyncio.sleep(RESOLVE_DELAY_S)
+        raise PublishUncertainError(nonce)
+
+
+class _HistoryReader:
+    """Folds pages and keeps what each record said."""
+
+    def __init__(self, fold: ConfigFold) -> None:
+        self._fold = fold
+        self._entries: dict[int, HistoryEntry] = {}
+        self._documents: dict[int, Any] = {}
+
+    def take(self, page: Page) -> None:
+        stored_by_offset = {entry.offset: entry for entry in page.records}
+        for folded in self._fold.take_page(page):
+            stored = stored_by_offset[folded.offset]
+            self._entries[folded.offset] = _describe(stored, folded)
+        state = self._fold.state
+        self._documents[state.version] = state.document
+
+    def history(self) -> History:
+        entries = (self._entries[offset] for offset in sorted(self._entries))
+        return History(
+            self._fold.state,
+            self._fold.health.value,
+            tuple(entries),
+            self._documents,
+        )
+
+
+def _describe(stored: StoredRecord, folded: Folded) -> HistoryEntry:
+    record = stored.record if isinstance(stored.record, dict) else {}
+    base = record.get('base_version')
+    return HistoryEntry(
+        offset=stored.offset,
+        at_ms=stored.appended_ms,
+        kind=str(record.get('kind', 'unreadable')),
+        verdict=folded.verdict,
+        version=folded.version,
+        base_version=base if isinstance(base, int) else None,
+        digest=str(record.get('digest', '')),
+        author=str(record.get('author', '')),
+        nonce=str(record.get('nonce', '')),
+    )
--- /dev/null
+++ b/tests/nocover/test_ctl.py
@@ -0,0 +1,166 @@
+"""The operators' command against a whole site on loopback."""
+
+import asyncio
+import json
+
+import pytest
+from click.testing import CliRunner
+from test_member_view import await_that
+from test_whole_path import job_of, urls_of
+
+from camphorlink import NotRunError
+from camphorlink.cli.ctl import main
+from camphorlink.client import Client
+from camphorlink.standin.local_site import LocalSite, SiteShape
+from camphorlink.standin.log_service import Faults
+
+
+class Operator:
+    """Runs commands in a thread, since each has a loop of its own."""
+
+    def __init__(self, site, author='ana'):
+        self._options = [
+            *('--log-service', site.log_url),
+            *('--author', author),
+            '--json',
+        ]
+
+    async def run(self, *arguments):
+        outcome = await asyncio.to_thread(
+            CliRunner().invoke,
+            main,
+            [*self._options, *map(str, arguments)],
+        )
+        if outcome.exception and not isinstance(outcome.exception, SystemExit):
+            raise outcome.exception
+        return outcome.exit_code, json.loads(outcome.output)
+
+
+def write(path, document):
+    path.write_text(json.dumps(document))
+    return path
+
+
+def with_team(document, name):
+    return {**document, 'teams': {**document['teams'], name: {}}}
+
+
+def test_a_manifest_goes_from_file_to_all_vms(tmp_path):
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            ana = Operator(site)
+            document = with_team(site.manifest_document(), 'drones')
+            path = write(tmp_path / 'm.json', document)
+            code, proposed = await ana.run('propose', path)
+            assert (code, proposed['verdict']) == (0, 'proposed')
+            code, accepted = await ana.run('approve', proposed['digest'])
+            assert (code, accepted['version']) == (0, 2)
+            await await_that(
+                lambda: all(vm.host.core.version == 2 for vm in site.daemons),
+            )
+            code, shown = await ana.run('status')
+            assert (code, shown['in_step'], len(shown['vms'])) == (0, True, 2)
+            code, again = await ana.run('approve', proposed['digest'])
+            assert (code, again['version']) == (0, 2)
+            assert (await ana.run('show'))[1] == document
+
+    asyncio.run(scenario())
+
+
+def test_the_loser_of_a_race_learns_who_won_and_rebases(tmp_path):
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            ana, bea = Operator(site, 'ana'), Operator(site, 'bea')
+            base = site.manifest_document()
+            first = write(tmp_path / 'a.json', with_team(base, 'drones'))
+            second = write(tmp_path / 'b.json', with_team(base, 'boats'))
+            _code, proposed = await ana.run('propose', first)
+            await bea.run('propose', second)
+            await ana.run('approve', proposed['digest'])
+            code, lost = await bea.run('propose', second, '--base', 1)
+            assert (code, lost['verdict']) == (3, 'stale-base')
+            assert lost['winner']['version'] == 2
+            code, rebased = await bea.run('rebase', second, '--base', 1)
+            assert set(rebased['teams']) == {'surveyors', 'drones', 'boats'}
+            third = write(tmp_path / 'c.json', rebased)
+            _code, proposed = await bea.run('propose', third)
+            code, accepted = await bea.run('approve', proposed['digest'])
+            assert (code, accepted['version']) == (0, 3)
+            _code, history = await ana.run('history')
+            assert [
+                (entry['kind'], entry['verdict'])
+                for entry in history['records'][-3:]
+            ] == [
+                ('patched', 'stale-base'),
+                ('patched', 'proposed'),
+                ('approved', 'accepted'),
+            ] or history['records'][-3]['kind'] == 'proposed'
+
+    asyncio.run(scenario())
+
+
+def test_lost_append_answers_are_resolved_by_reading(tmp_path):
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            site.log_service.faults = Faults(lose_answers=True)
+            ana = Operator(site)
+            document = with_team(site.manifest_document(), 'drones')
+            path = write(tmp_path / 'm.json', document)
+            code, proposed = await ana.run('propose', path)
+            assert (code, proposed['verdict']) == (0, 'proposed')
+            code, accepted = await ana.run('approve', proposed['digest'])
+            assert (code, accepted['verdict']) == (0, 'accepted')
+            _code, history = await ana.run('history')
+            assert len(history['records']) == 4
+
+    asyncio.run(scenario())
+
+
+def test_faults_are_shown_with_path_and_value(tmp_path):
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            document = site.manifest_document()
+            name = next(iter(document['backends']))
+            document['backends'][name]['slots'] = -4
+            document['teams']['x'] = {'priority': 'high'}
+            path = write(tmp_path / 'm.json', document)
+            code, failed = await Operator(site).run('check', path)
+            assert code == 2
+            assert {
+                (fault['path'], fault['found']) for fault in failed['faults']
+            } == {
+                (f'$.backends.{name}.slots', '-4'),
+                ('$.teams.x.priority', "'high'"),
+            }
+
+    asyncio.run(scenario())
+
+
+def test_an_absent_platform_has_an_exit_code_of_its_own(tmp_path):
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            site.log_service.faults = Faults(down=True)
+            assert (await Operator(site).run('status'))[0] == 4
+
+    asyncio.run(scenario())
+
+
+def test_explain_joins_the_audit_with_what_vms_hold():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site, Client(urls_of(site)) as cli:
+            named = await cli._issue_id()
+            with pytest.raises(NotRunError):
+                await cli.submit_named(named, job_of(1, service='nobody'))
+            ana = Operator(site)
+            code, explained = await ana.run('explain', named)
+            assert code == 0
+            reasons = [entry['reason'] for entry in explained['records']]
+            assert reasons == ['unknown-service']
+            await await_that(
+                lambda: site.log_service._records_by_stream['audit'],
+            )
+            code, explained = await ana.run('explain', named)
+            reasons = [entry['reason'] for entry in explained['records']]
+            assert reasons == ['unknown-service']
+
+    asyncio.run(scenario())
