--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PATHS = src tests examples
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: venv run test lint format
+.PHONY: venv run measure test lint format
 
 venv: .venv/ready
 
@@ -19,6 +19,10 @@
 run: $(VENV)
 	$(PYTHON) -m camphorlink.cli.dev
 
+# Response time, starts a second and memory, against the stated targets.
+measure: $(VENV)
+	$(PYTHON) -m camphorlink.bench.load
+
 test: $(VENV)
 	$(PYTHON) -m pytest
 
@@ -43,3 +47,16 @@
 .PHONY: capacity
 capacity: $(VENV)
 	$(PYTHON) -m camphorlink.bench.capacity
+
+# Every state of the small specifications, and their mutations.
+.PHONY: check-model check-model-large
+check-model: $(VENV)
+	$(PYTHON) -m camphorlink.spec.programs check
+
+check-model-large: $(VENV)
+	$(PYTHON) -m camphorlink.spec.programs check --large
+
+# Writes the counterexamples of all mutations anew.
+.PHONY: counterexamples
+counterexamples: $(VENV)
+	$(PYTHON) -m camphorlink.spec.programs write docs/design/proof.md
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from functools import singledispatchmethod
 
+from camphorlink.internal.core.connection.slot_messages import SlotMessage
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberView
 from camphorlink.internal.core.process.submissions import (
@@ -24,10 +25,15 @@
 from camphorlink.internal.core.request.identifiers import (
     Home,
 )
-from camphorlink.internal.core.request.job import Answer, Job, not_run
+from camphorlink.internal.core.request.job import Answer, Fate, Job, not_run
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
-from camphorlink.internal.core.request.scheduler import Scheduler, WaitingTask
+from camphorlink.internal.core.request.scheduler import (
+    DEFAULT_POLICY,
+    PlacementPolicy,
+    Scheduler,
+    Try,
+)
 from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
 
 MAX_ATTEMPTS = 5
@@ -43,6 +49,7 @@
         max_entries: int,
         answer_bytes: int = DEFAULT_ANSWER_BYTES,
         claim_appends_per_s: float = DEFAULT_APPENDS_PER_S,
+        policy: PlacementPolicy = DEFAULT_POLICY,
     ) -> None:
         """Starts without a manifest.
 
@@ -54,6 +61,7 @@
             answer_bytes: Memory of the answers that are held, in bytes.
             claim_appends_per_s: Appends that this process may make for
                 callers' keys.
+            policy: How tasks are placed.
         """
         self.home = home
         self.timers = Timers()
@@ -74,7 +82,7 @@
         self.manifest: Manifest = EMPTY_MANIFEST
         self.is_draining = False
         self._wall_offset_s = wall_offset_s
-        self._scheduler = Scheduler(home.zone)
+        self._scheduler = Scheduler(home, self.timers, policy)
         self._desk = self._submissions.desk
         self._now = 0.0
 
@@ -112,6 +120,13 @@
         """Whether a sealed core has nothing left to hand over."""
         return self._submissions.handovers.is_done
 
+    @property
+    def queued_tasks(self) -> int:
+        """Tasks of open submissions that are not started."""
+        return sum(
+            run.fates.count(Fate.NOT_STARTED) for run in self.table.open_runs()
+        )
+
     @singledispatchmethod
     def _apply(self, message: messages.Message) -> None:
         self._submissions.handle(message, self._now)
@@ -119,7 +134,7 @@
     @_apply.register
     def _finished(self, message: messages.TaskFinished) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
+        run, _ended = self._end(message)
         if run is not None:
             answer = run.finish_task(ticket.position, message.task_result)
             self._desk.deliver(run, answer)
@@ -127,7 +142,7 @@
     @_apply.register
     def _failed(self, message: messages.TaskFailed) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
+        run, _ended = self._end(message)
         if run is not None:
             answer = run.fail_task(ticket.position, message.detail)
             self._desk.deliver(run, answer)
@@ -135,8 +150,8 @@
     @_apply.register
     def _not_started(self, message: messages.TaskNotStarted) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
-        if run is None:
+        run, ended = self._end(message)
+        if run is None or ended is None:
             return
         run.mark_not_started(ticket.position)
         if not run.is_open:
@@ -145,14 +160,12 @@
             self._desk.deliver(run, run.close(message.reason))
             return
         self._desk.count_retry(message.reason)
-        self._scheduler.queue_task(
-            WaitingTask(run, ticket.position, ticket.attempt + 1),
-        )
+        self._scheduler.retry_task(ended)
 
     @_apply.register
     def _lost(self, message: messages.TaskLost) -> None:
         ticket = message.ticket
-        run = self._end(ticket)
+        run, _ended = self._end(message)
         if run is not None:
             answer = run.lose_task(ticket.position, message.reason.value)
             self._desk.deliver(run, answer)
@@ -165,6 +178,18 @@
         self.manifest = message.manifest
         self._scheduler.install(message.manifest)
 
+    @_apply.register
+    def _members_changed(self, message: messages.MembersChanged) -> None:
+        self._submissions.handle(message, self._now)
+        self._scheduler.change_view(message.view, self._now)
+
+    @_apply.register
+    def _peer_said(self, message: messages.PeerSaid) -> None:
+        if isinstance(message.message, SlotMessage):
+            self._scheduler.hear_peer(message.peer, message.message, self._now)
+        else:
+            self._submissions.handle(message, self._now)
+
     @_apply.register
     def _drain(self, message: messages.Drain) -> None:
         self.is_draining = True
@@ -181,7 +206,7 @@
             return
         run = table.open_run(message.submission_id, message.job, self.version)
         self._desk.wait(run, message.caller)
-        self._scheduler.queue_job(run)
+        self._scheduler.queue_job(run, self._now)
 
     def _refuse_job(self, job: Job) -> Answer | None:
         if self.is_draining:
@@ -190,9 +215,13 @@
             return not_run(Reason.TABLE_FULL, retry_after_s=FULL_RETRY_S)
         return refuse_job(job, self.manifest, self._now)
 
-    def _end(self, ticket: messages.Ticket) -> JobRun | None:
-        self._scheduler.end_task(ticket, self._now)
+    def _end(
+        self,
+        message: messages.TaskEnd,
+    ) -> tuple[JobRun | None, Try | None]:
+        ended = self._scheduler.note_end(message, self._now)
+        ticket = message.ticket
         run = self.tables.find_run(ticket.submission_id)
         if run is None or not run.awaits(ticket.position, ticket.attempt):
-            return None
-        return run
+            return None, ended
+        return run, ended
--- a/src/camphorlink/internal/core/process/messages.py
+++ b/src/camphorlink/internal/core/process/messages.py
@@ -199,6 +199,7 @@
 
 
 ClaimEvent = ClaimsAppended | ClaimsNotAppended | ClaimsRead | ClaimsNotRead
+TaskEnd = TaskFinished | TaskFailed | TaskNotStarted | TaskLost
 
 Message = (
     Submit
--- a/src/camphorlink/internal/core/request/table_taker.py
+++ b/src/camphorlink/internal/core/request/table_taker.py
@@ -50,11 +50,23 @@
         self._on_owned = on_owned
         self._parts: dict[tuple[str, int], dict[int, TableChunk]] = {}
         self._owned: set[tuple[str, int]] = set()
+        self._refused: set[tuple[str, int]] = set()
 
     def hear(self, peer: Home, chunk: TableChunk, now: float) -> None:
-        """Takes one part, or refuses it, which goes for the whole table."""
+        """Takes one part, or refuses it, which goes for the whole table.
+
+        A refusal is final: on hearing it, its owner names another successor,
+        so a copy of a part that comes later must not be taken any more.
+        """
+        if chunk.successor != str(self._post.home):
+            return
         key = (chunk.table, chunk.generation)
-        is_taken = key in self._owned or self._take(chunk, now)
+        is_barred = key in self._refused
+        is_taken = key in self._owned or (
+            not is_barred and self._take(chunk, now)
+        )
+        if not is_taken:
+            self._refused.add(key)
         reply = ChunkReply(
             chunk.table,
             chunk.generation,
@@ -75,7 +87,7 @@
             self._parts[key] = {}
             self._timers.call_at(
                 now + PARTIAL_S,
-                lambda _now: self._parts.pop(key, None),
+                lambda _now: self._drop(key),
             )
         parts = self._parts[key]
         parts[chunk.number] = chunk
@@ -83,6 +95,9 @@
             self._own(home, key, now)
         return True
 
+    def _drop(self, key: tuple[str, int]) -> None:
+        self._parts.pop(key, None)
+
     def _own(self, home: Home, key: tuple[str, int], now: float) -> None:
         parts = self._parts.pop(key)
         table = read_chunks(parts.values(), self._tables.limits)
--- a/src/camphorlink/internal/shell/connection/claim_log.py
+++ b/src/camphorlink/internal/shell/connection/claim_log.py
@@ -13,11 +13,19 @@
         """Takes the client of the log service."""
         self._log_client = log_client
 
-    async def append(
+    async def carry_out(
+        self,
+        effect: messages.AppendClaims | messages.ReadClaims,
+    ) -> messages.ClaimEvent:
+        """Makes one append or one read and reports what is known."""
+        if isinstance(effect, messages.ReadClaims):
+            return await self._read(effect)
+        return await self._append(effect)
+
+    async def _append(
         self,
         effect: messages.AppendClaims,
     ) -> messages.ClaimsAppended | messages.ClaimsNotAppended:
-        """Appends claims next to each other and reports what is known."""
         stream = effect.stream
         try:
             first_offset = await self._log_client.append(
@@ -30,11 +38,10 @@
             return messages.ClaimsNotAppended(stream, is_uncertain=False)
         return messages.ClaimsAppended(stream, effect.batch, first_offset)
 
-    async def read(
+    async def _read(
         self,
         effect: messages.ReadClaims,
     ) -> messages.ClaimsRead | messages.ClaimsNotRead:
-        """Reads one page of a stream, without waiting for new records."""
         try:
             page = await self._log_client.read(
                 effect.stream,
--- a/src/camphorlink/internal/shell/process/core_host.py
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -12,10 +12,12 @@
 from camphorlink.internal.core.request.claim_records import CallerKey
 from camphorlink.internal.core.request.identifiers import SubmissionId
 from camphorlink.internal.core.request.job import Answer, Job
+from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.shell.connection.backend_client import BackendClient
 from camphorlink.internal.shell.connection.claim_log import ClaimLog
 from camphorlink.internal.shell.connection.log_client import LogClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
+from camphorlink.internal.shell.process.audit import Audit
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.metrics import Metrics
 
@@ -33,6 +35,7 @@
         """Binds the core to the running loop."""
         self.core = core
         self.links: PeerLinks | None = None
+        self.audit: Audit | None = None
         self._decisions = PartLog('decisions', core.home.vm)
         self._loop = asyncio.get_running_loop()
         self._backend_client = backend_client
@@ -44,6 +47,7 @@
         ] = {}
         self._sends: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
+        _add_gauges(self, metrics)
 
     def __enter__(self) -> 'CoreHost':
         """Takes ownership of the sends that will be in flight."""
@@ -117,7 +121,11 @@
             return await delivery
         finally:
             self._stop_waiting(str(submission_id), caller)
-            self._metrics.response_s.observe({}, self._loop.time() - started_s)
+            self._metrics.note_response(self._loop.time() - started_s)
+
+    def count_refusal(self, reason: Reason) -> None:
+        """Counts a request that is refused before it reaches the core."""
+        self._metrics.count_refusal(reason)
 
     def _stop_waiting(self, submission_id: str, caller: int) -> None:
         delivery = self._delivery_by_caller.pop(caller)
@@ -130,12 +138,14 @@
 
     @_carry_out.register
     def _start_task(self, effect: messages.StartTask) -> None:
-        self._metrics.starts.inc({'service': effect.service})
+        self._metrics.count_start(effect.service)
         self._keep(self._post_later(self._backend_client.run_task(effect)))
 
     @_carry_out.register
     def _deliver(self, effect: messages.Deliver) -> None:
-        self._metrics.answers.inc({'outcome': effect.answer.outcome.value})
+        self._metrics.count_answer(effect.answer.outcome)
+        if self.audit is not None:
+            self.audit.note_answer(effect)
         waiter = self._delivery_by_caller.get(effect.caller)
         if waiter is not None and not waiter.done():
             waiter.set_result(effect)
@@ -150,12 +160,11 @@
             self.links.send(effect.address, effect.message)
 
     @_carry_out.register
-    def _append_claims(self, effect: messages.AppendClaims) -> None:
-        self._keep(self._post_later(self._claim_log.append(effect)))
-
-    @_carry_out.register
-    def _read_claims(self, effect: messages.ReadClaims) -> None:
-        self._keep(self._post_later(self._claim_log.read(effect)))
+    def _use_log(
+        self,
+        effect: messages.AppendClaims | messages.ReadClaims,
+    ) -> None:
+        self._keep(self._post_later(self._claim_log.carry_out(effect)))
 
     @_carry_out.register
     def _explain(self, effect: messages.Explain) -> None:
@@ -163,6 +172,8 @@
             effect.event,
             extra={'submission_id': effect.submission_id, **effect.facts},
         )
+        if self.audit is not None:
+            self.audit.note_decision(effect)
 
     def _keep(self, work: Coroutine[Any, Any, None]) -> None:
         task = self._loop.create_task(work)
@@ -188,3 +199,27 @@
     def _tick(self) -> None:
         self._wake = None
         self.post(messages.Tick())
+
+
+def _add_gauges(host: CoreHost, metrics: Metrics) -> None:
+    add_gauge = metrics.add_gauge
+    add_gauge(
+        'tasks_in_flight',
+        'Tasks sent that have not ended.',
+        lambda: len(host._sends),
+    )
+    add_gauge(
+        'tasks_queued',
+        'Tasks admitted that wait for a slot.',
+        lambda: host.core.queued_tasks,
+    )
+    add_gauge(
+        'callers_waiting',
+        'Requests that wait for the answer to their submission.',
+        lambda: len(host._delivery_by_caller),
+    )
+    add_gauge(
+        'version_in_force',
+        'Version of the configuration in force, 0 before the first.',
+        lambda: host.core.version,
+    )
--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -8,29 +8,23 @@
 
 from aiohttp import web
 
-from camphorlink.internal.core.connection.peer_messages import (
-    MEMBERSHIP_KINDS,
-    PeerMessage,
-)
-from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.connection.peer_messages import PeerMessage
 from camphorlink.internal.core.process.entry_core import EntryCore
-from camphorlink.internal.core.process.members import MemberState
 from camphorlink.internal.core.request.identifiers import Home, new_home
-from camphorlink.internal.core.version.acceptance import ConfigState
 from camphorlink.internal.shell.connection.backend_client import BackendClient
 from camphorlink.internal.shell.connection.log_client import LogClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
+from camphorlink.internal.shell.process.control import Control
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.leaving import hand_over_tables
 from camphorlink.internal.shell.process.logs import PartLog
-from camphorlink.internal.shell.process.member_watch import MemberWatch
 from camphorlink.internal.shell.process.metrics import Metrics
 from camphorlink.internal.shell.process.operators_api import OperatorsApi
+from camphorlink.internal.shell.process.planned_stop import PlannedStop
 from camphorlink.internal.shell.process.settings import EntrySettings, Listen
 from camphorlink.internal.shell.request.callers_api import CallersApi
-from camphorlink.internal.shell.version.config_tail import ConfigTail
 
-DRAIN_POLL_S = 0.05
+ANY_ADDRESS = '0.0.0.0'
 
 
 class EntryDaemon:
@@ -62,12 +56,6 @@
                 metrics,
             ),
         )
-        tail = ConfigTail(
-            log_client,
-            self._install,
-            PartLog('config', settings.vm),
-        )
-        self._stack.enter_context(_BackgroundTask(tail.run()))
         self.host.links = await self._stack.enter_async_context(
             PeerLinks(
                 self.host.core.home,
@@ -77,10 +65,22 @@
             ),
         )
         self.peers_port = self.host.links.port
-        self.members = self._stack.enter_context(
-            MemberWatch(self.host, log_client, rng),
+        self.control = await self._stack.enter_async_context(
+            Control(self.host, log_client, settings, rng),
+        )
+        self.members = self.control.members
+        self.planned_stop = PlannedStop(
+            self.host,
+            self.members,
+            settings.notice_s,
+            settings.drain_s,
+        )
+        operators = OperatorsApi(
+            self.host,
+            metrics,
+            self.control,
+            self.planned_stop,
         )
-        operators = OperatorsApi(self.host, metrics, tail)
         self.operators_port = await self._serve(
             operators.build_app(),
             settings.operators,
@@ -90,6 +90,8 @@
             callers.build_app(),
             settings.callers,
         )
+        if settings.callers.ip != ANY_ADDRESS:
+            callers.address = f'{settings.callers.ip}:{self.callers_port}'
         self._log.info('started', extra={'home': str(self.host.core.home)})
         return self
 
@@ -106,13 +108,8 @@
         self._log.info('stopped')
 
     async def drain(self) -> None:
-        """Admits nothing new and waits for the answers that are due."""
-        self.members.set_state(MemberState.LEAVING)
-        self.host.post(messages.Drain())
-        loop = asyncio.get_running_loop()
-        give_up_s = loop.time() + self.settings.drain_s
-        while not self.host.core.is_idle and loop.time() < give_up_s:
-            await asyncio.sleep(DRAIN_POLL_S)
+        """Takes the VM out of service and waits for the answers due."""
+        await self.planned_stop.finish()
 
     def _build_core(self, rng: random.Random) -> EntryCore:
         settings = self.settings
@@ -123,14 +120,8 @@
             max_entries=settings.max_remembered,
         )
 
-    def _install(self, state: ConfigState) -> None:
-        self.host.post(messages.VersionInForce(state.version, state.manifest))
-
     def _hear_peer(self, peer: Home, message: PeerMessage) -> None:
-        if isinstance(message, MEMBERSHIP_KINDS):
-            self.members.hear(peer, message)
-        else:
-            self.host.post(messages.PeerSaid(peer, message))
+        self.control.hear(peer, message)
 
     async def _serve(self, app: web.Application, listen: Listen) -> int:
         runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
@@ -139,17 +130,3 @@
         site = web.TCPSite(runner, listen.ip, listen.port)
         await site.start()
         return int(runner.addresses[0][1])
-
-
-class _BackgroundTask:
-    """Runs a coroutine for as long as the context is open."""
-
-    def __init__(self, coroutine) -> None:  # type: ignore[no-untyped-def]
-        self._coroutine = coroutine
-
-    def __enter__(self) -> asyncio.Task[None]:
-        self._task = asyncio.get_running_loop().create_task(self._coroutine)
-        return self._task
-
-    def __exit__(self, *exc_info: object) -> None:
-        self._task.cancel()
--- a/src/camphorlink/internal/shell/request/callers_api.py
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from camphorlink.errors import Fault, IdentifierError, JobError
+from camphorlink.errors import IdentifierError, JobError
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.request.claim_records import CallerKey
 from camphorlink.internal.core.request.identifiers import (
@@ -14,9 +14,10 @@
     mint_submission_id,
     parse_submission_id,
 )
-from camphorlink.internal.core.request.job import Job, not_run
+from camphorlink.internal.core.request.job import Job, not_run, unknown
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.shell.process.core_host import CoreHost
+from camphorlink.internal.shell.request.error_answers import build_middleware
 from camphorlink.internal.shell.request.job_documents import read_job
 from camphorlink.internal.shell.request.responses import (
     ID_HEADER,
@@ -31,6 +32,7 @@
 MAX_MS_DIGITS = 14
 #: Header that tells when a caller's key was first used, in epoch ms.
 KEY_ISSUED_HEADER = 'Key-Issued-Ms'
+JSON_TYPE = 'application/json'
 
 
 class CallersApi:
@@ -40,10 +42,15 @@
         """Serves submissions with one core."""
         self._host = host
         self._rng = rng
+        #: IP number and port that this interface is reached at, if known.
+        self.address: str | None = None
 
     def build_app(self) -> web.Application:
         """Returns the application with all routes of the interface."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES,
+            middlewares=[build_middleware(self._host.count_refusal)],
+        )
         app.add_routes(
             [
                 web.post('/v1/submission-ids', self.issue_id),
@@ -60,7 +67,10 @@
         """Issues an identifier whose home is this VM."""
         submission_id = self._mint()
         return json_response(
-            {'submission_id': str(submission_id)},
+            {
+                'submission_id': str(submission_id),
+                'home_address': self.address,
+            },
             HTTPStatus.CREATED,
         )
 
@@ -73,6 +83,7 @@
         try:
             submission_id = parse_submission_id(request.match_info['id'])
         except IdentifierError as exc:
+            self._host.count_refusal(Reason.BAD_IDENTIFIER)
             return problem_response(not_run(Reason.BAD_IDENTIFIER, str(exc)))
         return await self._run(request, submission_id)
 
@@ -86,7 +97,7 @@
         try:
             job = await self._read_job(request)
         except JobError as exc:
-            return faults_response(Reason.BAD_JOB, exc.faults)
+            return self._refuse_faults(exc, {})
         if job.service != service:
             detail = f'the key is of {service!r}, the job of {job.service!r}'
             return problem_response(not_run(Reason.BAD_JOB, detail))
@@ -102,7 +113,10 @@
         """Tells what is known of a submission, without waiting."""
         run = self._host.core.tables.find_run(request.match_info['id'])
         if run is None:
-            return json_response({'known': False}, HTTPStatus.NOT_FOUND)
+            return problem_response(
+                unknown(Reason.UNKNOWN_SUBMISSION),
+                more={'known': False},
+            )
         return json_response(
             {
                 'known': True,
@@ -140,17 +154,22 @@
         try:
             job = await self._read_job(request)
         except JobError as exc:
-            return faults_response(Reason.BAD_JOB, exc.faults, headers)
+            return self._refuse_faults(exc, headers)
         return answer_response(key, await self._host.submit(submission_id, job))
 
+    def _refuse_faults(
+        self,
+        exc: JobError,
+        headers: dict[str, str],
+    ) -> web.Response:
+        reason = Reason(exc.reason)
+        self._host.count_refusal(reason)
+        return faults_response(reason, exc.faults, headers)
+
     async def _read_job(self, request: web.Request) -> Job:
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge as exc:
-            fault = Fault(
-                '$', 'a larger one', f'at most {MAX_BODY_BYTES} bytes'
-            )
-            raise JobError([fault]) from exc
+        if request.headers.get('Content-Type', JSON_TYPE) != JSON_TYPE:
+            _check_content_type(request)
+        body = await request.read()
         return read_job(body, asyncio.get_running_loop().time())
 
 
@@ -163,3 +182,8 @@
             'used, in ms since the epoch'
         )
     return ''
+
+
+def _check_content_type(request: web.Request) -> None:
+    if request.content_type != JSON_TYPE:
+        raise web.HTTPUnsupportedMediaType(reason=f'send {JSON_TYPE}')
