Backend client: no redirects, proof by the first byte, lookups

Cause: aiohttp follows a redirect of a POST, which sends the task a second time; a task identifier with a line break made a send that never reported; a result that is no JSON counted as a lost connection. Conclusion: at most one send for each try.

--- a/src/camphorlink/internal/core/process/messages.py
+++ b/src/camphorlink/internal/core/process/messages.py
@@ -233,6 +233,7 @@
         task_id: The caller's name for the task.
         payload: What the task works on.
         timeout_s: Seconds after which the try counts as lost.
+        can_look_up: Whether the backend server tells what became of a task.
     """
 
     ticket: Ticket
@@ -241,6 +242,7 @@
     task_id: str
     payload: Payload
     timeout_s: float
+    can_look_up: bool = False
 
 
 class Deliver(NamedTuple):
--- a/src/camphorlink/internal/core/request/scheduler.py
+++ b/src/camphorlink/internal/core/request/scheduler.py
@@ -234,6 +234,7 @@
             task_id=spec.task_id,
             payload=spec.payload,
             timeout_s=service.max_task_ms / MS_PER_S,
+            can_look_up=service.task_lookup,
         )
 
     def _ideal_s(self, job: QueuedJob) -> float:
--- a/src/camphorlink/internal/core/version/manifest.py
+++ b/src/camphorlink/internal/core/version/manifest.py
@@ -37,6 +37,7 @@
     max_task_ms: NotRequired[_Count]
     max_queued: NotRequired[_Count]
     idempotent: NotRequired[bool]
+    task_lookup: NotRequired[bool]
 
 
 class BackendDocument(TypedDict):
@@ -78,12 +79,14 @@
         max_task_ms: Longest time that one task may take, in ms.
         max_queued: Tasks that may wait at one entry VM.
         idempotent: Whether its tasks may run more than once.
+        task_lookup: Whether its backend servers tell what became of a task.
     """
 
     name: str
     max_task_ms: int
     max_queued: int
     idempotent: bool
+    task_lookup: bool = False
 
 
 class Backend(NamedTuple):
@@ -210,6 +213,7 @@
         max_task_ms=entry.get('max_task_ms', DEFAULT_MAX_TASK_MS),
         max_queued=entry.get('max_queued', DEFAULT_MAX_QUEUED),
         idempotent=entry.get('idempotent', False),
+        task_lookup=entry.get('task_lookup', False),
     )
 
 
--- a/src/camphorlink/internal/shell/connection/backend_client.py
+++ b/src/camphorlink/internal/shell/connection/backend_client.py
@@ -1,17 +1,26 @@
 """Sends tasks to backend servers, each at most once.
 
-Only two failures prove that a task was not started: a connection that could
-not be opened, and the typed refusal of the backend server.  In every other
-failure the request may have arrived, so the task counts as lost.
+Three things prove that a task was not started: a connection that could not
+be opened, a failure before the first byte of the request was written, and
+the typed refusal of the backend server.  In every other failure the request
+may have arrived, so the task counts as lost, unless the backend server can
+be asked what became of it.
 """
 
+from http import HTTPStatus
 from types import TracebackType
+from typing import Any
+from urllib.parse import quote
 
 import aiohttp
 import orjson
 
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.shell.connection.task_lookup import (
+    TaskReport,
+    look_up_task,
+)
 
 #: Header of a backend server that says whether a refused task was started.
 STARTED_HEADER = 'Task-Started'
@@ -22,12 +31,13 @@
     'leaving': Reason.BACKEND_LEAVING,
 }
 
-TaskReport = (
-    messages.TaskFinished
-    | messages.TaskFailed
-    | messages.TaskNotStarted
-    | messages.TaskLost
-)
+
+class Sending:
+    """Whether the first byte of one request may have been written."""
+
+    def __init__(self) -> None:
+        """Starts before the first byte."""
+        self.is_begun = False
 
 
 class BackendClient:
@@ -35,10 +45,14 @@
 
     async def __aenter__(self) -> 'BackendClient':
         """Opens the pool of connections."""
-        # POST is never sent again by aiohttp itself; a test holds it to that.
+        # aiohttp sends a POST never again by itself, unless it is told to
+        # follow a redirect; tests hold it to that.
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_note_begun)
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
             timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
+            trace_configs=[trace],
         )
         return self
 
@@ -53,42 +67,83 @@
 
     async def run_task(self, start: messages.StartTask) -> TaskReport:
         """Sends one task once and reports what became of it."""
+        sending = Sending()
+        report = await self._try_post(start, sending)
+        if not isinstance(report, messages.TaskLost):
+            return report
+        if not sending.is_begun:
+            return messages.TaskNotStarted(start.ticket, Reason.CONNECT_FAILED)
+        if not start.can_look_up:
+            return report
+        return await look_up_task(self._session, start, report)
+
+    async def _try_post(
+        self,
+        start: messages.StartTask,
+        sending: Sending,
+    ) -> TaskReport:
         ticket = start.ticket
         try:
-            return await self._post(start)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return messages.TaskNotStarted(ticket, Reason.CONNECT_FAILED)
+            return await self._post(start, sending)
+        except orjson.JSONEncodeError:
+            return messages.TaskNotStarted(ticket, Reason.BAD_JOB)
         except TimeoutError:
             return messages.TaskLost(ticket, Reason.TASK_TIMEOUT)
-        except (aiohttp.ClientError, OSError, orjson.JSONDecodeError):
+        except (aiohttp.ClientError, OSError):
             return messages.TaskLost(ticket, Reason.CONNECTION_LOST)
 
-    async def _post(self, start: messages.StartTask) -> TaskReport:
+    async def _post(
+        self,
+        start: messages.StartTask,
+        sending: Sending,
+    ) -> TaskReport:
         ticket = start.ticket
         request = self._session.post(
             f'http://{start.address}/v1/tasks',
             data=orjson.dumps(start.payload),
             headers={
                 'Content-Type': 'application/json',
-                'Task-Reference': f'{ticket.submission_id}/{start.task_id}',
+                'Task-Reference': task_reference(start),
                 'Task-Service': start.service,
             },
             timeout=aiohttp.ClientTimeout(
                 total=start.timeout_s,
                 sock_connect=CONNECT_TIMEOUT_S,
             ),
+            # A redirect would send the task a second time.
+            allow_redirects=False,
+            trace_request_ctx=sending,
         )
         async with request as response:
             return _read_report(ticket, response, await response.read())
 
 
+def task_reference(start: messages.StartTask) -> str:
+    """Names a task to backend servers, the same in every try."""
+    task_id = quote(start.task_id, safe='')
+    return f'{start.ticket.submission_id}/{task_id}'
+
+
+async def _note_begun(
+    session: aiohttp.ClientSession,
+    context: Any,
+    sent: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    # Called just before the first byte is written.
+    if context.trace_request_ctx is not None:
+        context.trace_request_ctx.is_begun = True
+
+
 def _read_report(
     ticket: messages.Ticket,
     response: aiohttp.ClientResponse,
     body: bytes,
 ) -> TaskReport:
-    if response.status == aiohttp.http.HTTPStatus.OK:
-        return messages.TaskFinished(ticket, orjson.loads(body))
+    if response.status == HTTPStatus.OK:
+        try:
+            return messages.TaskFinished(ticket, orjson.loads(body))
+        except orjson.JSONDecodeError:
+            return messages.TaskFailed(ticket, 'its result is no JSON')
     if response.headers.get(STARTED_HEADER) == 'no':
         code = response.headers.get('Refusal-Code', '')
         reason = _REASON_BY_CODE.get(code, Reason.BACKEND_BUSY)
