--- a/src/camphorlink/spec/claims.py
+++ b/src/camphorlink/spec/claims.py
@@ -79,7 +79,7 @@
 
 def list_steps(state: ClaimsState, mutation: str) -> Labelled:
     """Lists what may happen next."""
-    for flight in frozenset(state.flying):
+    for flight in sorted(set(state.flying)):
         yield from _land(state, flight)
     for vm, claimer in enumerate(state.claimers):
         if claimer.is_up:
--- a/src/camphorlink/spec/handover.py
+++ b/src/camphorlink/spec/handover.py
@@ -71,7 +71,7 @@
         return True
     return any(
         not reply.is_taken
-        for reply in state.replies
+        for reply in sorted(state.replies)
         if (reply.vm, reply.incarnation) == (state.target, state.meant_for)
     )
 
@@ -116,7 +116,7 @@
 
 def _take(state: states.HandoverState, vm: int, mutation: str) -> Labelled:
     successor = state.successors[vm]
-    for part in state.sent:
+    for part in sorted(state.sent):
         is_mine = part.incarnation == successor.incarnation
         if part.vm == vm and (is_mine or mutation == states.BY_ADDRESS):
             label = f'part {part.number} reaches VM {vm}'
