Back-end health: outlier ejection, shared suspicion, slow start, retry budget

Cause: a back end that fails everything at once looked like the fastest one and attracted work; a straggler was found only after dozens of runs; retries were immediate and unbounded in number over time. Change: ejection by failure share over distinct jobs, judged against the other back ends, quick failures sooner; a job that fails at three back ends is its own fault; at most 30% ejected; probes after 2 s, doubling, one VM first (peers are told); slow start 1, 2, 4, 8; a quick average notices a change of speed, overrunning tasks lower it before they end; stalled back ends get nothing. Retries are delayed with jitter and spend a budget that first sends earn (0.1); 8 tries at the most. Conclusion: a black hole is held; late results of failed jobs remain.

--- a/src/camphorlink/internal/core/connection/backend_load.py
+++ b/src/camphorlink/internal/core/connection/backend_load.py
@@ -6,6 +6,16 @@
 
 #: Weight of the newest run in the learned speed, a pure number.
 MIN_WEIGHT = 0.05
+#: The same for the quick average that notices a change of regime.
+QUICK_WEIGHT = 0.3
+#: Distance at which the quick average is believed, on the logarithmic scale.
+QUICK_DISTANCE = 1.0
+#: Running tasks may overrun their estimates by this factor unnoticed.
+OVERRUN_FACTOR = 3.0
+#: Running tasks that must overrun before the speed is doubted.
+OVERRUN_TASKS = 2
+#: Back ends without any end for this long and all tasks overrun are stalled.
+STALL_S = 1.0
 #: How far one run may move the speed, on the logarithmic scale.
 MAX_STEP = 1.5
 #: A task that overran its estimate is expected to take this share longer.
@@ -24,6 +34,7 @@
         lent: Slots of ``allotted`` that are with peers.
         in_flight: Tasks of this VM that have not ended.
         limit: Tasks that may be in flight by the back end's health.
+        is_stalled: Whether nothing comes back and all tasks are overdue.
     """
 
     def __init__(self, backend: Backend, speed: float) -> None:
@@ -35,14 +46,17 @@
         self.lent = 0
         self.in_flight = 0
         self.limit = backend.slots
+        self.is_stalled = False
         self._log_speed = math.log(speed)
+        self._quick_speed = math.log(speed)
+        self._last_end_s = 0.0
         self._runs = 0
         self._finish_by_try: dict[int, tuple[float, float]] = {}
 
     @property
     def free(self) -> int:
         """Tasks that may be sent now; below zero when over the share."""
-        if self.backend.leaving:
+        if self.backend.leaving or self.is_stalled:
             return 0
         held = self.allotted + self.borrowed - self.lent
         return min(held, self.limit) - self.in_flight
@@ -52,6 +66,12 @@
         """Slots that this VM may use, free or not."""
         return self.allotted + self.borrowed - self.lent
 
+    @property
+    def may_free(self) -> bool:
+        """Whether it is worth waiting for one of its slots."""
+        is_out = self.backend.leaving or self.is_stalled
+        return self.limit > 0 and self.held > 0 and not is_out
+
     def next_free_s(self, now: float) -> float:
         """Estimates when a slot becomes free, as core time in seconds."""
         if not self._finish_by_try:
@@ -75,8 +95,10 @@
         self._finish_by_try[number] = (now, finish_s)
         return finish_s
 
-    def note_end(self, number: int) -> None:
+    def note_end(self, number: int, now: float) -> None:
         """Counts one task less."""
+        self.is_stalled = False
+        self._last_end_s = now
         if self._finish_by_try.pop(number, None) is not None:
             self.in_flight -= 1
 
@@ -87,8 +109,28 @@
         seen = math.log(max(work_s, MIN_RUN_S) / max(run_s, MIN_RUN_S))
         step = max(-MAX_STEP, min(MAX_STEP, seen - self._log_speed))
         self._log_speed += weight * step
+        self._quick_speed += QUICK_WEIGHT * (seen - self._quick_speed)
+        if abs(self._quick_speed - self._log_speed) > QUICK_DISTANCE:
+            self._log_speed = self._quick_speed
         self.speed = math.exp(self._log_speed)
 
+    def check_overruns(self, now: float) -> None:
+        """Doubts the speed, or the back end, when running tasks overrun."""
+        factors = sorted(
+            (now - start_s) / max(finish_s - start_s, MIN_RUN_S)
+            for start_s, finish_s in self._finish_by_try.values()
+        )
+        if len(factors) < OVERRUN_TASKS:
+            return
+        doubt = factors[-OVERRUN_TASKS] / OVERRUN_FACTOR
+        if doubt > 1:
+            self.speed = math.exp(self._log_speed) / doubt
+        silent_s = now - max(
+            self._last_end_s,
+            max(start_s for start_s, _ in self._finish_by_try.values()),
+        )
+        self.is_stalled = factors[0] > OVERRUN_FACTOR and silent_s > STALL_S
+
 
 def _finish_of(times: tuple[float, float]) -> float:
     return times[1]
--- a/src/camphorlink/internal/core/connection/slot_lending.py
+++ b/src/camphorlink/internal/core/connection/slot_lending.py
@@ -19,8 +19,6 @@
     SlotReturn,
     SlotWant,
 )
-from camphorlink.internal.core.connection.slot_shares import allot_slots
-from camphorlink.internal.core.process.members import Member, MemberView
 from camphorlink.internal.core.process.messages import SendPeer
 from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.identifiers import Home
@@ -36,8 +34,6 @@
 #: The lender waits this long for a slot to come back, in seconds; longer
 #: than a task may run.
 LOST_AFTER_S = 30.0
-#: After a change of the view a share grows only after this time, in seconds.
-GROW_AFTER_S = 1.0
 MAX_WANT = 128
 #: A peer's job must be due this much earlier to go first, in seconds.
 MARGIN_S = 0.02
@@ -80,20 +76,24 @@
 
 
 class SlotLending:
-    """Shares, loans and wants of one entry VM in its zone."""
+    """Loans and wants of one entry VM in its zone."""
 
     def __init__(
         self,
-        home: Home,
         timers: Timers,
         load_by_backend: Mapping[str, BackendLoad],
+        address_by_peer: Mapping[Home, str],
     ) -> None:
-        """Starts alone: without a view every slot is this VM's."""
-        self._home = home
+        """Starts with no loan.
+
+        Args:
+            timers: Timer service of the core.
+            load_by_backend: The back ends of the zone, kept by the owner.
+            address_by_peer: The other entry VMs of the zone, kept as well.
+        """
         self._timers = timers
         self._load_by_backend = load_by_backend
-        self._members: tuple[Member, ...] = ()
-        self._address_by_peer: dict[Home, str] = {}
+        self._address_by_peer = address_by_peer
         self._want_by_peer: dict[Home, Want] = {}
         self._borrowed: Counter[LoanKey] = Counter()
         self._term_by_peer: dict[Home, float] = {}
@@ -111,34 +111,6 @@
         self._effects = []
         return effects
 
-    def change_view(self, view: MemberView, now: float) -> None:
-        """Shrinks shares at once and lets them grow a little later."""
-        is_first = not self._members
-        members = view.live_in_zone(self._home.zone)
-        if all(member.home != self._home for member in members):
-            members = (*members, Member(self._home, ''))
-        self._members = members
-        self._address_by_peer = {
-            member.home: member.address
-            for member in members
-            if member.home != self._home
-        }
-        self.allot(may_grow=is_first)
-        if not is_first:
-            self._timers.call_at(
-                now + GROW_AFTER_S,
-                lambda _now: self.allot(may_grow=True),
-            )
-
-    def allot(self, may_grow: bool) -> None:
-        """Works this VM's share of every backend server out."""
-        if not self._members:
-            return
-        for name, load in self._load_by_backend.items():
-            shares = allot_slots(name, load.backend.slots, self._members)
-            share = shares[self._home]
-            load.allotted = share if may_grow else min(share, load.allotted)
-
     @singledispatchmethod
     def hear(self, message: PeerMessage, peer: Home, now: float) -> None:
         """Takes a peer's message; other kinds are passed over."""
@@ -189,6 +161,11 @@
         if self._borrowed or self._returns or self._want_by_peer:
             self._batch(want, now)
 
+    def tell_all(self, message: PeerMessage) -> None:
+        """Sends a message to every peer of the zone."""
+        for address in self._address_by_peer.values():
+            self._effects.append(SendPeer(address, message))
+
     def _ask(self, want: Want, now: float) -> None:
         sent = self._want_sent
         is_alike = (
@@ -200,8 +177,7 @@
             return
         self._want_sent = want._replace(until_s=now + WANT_GAP_S)
         message = SlotWant(want.slots, want.due_s - now, want.min_speed)
-        for address in self._address_by_peer.values():
-            self._effects.append(SendPeer(address, message))
+        self.tell_all(message)
 
     def _batch(self, want: Want, now: float) -> None:
         if now >= self._next_batch_s:
--- a/src/camphorlink/internal/core/connection/slot_messages.py
+++ b/src/camphorlink/internal/core/connection/slot_messages.py
@@ -40,10 +40,23 @@
     slots_by_backend: dict[str, int]
 
 
-SlotMessage = SlotWant | SlotLoan | SlotReturn
+class BackendSuspect(NamedTuple):
+    """The sender has ejected a back end of the zone.
+
+    Attributes:
+        backend: Name of the backend server.
+        period_s: Seconds for which the sender gives it nothing.
+    """
+
+    backend: str
+    period_s: float
+
+
+SlotMessage = SlotWant | SlotLoan | SlotReturn | BackendSuspect
 
 SLOT_MESSAGE_BY_KIND: dict[str, type[SlotMessage]] = {
     'slot-want': SlotWant,
     'slot-loan': SlotLoan,
     'slot-return': SlotReturn,
+    'backend-suspect': BackendSuspect,
 }
--- a/src/camphorlink/internal/core/connection/slot_shares.py
+++ b/src/camphorlink/internal/core/connection/slot_shares.py
@@ -7,14 +7,18 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from hashlib import blake2b
 
-from camphorlink.internal.core.process.members import Member
+from camphorlink.internal.core.connection.backend_load import BackendLoad
+from camphorlink.internal.core.process.members import Member, MemberView
+from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.identifiers import Home
 
 DIGEST_BYTES = 8
 DIGEST_RANGE = 1 << 64
+#: After a change of the view a share grows only after this time, in seconds.
+GROW_AFTER_S = 1.0
 
 
 def allot_slots(
@@ -48,6 +52,58 @@
     return shares
 
 
+class SlotShares:
+    """This VM's share of every back end of its zone.
+
+    Attributes:
+        address_by_peer: The other entry VMs of the zone that take load.
+    """
+
+    def __init__(
+        self,
+        home: Home,
+        timers: Timers,
+        load_by_backend: Mapping[str, BackendLoad],
+    ) -> None:
+        """Starts alone: without a view every slot is this VM's."""
+        self.address_by_peer: dict[Home, str] = {}
+        self._home = home
+        self._timers = timers
+        self._load_by_backend = load_by_backend
+        self._members: tuple[Member, ...] = ()
+
+    def change_view(self, view: MemberView, now: float) -> None:
+        """Shrinks shares at once and lets them grow a little later."""
+        is_first = not self._members
+        members = view.live_in_zone(self._home.zone)
+        if all(member.home != self._home for member in members):
+            members = (*members, Member(self._home, ''))
+        self._members = members
+        self.address_by_peer.clear()
+        self.address_by_peer.update(
+            {
+                member.home: member.address
+                for member in members
+                if member.home != self._home
+            }
+        )
+        self.allot(may_grow=is_first)
+        if not is_first:
+            self._timers.call_at(
+                now + GROW_AFTER_S,
+                lambda _now: self.allot(may_grow=True),
+            )
+
+    def allot(self, may_grow: bool) -> None:
+        """Works this VM's share of every backend server out."""
+        if not self._members:
+            return
+        for name, load in self._load_by_backend.items():
+            shares = allot_slots(name, load.backend.slots, self._members)
+            share = shares[self._home]
+            load.allotted = share if may_grow else min(share, load.allotted)
+
+
 def _score(backend: str, home: Home, weight: float) -> float:
     text = f'{backend} {home}'.encode()
     digest = blake2b(text, digest_size=DIGEST_BYTES).digest()
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -34,8 +34,6 @@
 )
 from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
 
-MAX_ATTEMPTS = 5
-
 
 class EntryCore:
     """Everything an entry VM decides, as a function of messages and time."""
@@ -152,11 +150,10 @@
         run.mark_not_started(ticket.position)
         if not run.is_open:
             return
-        if ticket.attempt >= MAX_ATTEMPTS:
+        if self._scheduler.retry_task(ended, message, self._now):
+            self._desk.count_retry(message.reason)
+        else:
             self._desk.deliver(run, run.close(message.reason))
-            return
-        self._desk.count_retry(message.reason)
-        self._scheduler.retry_task(ended)
 
     @_apply.register
     def _lost(self, message: messages.TaskLost) -> None:
@@ -172,7 +169,7 @@
             return
         self.version = message.version
         self.manifest = message.manifest
-        self._scheduler.install(message.manifest)
+        self._scheduler.install(message.manifest, self._now)
 
     @_apply.register
     def _members_changed(self, message: messages.MembersChanged) -> None:
--- a/src/camphorlink/internal/core/request/placement.py
+++ b/src/camphorlink/internal/core/request/placement.py
@@ -47,7 +47,7 @@
             self.speed += load.backend.slots * load.speed
             if free > 0:
                 self.free_by_load[load] = free
-            elif load.limit and not load.backend.leaving:
+            elif load.may_free:
                 self._ready_by_load[load] = load.next_free_s(now)
 
     def choose(self, job: QueuedJob, task: WaitingTask) -> Choice | None:
--- a/src/camphorlink/internal/core/request/queues.py
+++ b/src/camphorlink/internal/core/request/queues.py
@@ -87,14 +87,16 @@
         insort(self._entries, _Entry(job.due_s, self._number, job))
         self.waiting_tasks += len(job.tasks)
 
-    def note_put_back(self, job: QueuedJob) -> None:
-        """Counts a task that was put back, and its job if that had left."""
-        if any(entry.job is job for entry in self._entries):
-            self.waiting_tasks += 1
+    def put_back(self, job: QueuedJob, task: WaitingTask) -> None:
+        """Lets a task wait once more, and its job if that had left."""
+        if not job.run.is_open:
             return
-        self._number += 1
-        insort(self._entries, _Entry(job.due_s, self._number, job))
-        self.waiting_tasks += 1
+        is_queued = any(entry.job is job for entry in self._entries)
+        job.put_back(task)
+        if is_queued:
+            self.waiting_tasks += 1
+        else:
+            self.put(job)
 
     def first(self, count: int) -> list[QueuedJob]:
         """Lists the first jobs that still wait for something."""
--- a/src/camphorlink/internal/core/request/scheduler.py
+++ b/src/camphorlink/internal/core/request/scheduler.py
@@ -10,6 +10,7 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
+from camphorlink.internal.core.connection.backend_health import HealthGuard
 from camphorlink.internal.core.connection.backend_load import BackendLoad
 from camphorlink.internal.core.connection.peer_messages import PeerMessage
 from camphorlink.internal.core.connection.slot_lending import (
@@ -17,6 +18,8 @@
     SlotLending,
     join_wants,
 )
+from camphorlink.internal.core.connection.slot_messages import BackendSuspect
+from camphorlink.internal.core.connection.slot_shares import SlotShares
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberView
 from camphorlink.internal.core.process.timers import Timers
@@ -28,6 +31,7 @@
     QueuedJob,
     WaitingTask,
 )
+from camphorlink.internal.core.request.retries import RetryBudget
 from camphorlink.internal.core.request.run_times import RunTimes
 from camphorlink.internal.core.request.service_pass import (
     Assignment,
@@ -37,6 +41,12 @@
 
 MS_PER_S = 1000
 INITIAL_SPEED = 1.0
+#: Tasks that a back end gets at first when it joins a running zone.
+SLOW_START_TASKS = 2
+#: Period of the check of overruns and ejections, in seconds.
+CHECK_S = 0.25
+#: A failure sooner than this share of the expected time is quick.
+QUICK_SHARE = 0.1
 
 
 class PlacementPolicy(NamedTuple):
@@ -81,10 +91,21 @@
         self._loads_by_service: dict[str, list[BackendLoad]] = {}
         self._try_by_ticket: dict[messages.Ticket, Try] = {}
         self._numbers = itertools.count()
-        self._lending = SlotLending(home, timers, self._load_by_backend)
+        self._guard = HealthGuard()
+        self._budget = RetryBudget()
+        self._effects: list[messages.Effect] = []
+        self._shares = SlotShares(home, timers, self._load_by_backend)
+        self._lending = SlotLending(
+            timers,
+            self._load_by_backend,
+            self._shares.address_by_peer,
+        )
 
-    def install(self, manifest: Manifest) -> None:
+    def install(self, manifest: Manifest, now: float) -> None:
         """Takes over the backend servers of a new version."""
+        is_first = not self._manifest.digest
+        if is_first and manifest.digest:
+            self._timers.call_every(now, CHECK_S, self._check)
         self._manifest = manifest
         for name, backend in manifest.backends_by_name.items():
             if backend.zone != self._home.zone:
@@ -92,10 +113,14 @@
             load = self._load_by_backend.get(name)
             if load is None:
                 speed = self._usual_speed()
-                self._load_by_backend[name] = BackendLoad(backend, speed)
+                load = BackendLoad(backend, speed)
+                self._load_by_backend[name] = load
+                if not is_first:
+                    load.limit = min(SLOW_START_TASKS, backend.slots)
             else:
                 load.backend = backend
-        self._lending.allot(may_grow=True)
+        self._shares.allot(may_grow=True)
+        self._guard.install(self._load_by_backend.values(), now)
         self._loads_by_service = {
             service: [
                 load
@@ -108,10 +133,12 @@
 
     def change_view(self, view: MemberView, now: float) -> None:
         """Takes over a new view of the entry VMs."""
-        self._lending.change_view(view, now)
+        self._shares.change_view(view, now)
 
     def hear_peer(self, peer: Home, message: PeerMessage, now: float) -> None:
-        """Takes what another entry VM says of slots and quotas."""
+        """Takes what another entry VM says of slots and back ends."""
+        if isinstance(message, BackendSuspect):
+            self._guard.hear_suspicion(message.backend, message.period_s, now)
         self._lending.hear(message, peer, now)
 
     def queue_job(self, run: JobRun, now: float) -> None:
@@ -126,17 +153,39 @@
         job.due_s = now + self._policy.stretch * ideal_s
         self._queue_of(service).put(job)
 
-    def retry_task(self, ended: Try) -> None:
-        """Queues a task that was provably not started once more."""
+    def retry_task(
+        self,
+        ended: Try,
+        message: messages.TaskNotStarted,
+        now: float,
+    ) -> bool:
+        """Queues a task that was provably not started once more.
+
+        Returns:
+            Whether it will be sent again; not after too many tries.
+        """
+        delay_s = self._budget.delay_s(message.ticket)
+        if delay_s is None:
+            return False
         task = ended.task._replace(attempt=ended.task.attempt + 1)
-        job = ended.job
-        job.put_back(task)
-        queue = self._queue_of(job.run.job.service)
-        queue.note_put_back(job)
+        queue = self._queue_of(ended.job.run.job.service)
+        self._timers.call_at(
+            now + delay_s,
+            lambda _now: queue.put_back(ended.job, task),
+        )
+        self._explain(
+            ended.job.run.submission_id,
+            'retried',
+            backend=message.ticket.backend,
+            reason=message.reason.value,
+            delay_s=round(delay_s, 4),
+        )
+        return True
 
     def start_tasks(self, now: float) -> list[messages.Effect]:
         """Binds waiting tasks to free slots, as far as there are any."""
-        effects: list[messages.Effect] = []
+        effects = self._effects
+        self._effects = []
         self._lending.recall(now)
         want = NO_WANT
         for service, queue in self._queue_by_service.items():
@@ -151,38 +200,70 @@
         effects.extend(self._lending.take_effects())
         return effects
 
-    @singledispatchmethod
-    def note_end(self, message: messages.Message, now: float) -> Try | None:
+    def note_end(self, message: messages.TaskEnd, now: float) -> Try | None:
         """Frees the slot of a try that has ended, and learns from it."""
-        raise TypeError(message)
-
-    @note_end.register
-    def _finished(
-        self, message: messages.TaskFinished, now: float
-    ) -> Try | None:
-        ended = self._end(message.ticket)
-        if ended is not None:
-            self._learn(message.ticket, ended, now - ended.start_s)
+        ticket = message.ticket
+        ended = self._try_by_ticket.pop(ticket, None)
+        load = self._load_by_backend.get(ticket.backend)
+        if ended is None or load is None:
+            return None
+        load.note_end(ended.number, now)
+        self._judge(message, ended, now)
         return ended
 
-    @note_end.register(messages.TaskFailed)
-    @note_end.register(messages.TaskNotStarted)
-    @note_end.register(messages.TaskLost)
-    def _not_finished(
+    @singledispatchmethod
+    def _judge(self, message: messages.TaskEnd, ended: Try, now: float) -> None:
+        """Learns from a task that ran and did not finish."""
+        ticket = message.ticket
+        period_s = self._guard.note_failure(
+            ticket.backend,
+            ticket.submission_id,
+            now,
+            is_quick=now - ended.start_s < QUICK_SHARE * ended.task.work_s,
+        )
+        if period_s is not None:
+            suspect = BackendSuspect(ticket.backend, period_s)
+            self._lending.tell_all(suspect)
+            self._explain(
+                ticket.submission_id,
+                'ejected',
+                backend=ticket.backend,
+                period_s=period_s,
+            )
+
+    @_judge.register
+    def _judge_finished(
+        self,
+        message: messages.TaskFinished,
+        ended: Try,
+        now: float,
+    ) -> None:
+        ticket = message.ticket
+        self._guard.note_success(ticket.backend, ticket.submission_id)
+        self._learn(ticket, ended, now - ended.start_s)
+
+    @_judge.register
+    def _judge_not_started(
         self,
-        message: (
-            messages.TaskFailed | messages.TaskNotStarted | messages.TaskLost
-        ),
+        message: messages.TaskNotStarted,
+        ended: Try,
         now: float,
-    ) -> Try | None:
-        return self._end(message.ticket)
+    ) -> None:
+        self._guard.note_refusal(message.ticket.backend, message.reason, now)
 
-    def _end(self, ticket: messages.Ticket) -> Try | None:
-        ended = self._try_by_ticket.pop(ticket, None)
-        load = self._load_by_backend.get(ticket.backend)
-        if ended is not None and load is not None:
-            load.note_end(ended.number)
-        return ended
+    def _check(self, now: float) -> None:
+        """Looks at what no message tells: overruns, ends of ejections."""
+        self._guard.check(now)
+        for load in self._load_by_backend.values():
+            load.check_overruns(now)
+
+    def _explain(
+        self,
+        submission_id: str,
+        event: str,
+        **facts: str | float | None,
+    ) -> None:
+        self._effects.append(messages.Explain(submission_id, event, facts))
 
     def _learn(
         self,
@@ -225,6 +306,8 @@
         service = self._manifest.services_by_name[job.run.job.service]
         number = next(self._numbers)
         load.note_start(number, now, task.work_s)
+        if task.attempt == 1:
+            self._budget.note_first_sends(1)
         job.run.mark_started(task.position)
         self._try_by_ticket[ticket] = Try(number, now, task, job)
         return messages.StartTask(
--- /dev/null
+++ b/tests/core/test_backend_health.py
@@ -0,0 +1,123 @@
+"""Who fails alone is ejected; who fails with all others is not."""
+
+from camphorlink.bench.experiment import Fleet, inject
+from camphorlink.bench.experiment_cases import CASES, plan_jobs
+from camphorlink.internal.core.connection.backend_health import HealthGuard
+from camphorlink.internal.core.connection.backend_load import BackendLoad
+from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.core.version.manifest import Backend
+
+
+def loads_of(count):
+    return [
+        BackendLoad(
+            Backend(f'b{n}', '', 'z', 8, 64, frozenset(('s',)), leaving=False),
+            1.0,
+        )
+        for n in range(count)
+    ]
+
+
+def guard_of(loads):
+    guard = HealthGuard()
+    guard.install(loads, 0)
+    for load in loads:
+        for number in range(10):
+            guard.note_success(load.backend.name, f'ok{number}')
+    return guard
+
+
+def ejected(loads):
+    return [load.backend.name for load in loads if load.limit == 0]
+
+
+def fail_all(guard, loads):
+    for number in range(20):
+        for load in loads:
+            name = load.backend.name
+            guard.note_failure(name, f'{name}-{number}', 1)
+
+
+def test_a_back_end_that_fails_everything_is_ejected_and_probed():
+    loads = loads_of(8)
+    guard = guard_of(loads)
+    for number in range(5):
+        guard.note_failure('b0', f'job{number}', 1)
+    assert ejected(loads) == ['b0']
+    assert guard.check(2.9) == []
+    assert guard.check(3.1) == ['b0']
+    assert loads[0].limit == 1
+    guard.note_failure('b0', 'probe', 3.2)
+    assert guard.check(6) == []
+    assert guard.check(7.3) == ['b0']
+
+
+def test_a_job_that_fails_everywhere_ejects_nobody():
+    loads = loads_of(8)
+    guard = guard_of(loads)
+    for turn in range(10):
+        for load in loads:
+            guard.note_failure(load.backend.name, 'poison', turn)
+    assert ejected(loads) == []
+
+
+def test_never_more_than_the_share_is_ejected():
+    loads = loads_of(8)
+    guard = guard_of(loads)
+    fail_all(guard, loads[:3])
+    assert len(ejected(loads)) == 2
+
+
+def test_when_most_fail_nobody_is_ejected():
+    loads = loads_of(8)
+    guard = guard_of(loads)
+    fail_all(guard, loads[:5])
+    assert ejected(loads) == []
+
+
+def test_a_leaving_back_end_gets_nothing():
+    loads = loads_of(2)
+    guard_of(loads).note_refusal('b1', Reason.BACKEND_LEAVING, 1)
+    assert ejected(loads) == ['b1']
+
+
+def test_a_readmitted_back_end_is_given_more_step_by_step():
+    loads = loads_of(4)
+    guard = guard_of(loads)
+    guard.note_refusal('b1', Reason.CONNECT_FAILED, 1)
+    guard.check(2)
+    limits = []
+    for number in range(7):
+        limits.append(loads[1].limit)
+        guard.note_success('b1', f'job{number}')
+    assert limits == [1, 2, 2, 4, 4, 4, 4]
+    assert loads[1].limit == 8
+
+
+def run_with_fault(case, seconds):
+    fleet = Fleet(CASES[case], 'camphorlink', 1)
+    fleet.add_vms()
+    for plan in plan_jobs(fleet.case, seconds, 1):
+        fleet.clock.call_at(plan.arrival_s, fleet.submit, plan)
+    fleet.clock.call_at(10, inject, fleet, case)
+    fleet.clock.run(seconds + 5)
+    return fleet
+
+
+def test_a_black_hole_gets_less_than_one_percent_after_two_seconds():
+    fleet = run_with_fault('fails-all', 22)
+    late = [
+        backend.mode
+        for backend in fleet.backends()
+        for start_s in backend.start_times
+        if start_s > 12
+    ]
+    assert len(late) > 1000
+    assert late.count('fail') < 0.01 * len(late)
+
+
+def test_a_leaving_back_end_gets_no_start_after_three_seconds():
+    fleet = run_with_fault('leaving', 16)
+    gone = [known for known in fleet.backends() if known.name.endswith('-7')]
+    assert all(known.start_times for known in gone)
+    assert max(max(known.start_times) for known in gone) < 13
