--- a/src/camphorlink/spec/checking.py
+++ b/src/camphorlink/spec/checking.py
@@ -100,8 +100,9 @@
         has not refuted.
     """
     started_s = time.perf_counter()
-    is_deep = mutation is not None and mutation.is_deep
-    first = initial or (spec.large_initial if is_deep else spec.initial)
+    first = spec.initial if initial is None else initial
+    if mutation is not None and mutation.is_deep:
+        first = spec.large_initial
     counter = _DepthCounter(spec, mutation, first)
     found = check_safety(_build_protocol(spec, counter), MAX_STATES)
     properties = found['properties']
--- a/src/camphorlink/spec/handover.py
+++ b/src/camphorlink/spec/handover.py
@@ -8,124 +8,16 @@
 """
 
 from collections.abc import Iterator
-from typing import NamedTuple
-
-# What a table holds of the submission.
-ABSENT = 'absent'
-RUNNING = 'running'
-ANSWERED = 'answered'
-NOT_RUN = 'not-run'
-
-# What the home does.
-SERVING = 'serving'
-SEALED = 'sealed'
-COMMITTED = 'committed'
-GONE = 'gone'
-
-#: Parts of the table; the entry is in the first, the last is the commit.
-FIRST_PART = 0
-LAST_PART = 1
-
-NO_SEAL = 'successor-without-a-seal'
-EARLY_COMMIT = 'commit-before-all-parts'
-SECOND_COMMIT = 'second-successor-after-an-unanswered-commit'
-REOPENED = 'home-opens-again-after-the-commit'
-ROOM_AGAIN = 'refusal-of-a-table-not-final'
-BY_ADDRESS = 'parts-addressed-without-incarnation'
-NO_TOMBSTONE = 'refusals-not-handed-over'
-
-
-class Part(NamedTuple):
-    """A part of the table on its way.
-
-    Attributes:
-        vm: VM of the successor.
-        incarnation: Process that it is meant for.
-        number: Position of the part.
-        entry: The entry, in the first part.
-    """
-
-    vm: int
-    incarnation: int
-    number: int
-    entry: str = ABSENT
-
-
-class Reply(NamedTuple):
-    """What a successor says of a part.
-
-    Attributes:
-        vm: Its VM.
-        incarnation: The process that speaks.
-        number: Position of the part.
-        is_taken: Whether it was taken, or the table refused.
-    """
-
-    vm: int
-    incarnation: int
-    number: int
-    is_taken: bool
-
-
-class Successor(NamedTuple):
-    """An entry VM that may take the table over.
-
-    Attributes:
-        incarnation: Number of its process start.
-        has_room: Whether it takes tables at this time.
-        has_refused: Whether it remembers to have refused this table.
-        parts: Parts that it holds.
-        is_owner: Whether it owns the table.
-        entry: What its table holds of the submission.
-    """
-
-    incarnation: int = 1
-    has_room: bool = True
-    has_refused: bool = False
-    parts: frozenset[Part] = frozenset()
-    is_owner: bool = False
-    entry: str = ABSENT
-
-
-class HandoverState(NamedTuple):
-    """The home, its successors and what is on its way.
-
-    Attributes:
-        phase: What the home does.
-        entry: What its table holds of the submission.
-        target: VM of the successor that it has named, or -1.
-        meant_for: Incarnation of it that the home knows.
-        tried: VMs that were named.
-        sent: Parts that were ever sent.
-        replies: Replies that were ever sent.
-        successors: The other entry VMs.
-        restarts_left: Process starts that may still happen.
-        turns_left: Times that a successor's room may still change.
-        starts: How often the submission was started.
-        was_refused: Whether some caller was told that it was not run.
-    """
-
-    phase: str = SERVING
-    entry: str = ABSENT
-    target: int = -1
-    meant_for: int = 0
-    tried: frozenset[int] = frozenset()
-    sent: frozenset[Part] = frozenset()
-    replies: frozenset[Reply] = frozenset()
-    successors: tuple[Successor, ...] = (Successor(), Successor())
-    restarts_left: int = 1
-    turns_left: int = 2
-    starts: int = 0
-    was_refused: bool = False
-
-
-Labelled = Iterator[tuple[str, HandoverState]]
-
-
-def list_steps(state: HandoverState, mutation: str) -> Labelled:
+
+from camphorlink.spec import handover_states as states
+
+Labelled = Iterator[tuple[str, states.HandoverState]]
+
+
+def list_steps(state: states.HandoverState, mutation: str) -> Labelled:
     """Lists what may happen next."""
-    if state.phase != GONE:
-        yield 'the home leaves or crashes', state._replace(phase=GONE)
+    if state.phase != states.GONE:
+        yield 'the home leaves or crashes', state._replace(phase=states.GONE)
         yield from _serve(state, mutation)
         yield from _give(state, mutation)
     for vm, _successor in enumerate(state.successors):
@@ -134,26 +26,26 @@
         yield from _own(state, vm)
 
 
-def _serve(state: HandoverState, mutation: str) -> Labelled:
-    is_open = state.phase == SERVING or mutation == NO_SEAL
-    if state.entry == ABSENT and is_open:
+def _serve(state: states.HandoverState, mutation: str) -> Labelled:
+    is_open = state.phase == states.SERVING or mutation == states.NO_SEAL
+    if state.entry == states.ABSENT and is_open:
         yield 'a copy starts at the home', _start_home(state)
-        refused = state._replace(entry=NOT_RUN, was_refused=True)
+        refused = state._replace(entry=states.NOT_RUN, was_refused=True)
         yield 'a copy is refused at the home', refused
-    if state.entry == RUNNING:
-        yield 'the home has the answer', state._replace(entry=ANSWERED)
-    if state.phase == SERVING and state.entry != RUNNING:
-        yield 'the home seals its table', state._replace(phase=SEALED)
-    if state.phase == COMMITTED and mutation == REOPENED:
-        yield 'the home opens again', state._replace(phase=SERVING)
+    if state.entry == states.RUNNING:
+        yield 'the home has the answer', state._replace(entry=states.ANSWERED)
+    if state.phase == states.SERVING and state.entry != states.RUNNING:
+        yield 'the home seals its table', state._replace(phase=states.SEALED)
+    if state.phase == states.COMMITTED and mutation == states.REOPENED:
+        yield 'the home opens again', state._replace(phase=states.SERVING)
 
 
-def _start_home(state: HandoverState) -> HandoverState:
-    return state._replace(entry=RUNNING, starts=state.starts + 1)
+def _start_home(state: states.HandoverState) -> states.HandoverState:
+    return state._replace(entry=states.RUNNING, starts=state.starts + 1)
 
 
-def _give(state: HandoverState, mutation: str) -> Labelled:
-    if state.phase not in {SEALED, COMMITTED}:
+def _give(state: states.HandoverState, mutation: str) -> Labelled:
+    if state.phase not in {states.SEALED, states.COMMITTED}:
         return
     if _may_name(state, mutation):
         for vm, successor in enumerate(state.successors):
@@ -162,18 +54,20 @@
                 yield f'the home names VM {vm}', named
     if state.target >= 0:
         entry = state.entry
-        if entry == NOT_RUN and mutation == NO_TOMBSTONE:
-            entry = ABSENT
-        first = Part(state.target, state.meant_for, FIRST_PART, entry)
+        if entry == states.NOT_RUN and mutation == states.NO_TOMBSTONE:
+            entry = states.ABSENT
+        first = states.Part(
+            state.target, state.meant_for, states.FIRST_PART, entry
+        )
         yield 'the home sends the first part', _send(state, first)
-        if _has_all_acked(state) or mutation == EARLY_COMMIT:
-            last = Part(state.target, state.meant_for, LAST_PART)
-            committed = _send(state, last)._replace(phase=COMMITTED)
+        if _has_all_acked(state) or mutation == states.EARLY_COMMIT:
+            last = states.Part(state.target, state.meant_for, states.LAST_PART)
+            committed = _send(state, last)._replace(phase=states.COMMITTED)
             yield 'the home sends the commit', committed
 
 
-def _may_name(state: HandoverState, mutation: str) -> bool:
-    if state.phase == SEALED or mutation == SECOND_COMMIT:
+def _may_name(state: states.HandoverState, mutation: str) -> bool:
+    if state.phase == states.SEALED or mutation == states.SECOND_COMMIT:
         return True
     return any(
         not reply.is_taken
@@ -182,28 +76,34 @@
     )
 
 
-def _name(state: HandoverState, vm: int, incarnation: int) -> HandoverState:
+def _name(
+    state: states.HandoverState, vm: int, incarnation: int
+) -> states.HandoverState:
     return state._replace(
-        phase=SEALED,
+        phase=states.SEALED,
         target=vm,
         meant_for=incarnation,
         tried=state.tried | {vm},
     )
 
 
-def _has_all_acked(state: HandoverState) -> bool:
-    acked = Reply(state.target, state.meant_for, FIRST_PART, is_taken=True)
+def _has_all_acked(state: states.HandoverState) -> bool:
+    acked = states.Reply(
+        state.target, state.meant_for, states.FIRST_PART, is_taken=True
+    )
     return acked in state.replies
 
 
-def _send(state: HandoverState, part: Part) -> HandoverState:
+def _send(
+    state: states.HandoverState, part: states.Part
+) -> states.HandoverState:
     return state._replace(sent=state.sent | {part})
 
 
-def _change(state: HandoverState, vm: int) -> Labelled:
+def _change(state: states.HandoverState, vm: int) -> Labelled:
     successor = state.successors[vm]
     if state.restarts_left:
-        fresh = Successor(incarnation=successor.incarnation + 1)
+        fresh = states.Successor(incarnation=successor.incarnation + 1)
         restarted = _put(state, vm, fresh)
         label = f'VM {vm} crashes and starts again'
         yield label, restarted._replace(restarts_left=state.restarts_left - 1)
@@ -214,65 +114,67 @@
         yield label, changed._replace(turns_left=state.turns_left - 1)
 
 
-def _take(state: HandoverState, vm: int, mutation: str) -> Labelled:
+def _take(state: states.HandoverState, vm: int, mutation: str) -> Labelled:
     successor = state.successors[vm]
     for part in state.sent:
         is_mine = part.incarnation == successor.incarnation
-        if part.vm == vm and (is_mine or mutation == BY_ADDRESS):
+        if part.vm == vm and (is_mine or mutation == states.BY_ADDRESS):
             label = f'part {part.number} reaches VM {vm}'
             yield label, _hear_part(state, vm, part, mutation)
 
 
 def _hear_part(
-    state: HandoverState,
+    state: states.HandoverState,
     vm: int,
-    part: Part,
+    part: states.Part,
     mutation: str,
-) -> HandoverState:
+) -> states.HandoverState:
     successor = state.successors[vm]
-    is_barred = successor.has_refused and mutation != ROOM_AGAIN
+    is_barred = successor.has_refused and mutation != states.ROOM_AGAIN
     is_taken = successor.is_owner or (successor.has_room and not is_barred)
     if is_taken:
         changed = _add_part(successor, part, mutation)
     else:
         changed = successor._replace(has_refused=True, parts=frozenset())
-    reply = Reply(vm, successor.incarnation, part.number, is_taken)
+    reply = states.Reply(vm, successor.incarnation, part.number, is_taken)
     heard = _put(state, vm, changed)
     return heard._replace(replies=heard.replies | {reply})
 
 
-def _add_part(successor: Successor, part: Part, mutation: str) -> Successor:
+def _add_part(
+    successor: states.Successor, part: states.Part, mutation: str
+) -> states.Successor:
     if successor.is_owner:
         return successor
     parts = successor.parts | {part}
     numbers = {one.number for one in parts}
-    is_whole = numbers == {FIRST_PART, LAST_PART}
-    if mutation == EARLY_COMMIT and part.number == LAST_PART:
+    is_whole = numbers == {states.FIRST_PART, states.LAST_PART}
+    if mutation == states.EARLY_COMMIT and part.number == states.LAST_PART:
         is_whole = True
     if not is_whole:
         return successor._replace(parts=parts)
-    entries = [one.entry for one in parts if one.number == FIRST_PART]
+    entries = [one.entry for one in parts if one.number == states.FIRST_PART]
     return successor._replace(
         parts=frozenset(),
         is_owner=True,
-        entry=entries[0] if entries else ABSENT,
+        entry=entries[0] if entries else states.ABSENT,
     )
 
 
-def _own(state: HandoverState, vm: int) -> Labelled:
+def _own(state: states.HandoverState, vm: int) -> Labelled:
     successor = state.successors[vm]
     if not successor.is_owner:
         return
-    if successor.entry == ABSENT:
-        running = _put(state, vm, successor._replace(entry=RUNNING))
+    if successor.entry == states.ABSENT:
+        running = _put(state, vm, successor._replace(entry=states.RUNNING))
         started = running._replace(starts=state.starts + 1)
         yield f'a copy starts at VM {vm}', started
 
 
 def _put(
-    state: HandoverState,
+    state: states.HandoverState,
     vm: int,
-    successor: Successor,
-) -> HandoverState:
+    successor: states.Successor,
+) -> states.HandoverState:
     before, after = state.successors[:vm], state.successors[vm + 1 :]
     return state._replace(successors=(*before, successor, *after))
