--- a/src/camphorlink/bench/experiment_fleet.py
+++ b/src/camphorlink/bench/experiment_fleet.py
@@ -165,7 +165,7 @@
         if isinstance(message, messages.TaskNotStarted):
             self._network.counts[f'wasted:{message.reason.value}'] += 1
         elif isinstance(message, messages.TaskFinished):
-            run = self.core.table.find(message.ticket.submission_id)
+            run = self.core.tables.find_run(message.ticket.submission_id)
             if run is None or not run.is_open:
                 self._network.counts['wasted:late-result'] += 1
 
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from functools import singledispatchmethod
 
+from camphorlink.internal.core.connection.slot_messages import SlotMessage
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberView
 from camphorlink.internal.core.process.submissions import Submissions
@@ -170,6 +171,18 @@
         self.manifest = message.manifest
         self._scheduler.install(message.manifest)
 
+    @_apply.register
+    def _members_changed(self, message: messages.MembersChanged) -> None:
+        self._submissions.handle(message, self._now)
+        self._scheduler.change_view(message.view, self._now)
+
+    @_apply.register
+    def _peer_said(self, message: messages.PeerSaid) -> None:
+        if isinstance(message.message, SlotMessage):
+            self._scheduler.hear_peer(message.peer, message.message, self._now)
+        else:
+            self._submissions.handle(message, self._now)
+
     @_apply.register
     def _drain(self, message: messages.Drain) -> None:
         self.is_draining = True
