--- a/src/camphorlink/internal/core/connection/peer_messages.py
+++ b/src/camphorlink/internal/core/connection/peer_messages.py
@@ -7,6 +7,10 @@
 
 from typing import NamedTuple
 
+from camphorlink.internal.core.connection.slot_messages import (
+    SLOT_MESSAGE_BY_KIND,
+    SlotMessage,
+)
 from camphorlink.internal.core.connection.submission_messages import (
     SUBMISSION_MESSAGE_BY_KIND,
     SubmissionMessage,
@@ -98,7 +102,14 @@
 
 
 ConfigMessage = ConfigAsk | ConfigGive
-PeerMessage = Hello | Heartbeat | ZoneReport | ConfigMessage | SubmissionMessage
+PeerMessage = (
+    Hello
+    | Heartbeat
+    | ZoneReport
+    | ConfigMessage
+    | SlotMessage
+    | SubmissionMessage
+)
 
 #: Kinds that the membership takes in; the entry core never sees them.
 MEMBERSHIP_KINDS = (Hello, Heartbeat, ZoneReport)
@@ -108,6 +119,7 @@
 PEER_MESSAGE_BY_KIND: dict[str, type[PeerMessage]] = {
     'hello': Hello,
     'heartbeat': Heartbeat,
+    **SLOT_MESSAGE_BY_KIND,
     'zone-report': ZoneReport,
     'config-ask': ConfigAsk,
     'config-give': ConfigGive,
--- a/src/camphorlink/spec/configuration.py
+++ b/src/camphorlink/spec/configuration.py
@@ -41,19 +41,29 @@
             label = f'operator {operator} approves over version {base}'
             yield label, _append(state, approved)
         for seen in versions:
-            if seen <= base:
-                continue
-            proposed = config.Record(config.PROPOSED, seen, operator)
-            label = f'operator {operator} proposes over version {seen}'
-            yield label, _set_base(_append(state, proposed), operator, seen)
+            if seen > base:
+                yield _propose(state, operator, seen)
     if config.NEWER_RULES in state.events:
+        rest = state.events - {config.NEWER_RULES}
         for version in versions:
-            label = f'the second set of rules, over version {version}'
             record = config.Record(config.RULESET, version)
-            rest = state.events - {config.NEWER_RULES}
+            label = f'the second set of rules, over version {version}'
             yield label, _append(state, record)._replace(events=rest)
 
 
+def _propose(
+    state: config.ConfigState,
+    operator: int,
+    seen: int,
+) -> tuple[str, config.ConfigState]:
+    proposed = config.Record(config.PROPOSED, seen, operator)
+    before, after = state.bases[:operator], state.bases[operator + 1 :]
+    following = _append(state, proposed)._replace(
+        bases=(*before, seen, *after),
+    )
+    return f'operator {operator} proposes over version {seen}', following
+
+
 def _land_snapshot(state: config.ConfigState) -> Labelled:
     if state.writing is not None:
         landed = _append(
@@ -82,8 +92,9 @@
         skipped = vm.folded._replace(next_offset=state.earliest)
         label = f'VM {number} skips to record {state.earliest}'
         yield label, _set_folded(state, number, skipped)
-    for offset in range(state.earliest, len(state.stream)):
-        folded = state.stream[offset].folded
+    kept = state.stream[state.earliest :]
+    for offset, record in enumerate(kept, state.earliest):
+        folded = record.folded
         if folded is None or folded.ruleset > vm.release:
             continue
         label = f'VM {number} takes the snapshot in record {offset}'
@@ -138,15 +149,6 @@
     return state._replace(stream=(*state.stream, record))
 
 
-def _set_base(
-    state: config.ConfigState,
-    operator: int,
-    base: int,
-) -> config.ConfigState:
-    before, after = state.bases[:operator], state.bases[operator + 1 :]
-    return state._replace(bases=(*before, base, *after))
-
-
 def _set_folded(
     state: config.ConfigState,
     number: int,
