Manifest: capabilities, task classes, priority classes, limits of services

Cause: the manifest could not say what a service's tasks need or how long they run, nor put teams into classes; addresses such as 10.0.0.256:0 passed. Change: the shapes move to manifest_documents, references across sections to manifest_references; addresses are checked as IP number and port; every fault carries JSON path and value.

--- a/src/camphorlink/internal/core/version/manifest.py
+++ b/src/camphorlink/internal/core/version/manifest.py
@@ -8,14 +8,22 @@
 import hashlib
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Annotated, Any, Literal, NamedTuple, NotRequired
+from typing import Any, NamedTuple
 
 import orjson
-from pydantic import ConfigDict, Field, TypeAdapter
-from typing_extensions import TypedDict
+from pydantic import TypeAdapter
 
 from camphorlink.errors import Fault, ManifestError
 from camphorlink.internal.core.process.documents import check_shape
+from camphorlink.internal.core.version.manifest_documents import (
+    BackendDocument,
+    ManifestDocument,
+    ServiceDocument,
+    TeamDocument,
+)
+from camphorlink.internal.core.version.manifest_references import (
+    reference_faults,
+)
 from camphorlink.internal.core.version.merge_patch import (
     MAX_DEPTH,
     is_shallow,
@@ -25,49 +33,19 @@
 DEFAULT_MAX_TASK_MS = 10_000
 DEFAULT_MAX_QUEUED = 10_000
 
-_Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,31}$')]
-_Count = Annotated[int, Field(ge=1, le=100_000)]
-_STRICT = ConfigDict(extra='forbid', strict=True)
-
-
-class ServiceDocument(TypedDict):
-    """A service as the manifest writes it."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-    max_task_ms: NotRequired[_Count]
-    max_queued: NotRequired[_Count]
-    idempotent: NotRequired[bool]
-
-
-class BackendDocument(TypedDict):
-    """A backend server as the manifest writes it."""
-
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-    address: Annotated[str, Field(pattern=r'^[0-9.]+:\d{1,5}$')]
-    zone: _Name
-    slots: _Count
-    connections: _Count
-    services: list[_Name]
-    leaving: NotRequired[bool]
-
-
-class TeamDocument(TypedDict):
-    """A team as the manifest writes it."""
+DEFAULT_PRIORITY = 5
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-    max_running: NotRequired[_Count]
-    max_starts_per_s: NotRequired[_Count]
-    priority: NotRequired[Annotated[int, Field(ge=0, le=9)]]
 
+class TaskClass(NamedTuple):
+    """Tasks of a service that take a like time.
 
-class ManifestDocument(TypedDict):
-    """The manifest as it is written and digested."""
+    Attributes:
+        typical_ms: Run time to expect before any was measured, in ms.
+        lookup: Whether they only read, and so may run more than once.
+    """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
-    schema: Literal[1]
-    services: dict[_Name, ServiceDocument]
-    backends: dict[_Name, BackendDocument]
-    teams: dict[_Name, TeamDocument]
+    typical_ms: int
+    lookup: bool
 
 
 class Service(NamedTuple):
@@ -78,12 +56,20 @@
         max_task_ms: Longest time that one task may take, in ms.
         max_queued: Tasks that may wait at one entry VM.
         idempotent: Whether its tasks may run more than once.
+        max_running: Tasks that may run at once over all VMs, or ``None``.
+        max_starts_per_s: Starts a second over all VMs, or ``None``.
+        needs: Capabilities that its backend servers must have.
+        classes_by_name: Its task classes.
     """
 
     name: str
     max_task_ms: int
     max_queued: int
     idempotent: bool
+    max_running: int | None = None
+    max_starts_per_s: int | None = None
+    needs: frozenset[str] = frozenset()
+    classes_by_name: Mapping[str, TaskClass] = MappingProxyType({})
 
 
 class Backend(NamedTuple):
@@ -97,6 +83,7 @@
         connections: Connections that it accepts at once.
         services: Names of the services that it serves.
         leaving: Whether it is to get no new work.
+        capabilities: What it has that services may need.
     """
 
     name: str
@@ -106,6 +93,7 @@
     connections: int
     services: frozenset[str]
     leaving: bool
+    capabilities: frozenset[str] = frozenset()
 
 
 class Team(NamedTuple):
@@ -170,9 +158,13 @@
         fault = Fault('$', 'deep nesting', f'at most {MAX_DEPTH} levels')
         raise ManifestError([fault])
     typed = check_shape(_ADAPTER, document, ManifestError)
-    faults = _reference_faults(typed)
+    faults = reference_faults(typed)
     if faults:
         raise ManifestError(faults)
+    rank_by_class = {
+        name: entry['rank']
+        for name, entry in typed.get('priority_classes', {}).items()
+    }
     return Manifest(
         digest=digest_document(document),
         services_by_name={
@@ -184,32 +176,28 @@
             for name, entry in typed['backends'].items()
         },
         teams_by_name={
-            name: _build_team(name, entry)
+            name: _build_team(name, entry, rank_by_class)
             for name, entry in typed['teams'].items()
         },
     )
 
 
-def _reference_faults(typed: ManifestDocument) -> list[Fault]:
-    known = typed['services']
-    return [
-        Fault(
-            f'$.backends.{name}.services[{index}]',
-            repr(service),
-            'name a service of $.services',
-        )
-        for name, entry in typed['backends'].items()
-        for index, service in enumerate(entry['services'])
-        if service not in known
-    ]
-
-
 def _build_service(name: str, entry: ServiceDocument) -> Service:
     return Service(
         name=name,
         max_task_ms=entry.get('max_task_ms', DEFAULT_MAX_TASK_MS),
         max_queued=entry.get('max_queued', DEFAULT_MAX_QUEUED),
         idempotent=entry.get('idempotent', False),
+        max_running=entry.get('max_running'),
+        max_starts_per_s=entry.get('max_starts_per_s'),
+        needs=frozenset(entry.get('needs', ())),
+        classes_by_name={
+            class_name: TaskClass(
+                inner['typical_ms'],
+                inner.get('lookup', False),
+            )
+            for class_name, inner in entry.get('task_classes', {}).items()
+        },
     )
 
 
@@ -222,13 +210,19 @@
         connections=entry['connections'],
         services=frozenset(entry['services']),
         leaving=entry.get('leaving', False),
+        capabilities=frozenset(entry.get('capabilities', ())),
     )
 
 
-def _build_team(name: str, entry: TeamDocument) -> Team:
+def _build_team(
+    name: str,
+    entry: TeamDocument,
+    rank_by_class: Mapping[str, int],
+) -> Team:
+    priority = entry.get('priority', DEFAULT_PRIORITY)
     return Team(
         name=name,
         max_running=entry.get('max_running'),
         max_starts_per_s=entry.get('max_starts_per_s'),
-        priority=entry.get('priority', 5),
+        priority=rank_by_class.get(entry.get('priority_class', ''), priority),
     )
--- /dev/null
+++ b/src/camphorlink/internal/core/version/manifest_documents.py
@@ -0,0 +1,100 @@
+"""The manifest as it is written: one typed shape for each section.
+
+A field goes into the shape here, into the typed form in ``manifest``, and,
+if it names something of another section, into ``manifest_references``.  Once
+a set of rules is released its shapes are frozen; see ``acceptance``.
+"""
+
+import ipaddress
+from typing import Annotated, Literal, NotRequired
+
+from pydantic import AfterValidator, ConfigDict, Field
+from pydantic_core import PydanticCustomError
+from typing_extensions import TypedDict
+
+MAX_PORT = 65_535
+MAX_RANK = 9
+
+_STRICT = ConfigDict(extra='forbid', strict=True)
+
+
+def _check_address(text: str) -> str:
+    ip, _colon, port = text.partition(':')
+    try:
+        ipaddress.IPv4Address(ip)
+    except ValueError as exc:
+        raise PydanticCustomError('address', _ADDRESS_HELP) from exc
+    if not port.isascii() or not port.isdecimal():
+        raise PydanticCustomError('address', _ADDRESS_HELP)
+    if not 0 < int(port) <= MAX_PORT:
+        raise PydanticCustomError('address', _ADDRESS_HELP)
+    return text
+
+
+_ADDRESS_HELP = 'write an IP number and a port, such as 10.20.0.7:9400'
+_Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,31}$')]
+_Address = Annotated[str, Field(max_length=21), AfterValidator(_check_address)]
+_Count = Annotated[int, Field(ge=1, le=100_000)]
+_Rank = Annotated[int, Field(ge=0, le=MAX_RANK)]
+
+
+class TaskClassDocument(TypedDict):
+    """Tasks of a service that take a like time."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    typical_ms: _Count
+    lookup: NotRequired[bool]
+
+
+class ServiceDocument(TypedDict):
+    """A service."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    max_task_ms: NotRequired[_Count]
+    max_queued: NotRequired[_Count]
+    max_running: NotRequired[_Count]
+    max_starts_per_s: NotRequired[_Count]
+    idempotent: NotRequired[bool]
+    needs: NotRequired[list[_Name]]
+    task_classes: NotRequired[dict[_Name, TaskClassDocument]]
+
+
+class BackendDocument(TypedDict):
+    """A backend server."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    address: _Address
+    zone: _Name
+    slots: _Count
+    connections: _Count
+    services: list[_Name]
+    capabilities: NotRequired[list[_Name]]
+    leaving: NotRequired[bool]
+
+
+class PriorityClassDocument(TypedDict):
+    """A class of priority that teams are put into."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    rank: _Rank
+
+
+class TeamDocument(TypedDict):
+    """A team."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    max_running: NotRequired[_Count]
+    max_starts_per_s: NotRequired[_Count]
+    priority: NotRequired[_Rank]
+    priority_class: NotRequired[_Name]
+
+
+class ManifestDocument(TypedDict):
+    """The whole manifest."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    schema: Literal[1]
+    services: dict[_Name, ServiceDocument]
+    backends: dict[_Name, BackendDocument]
+    teams: dict[_Name, TeamDocument]
+    priority_classes: NotRequired[dict[_Name, PriorityClassDocument]]
