--- a/src/camphorlink/internal/client/delivery.py
+++ b/src/camphorlink/internal/client/delivery.py
@@ -25,7 +25,9 @@
 ANSWER_MARGIN_S = 1.0
 MIN_LEFT_S = 0.001
 #: Answers of *unknown* that may become known by asking again.
-ASK_AGAIN_REASONS = frozenset(('home-unreachable', 'internal-error'))
+ASK_AGAIN_REASONS = frozenset(
+    ('home-unreachable', 'internal-error', 'relays-full'),
+)
 
 
 class Delivery:
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -18,12 +18,7 @@
 from camphorlink.internal.core.request.identifiers import (
     Home,
 )
-from camphorlink.internal.core.request.job import (
-    Answer,
-    Fate,
-    Job,
-    not_run,
-)
+from camphorlink.internal.core.request.job import Answer, Fate, Job, not_run
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.request.scheduler import (
