make measure-broadcast: tails, exchange and the paper's spanning tree

Cause: which way a change should take to 8, 24 and 144 VMs was a guess. Change: a seeded experiment on virtual time that uses the daemons' own choice of links and their exchange; five ways, four faults, five seeds.

--- a/Makefile
+++ b/Makefile
@@ -60,3 +60,7 @@
 .PHONY: counterexamples
 counterexamples: $(VENV)
 	$(PYTHON) -m camphorlink.spec.programs write docs/design/proof.md
+
+.PHONY: measure-broadcast
+measure-broadcast: $(VENV)
+	$(PYTHON) -m camphorlink.bench.broadcast
--- /dev/null
+++ b/src/camphorlink/bench/broadcast.py
@@ -0,0 +1,146 @@
+"""Measures how one change of configuration reaches 8, 24 and 144 entry VMs.
+
+Run with ``make measure-broadcast``; prints one JSON line for each case.
+"""
+
+import statistics
+import zlib
+from typing import Any
+
+import click
+import orjson
+
+from camphorlink.bench.broadcast_fleet import (
+    HEAL_S,
+    Exchange,
+    Fault,
+    Fleet,
+    LogTails,
+    Sizes,
+)
+from camphorlink.bench.broadcast_tree import Tree
+from camphorlink.internal.core.process.zone_links import VmKey
+from camphorlink.internal.core.version.acceptance import (
+    ConfigState,
+    approval_record,
+    fold_record,
+    patch_record,
+    proposal_record,
+)
+from camphorlink.internal.core.version.snapshots import snapshot_record
+
+FLEETS = (8, 24, 144)
+SEEDS = range(5)
+BACKENDS = 1900
+TEAMS = 150
+FAULTS = (
+    Fault('none'),
+    Fault('inner VM dead', is_inner_dead=True),
+    Fault('a zone without the log', is_log_cut=True),
+    Fault('a zone cut off, healed after 10 s', is_zone_cut=True),
+)
+WAYS = ('tail', 'exchange', 'tree', 'tree+exchange', 'tail+exchange')
+
+
+@click.command()
+def main() -> None:
+    """Print messages, bytes and seconds to the last VM for each case."""
+    sizes = measure_sizes()
+    click.echo(orjson.dumps({'sizes': sizes._asdict()}))
+    for size in FLEETS:
+        for fault in FAULTS:
+            for way in WAYS:
+                click.echo(orjson.dumps(measure(size, fault, way, sizes)))
+
+
+def measure(size: int, fault: Fault, way: str, sizes: Sizes) -> dict[str, Any]:
+    """Plays one case with every seed.
+
+    Returns:
+        Medians of the traffic, and the worst time to the last VM that is not
+        dead, in seconds since the change, or since healing for those VMs
+        that were cut off; ``None`` for VMs that were never reached.
+    """
+    fleets = [
+        play(Fleet(size, fault, sizes, seed), fault, way) for seed in SEEDS
+    ]
+    alive = [set(fleet.keys) - fleet.dead for fleet in fleets]
+    missed = [
+        len(keys - set(fleet.learned_s))
+        for keys, fleet in zip(alive, fleets, strict=True)
+    ]
+    return {
+        'vms': size,
+        'fault': fault.name,
+        'way': way,
+        'messages': statistics.median(fleet.messages for fleet in fleets),
+        'bytes': statistics.median(fleet.sent_bytes for fleet in fleets),
+        'last_s': round(max(map(_last_s, fleets)), 3),
+        'missed': max(missed),
+    }
+
+
+def play(fleet: Fleet, fault: Fault, way: str) -> Fleet:
+    """Lets the change spread in one way."""
+    root = fleet.keys[0]
+    tree = Tree(fleet)
+    if fault.is_inner_dead:
+        fleet.dead.add(tree.first_child(root))
+    if 'exchange' in way:
+        Exchange(fleet)
+    if 'tree' in way:
+        fleet.listen(lambda key: _start_tree(tree, key, root))
+    readers = fleet.keys if 'tail' in way else [root]
+    LogTails(fleet, [key for key in readers if key not in fleet.dead])
+    fleet.run()
+    return fleet
+
+
+def measure_sizes() -> Sizes:
+    """Writes a manifest of the size in the plan, and one change to it."""
+    document = _document()
+    proposal = proposal_record(0, document)
+    state = fold_record(ConfigState(), 0, proposal).state
+    approval = approval_record(0, proposal['digest'])
+    state = fold_record(state, 1, approval).state
+    name = next(iter(document['backends']))
+    changed = {**document['backends'][name], 'leaving': True}
+    backends = {**document['backends'], name: changed}
+    patch = patch_record(state, {**document, 'backends': backends})
+    records = [patch, approval_record(1, patch['digest'])]
+    return Sizes(
+        record=len(orjson.dumps(records)),
+        state=len(zlib.compress(orjson.dumps(snapshot_record(state)))),
+    )
+
+
+def _document() -> dict[str, Any]:
+    return {
+        'schema': 1,
+        'services': {'caster': {}},
+        'backends': {
+            f'runner-{number}': {
+                'address': f'10.{number // 250}.0.{number % 250}:9400',
+                'zone': f'zone-{number % 18:02d}',
+                'slots': 8,
+                'connections': 64,
+                'services': ['caster'],
+            }
+            for number in range(BACKENDS)
+        },
+        'teams': {f'team-{number}': {} for number in range(TEAMS)},
+    }
+
+
+def _start_tree(tree: Tree, key: VmKey, root: VmKey) -> None:
+    if key == root:
+        tree.start(root)
+
+
+def _last_s(fleet: Fleet) -> float:
+    times = fleet.learned_s.values()
+    return max(at_s - HEAL_S if at_s >= HEAL_S else at_s for at_s in times)
+
+
+if __name__ == '__main__':
+    main()
