--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -36,8 +36,6 @@
 )
 from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
 
-MAX_ATTEMPTS = 5
-
 
 class EntryCore:
     """Everything an entry VM decides, as a function of messages and time."""
@@ -85,6 +83,8 @@
         self._scheduler = Scheduler(home, self.timers, policy)
         self._desk = self._submissions.desk
         self._now = 0.0
+        # Looking a single-dispatch method up builds a function every time.
+        self._dispatch = self._apply
 
     def handle(
         self,
@@ -93,7 +93,7 @@
     ) -> Sequence[messages.Effect]:
         """Takes one message at core time ``now`` and returns what to do."""
         self._now = now
-        self._apply(message)
+        self._dispatch(message)
         starts = self._scheduler.start_tasks(now)
         return [*starts, *self._submissions.take_effects()]
 
@@ -156,11 +156,10 @@
         run.mark_not_started(ticket.position)
         if not run.is_open:
             return
-        if ticket.attempt >= MAX_ATTEMPTS:
+        if self._scheduler.retry_task(ended, message, self._now):
+            self._desk.count_retry(message.reason)
+        else:
             self._desk.deliver(run, run.close(message.reason))
-            return
-        self._desk.count_retry(message.reason)
-        self._scheduler.retry_task(ended)
 
     @_apply.register
     def _lost(self, message: messages.TaskLost) -> None:
@@ -176,7 +175,7 @@
             return
         self.version = message.version
         self.manifest = message.manifest
-        self._scheduler.install(message.manifest)
+        self._scheduler.install(message.manifest, self._now)
 
     @_apply.register
     def _members_changed(self, message: messages.MembersChanged) -> None:
--- a/src/camphorlink/internal/shell/connection/backend_client.py
+++ b/src/camphorlink/internal/shell/connection/backend_client.py
@@ -7,6 +7,7 @@
 be asked what became of it.
 """
 
+import asyncio
 from http import HTTPStatus
 from types import TracebackType
 from typing import Any
@@ -14,6 +15,7 @@
 
 import aiohttp
 import orjson
+from yarl import URL
 
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.request.reasons import Reason
@@ -49,11 +51,17 @@
         # follow a redirect; tests hold it to that.
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(_note_begun)
+        # What runs for every task is left out: cookies, headers that say
+        # nothing here, a timeout object for each request.
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
             timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
             trace_configs=[trace],
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=('Accept', 'Accept-Encoding', 'User-Agent'),
+            auto_decompress=False,
         )
+        self._url_by_address: dict[str, URL] = {}
         return self
 
     async def __aexit__(
@@ -84,7 +92,8 @@
     ) -> TaskReport:
         ticket = start.ticket
         try:
-            return await self._post(start, sending)
+            async with asyncio.timeout(start.timeout_s):
+                return await self._post(start, sending)
         except orjson.JSONEncodeError:
             return messages.TaskNotStarted(ticket, Reason.BAD_JOB)
         except TimeoutError:
@@ -99,17 +108,13 @@
     ) -> TaskReport:
         ticket = start.ticket
         request = self._session.post(
-            f'http://{start.address}/v1/tasks',
+            self._url_of(start.address),
             data=orjson.dumps(start.payload),
             headers={
                 'Content-Type': 'application/json',
                 'Task-Reference': task_reference(start),
                 'Task-Service': start.service,
             },
-            timeout=aiohttp.ClientTimeout(
-                total=start.timeout_s,
-                sock_connect=CONNECT_TIMEOUT_S,
-            ),
             # A redirect would send the task a second time.
             allow_redirects=False,
             trace_request_ctx=sending,
@@ -117,6 +122,13 @@
         async with request as response:
             return _read_report(ticket, response, await response.read())
 
+    def _url_of(self, address: str) -> URL:
+        url = self._url_by_address.get(address)
+        if url is None:
+            url = URL(f'http://{address}/v1/tasks')
+            self._url_by_address[address] = url
+        return url
+
 
 def task_reference(start: messages.StartTask) -> str:
     """Names a task to backend servers, the same in every try."""
