Resubmit storms with real processes; what the protection costs

Cause: nothing showed with real processes that a storm of resubmissions starts nothing twice, and no figure existed for the cost of the protection. Change: tests/nocover/test_resubmit_storm.py sends each of 36 submissions to three entry VMs at once while one is killed, stopped or paused, and holds every outcome against what the backend servers saw. `make measure-submissions` prints the costs. Claims go to 8 streams, not 16.

--- /dev/null
+++ b/src/camphorlink/bench/claim_trial.py
@@ -0,0 +1,129 @@
+"""Claims of callers' keys on a virtual clock, with a log that takes time."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from functools import partial
+from typing import NamedTuple
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.timers import Timers
+from camphorlink.internal.core.request.claim_records import (
+    CallerKey,
+    choose_claimer,
+    stream_of,
+)
+from camphorlink.internal.core.request.claim_stream import Ask, Verdict
+from camphorlink.internal.core.request.claim_writer import (
+    DEFAULT_APPENDS_PER_S,
+    ClaimWriter,
+)
+from camphorlink.internal.core.request.identifiers import MS_PER_S, Home
+
+WALL_S = 1_800_000_000.0
+APPEND_S = 0.005
+READ_S = 0.002
+#: How long a caller of the trial waits, in seconds.
+PATIENCE_S = 10.0
+HOME = Home('larissa', 'entry-0', '0' * 16)
+
+
+class _Event(NamedTuple):
+    due_s: float
+    number: int
+    act: Callable[[], None]
+
+
+class ClaimTrial:
+    """Claim writers of some VMs and a log service, on a virtual clock."""
+
+    def __init__(self, vms: int) -> None:
+        """Starts with empty streams."""
+        self.appends = 0
+        self.reads = 0
+        self.waits_s: list[float] = []
+        self._now = 0.0
+        self._numbers = itertools.count()
+        self._events: list[_Event] = []
+        self._size_by_stream: dict[str, int] = {}
+        self._timers_by_home: dict[Home, Timers] = {}
+        self._writer_by_home: dict[Home, ClaimWriter] = {}
+        for number in range(vms):
+            home = HOME._replace(vm=f'entry-{number}')
+            self._timers_by_home[home] = Timers()
+            self._writer_by_home[home] = ClaimWriter(
+                self._timers_by_home[home],
+                WALL_S,
+                DEFAULT_APPENDS_PER_S,
+                self._note,
+            )
+
+    def run(self, rate: float, seconds: float) -> None:
+        """Submits fresh keys at an even rate and waits for all verdicts."""
+        for number in range(int(rate * seconds)):
+            self._at(number / rate, partial(self._ask, number))
+        while self._events or self._next_timer() is not None:
+            self._step()
+
+    def _step(self) -> None:
+        timer_s = self._next_timer()
+        if self._events and (timer_s is None or self._events[0][0] <= timer_s):
+            event = heapq.heappop(self._events)
+            self._now = event.due_s
+            event.act()
+        elif timer_s is not None:
+            self._now = timer_s
+            for timers in self._timers_by_home.values():
+                timers.advance(self._now)
+        for home in self._writer_by_home:
+            self._carry_out(home)
+
+    def _next_timer(self) -> float | None:
+        due_s = [
+            timers.next_due_s() for timers in self._timers_by_home.values()
+        ]
+        return min((due for due in due_s if due is not None), default=None)
+
+    def _ask(self, number: int) -> None:
+        key = CallerKey('caster', f'booking-{number}')
+        home = choose_claimer(stream_of(key), self._writer_by_home, HOME)
+        issued_ms = int((WALL_S + self._now) * MS_PER_S)
+        late_s = self._now + PATIENCE_S
+        wish = Ask(key, f's-{number}', issued_ms, late_s, HOME)
+        self._writer_by_home[home].ask(wish, self._now)
+
+    def _note(self, verdict: Verdict) -> None:
+        asked_s = verdict.ask.deadline_s - PATIENCE_S
+        self.waits_s.append(self._now - asked_s)
+
+    def _carry_out(self, home: Home) -> None:
+        writer = self._writer_by_home[home]
+        for effect in writer.take_effects():
+            if isinstance(effect, messages.AppendClaims):
+                self._append(writer, effect)
+            elif isinstance(effect, messages.ReadClaims):
+                self._read(writer, effect)
+
+    def _append(
+        self,
+        writer: ClaimWriter,
+        effect: messages.AppendClaims,
+    ) -> None:
+        self.appends += 1
+        first = self._size_by_stream.get(effect.stream, 0)
+        self._size_by_stream[effect.stream] = first + len(effect.records)
+        done = messages.ClaimsAppended(effect.stream, effect.batch, first)
+        self._at(
+            self._now + APPEND_S,
+            lambda: writer.handle(done, self._now),
+        )
+
+    def _read(self, writer: ClaimWriter, effect: messages.ReadClaims) -> None:
+        self.reads += 1
+        size = self._size_by_stream.get(effect.stream, 0)
+        found = messages.ClaimsRead(effect.stream, (), 0, size)
+        self._at(self._now + READ_S, lambda: writer.handle(found, self._now))
+
+    def _at(self, due_s: float, act: Callable[[], None]) -> None:
+        event = _Event(due_s, next(self._numbers), act)
+        heapq.heappush(self._events, event)
--- /dev/null
+++ b/src/camphorlink/bench/submission_costs.py
@@ -0,0 +1,255 @@
+"""What the protection of submissions costs: ``make measure-submissions``.
+
+Prints Markdown tables: extra messages and milliseconds of the home path and
+of a forward on loopback, appends and added time of claims on a virtual
+clock, bytes for each remembered submission, and cancellations in waves.
+"""
+
+import asyncio
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from functools import partial
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+import click
+import orjson
+
+from camphorlink.bench.claim_trial import APPEND_S, HOME, WALL_S, ClaimTrial
+from camphorlink.internal.core.connection.submission_messages import (
+    SUBMISSION_MESSAGE_BY_KIND,
+)
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.core.request.claim_index import ClaimIndex
+from camphorlink.internal.core.request.claim_records import (
+    PARTITIONS,
+    CallerKey,
+    Claim,
+)
+from camphorlink.internal.core.request.home_table import (
+    Ending,
+    HomeTable,
+    TableLimits,
+)
+from camphorlink.internal.core.request.identifiers import mint_submission_id
+from camphorlink.internal.core.request.job import Job, Outcome, TaskSpec
+from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.core.version.manifest import check_manifest
+from camphorlink.standin.local_site import LocalSite, SiteShape
+
+SEED = 4
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+CLAIMS_S = 10.0
+CLAIM_RATES = (50, 500, 2000)
+VM_COUNTS = (1, 8)
+ROUNDS = 3
+LOOPBACK_JOBS = 100
+LINKED_S = 0.05
+LINK_TRIES = 200
+REMEMBERED = 20_000
+WAVES = (1000, 2000, 4000, 8000)
+WAVE_TASKS = 10
+JSON = {'Content-Type': 'application/json'}
+LOOPBACK_JOB: dict[str, Any] = {
+    'service': 'caster',
+    'team': 'surveyors',
+    'deadline_ms': 5000,
+    'tasks': [{'id': 't0', 'payload': {'work_ms': 1}}],
+}
+
+
+@click.command()
+def main() -> None:
+    """Measure what the protection of submissions costs."""
+    asyncio.run(_measure_paths())
+    _measure_claims()
+    _measure_memory()
+    _measure_waves()
+
+
+def _say(*cells: object) -> None:
+    click.echo(f'| {" | ".join(str(cell) for cell in cells)} |')
+
+
+async def _measure_paths() -> None:
+    _say('path', 'ms (median of rounds)', 'peer messages a submission')
+    shape = SiteShape(zones=('larissa',), entries_per_zone=2)
+    async with LocalSite(shape) as site:
+        sent = _count_messages(site)
+        await _await_links(site)
+        urls = [
+            f'http://127.0.0.1:{daemon.callers_port}' for daemon in site.daemons
+        ]
+        for path, at in (('home', 0), ('forward', 1)):
+            sent.clear()
+            async with aiohttp.ClientSession() as session:
+                rounds = [
+                    await _time_submissions(session, urls[0], urls[at])
+                    for _ in range(ROUNDS)
+                ]
+            count = len(sent) / LOOPBACK_JOBS / ROUNDS
+            _say(path, f'{statistics.median(rounds):.2f}', count)
+
+
+async def _await_links(site: LocalSite) -> None:
+    for _ in range(LINK_TRIES):
+        views = [daemon.host.core.post.live() for daemon in site.daemons]
+        if all(len(view) == len(views) for view in views):
+            return
+        await asyncio.sleep(LINKED_S)
+
+
+def _count_messages(site: LocalSite) -> list[object]:
+    """Notes every message about submissions that leaves a VM."""
+    sent: list[object] = []
+    for daemon in site.daemons:
+        links = daemon.host.links
+        if links is not None:
+            links.send = partial(_send_noted, links.send, sent)  # type: ignore[method-assign]
+    return sent
+
+
+def _send_noted(
+    send: Callable[..., bool],
+    sent: list[object],
+    address: str,
+    message: Any,
+) -> bool:
+    if isinstance(message, tuple(SUBMISSION_MESSAGE_BY_KIND.values())):
+        sent.append(message)
+    return send(address, message)
+
+
+async def _time_submissions(
+    session: aiohttp.ClientSession,
+    home_url: str,
+    url: str,
+) -> float:
+    times_s: list[float] = []
+    body = orjson.dumps(LOOPBACK_JOB)
+    for _ in range(LOOPBACK_JOBS):
+        async with session.post(f'{home_url}/v1/submission-ids') as issued:
+            name = (await issued.json())['submission_id']
+        started_s = time.perf_counter()
+        path = f'{url}/v1/submissions/{name}'
+        async with session.put(path, data=body, headers=JSON) as answer:
+            if answer.status != HTTPStatus.OK:
+                click.echo(f'status {answer.status}')
+            await answer.read()
+        times_s.append(time.perf_counter() - started_s)
+    return statistics.median(times_s) * MS_PER_S
+
+
+def _measure_claims() -> None:
+    click.echo(f'\nclaims, {PARTITIONS} streams, append {APPEND_S} s')
+    _say('VMs', 'keys/s', 'appends/1,000', 'appends/s', 'added ms p50', 'p99')
+    for vms in VM_COUNTS:
+        for rate in CLAIM_RATES:
+            trial = ClaimTrial(vms)
+            trial.run(rate, CLAIMS_S)
+            waits_ms = [wait_s * MS_PER_S for wait_s in trial.waits_s]
+            cuts = statistics.quantiles(waits_ms, n=100)
+            _say(
+                vms,
+                rate,
+                f'{trial.appends * 1000 / len(waits_ms):.0f}',
+                f'{trial.appends / CLAIMS_S:.0f}',
+                f'{cuts[49]:.0f}',
+                f'{cuts[98]:.0f}',
+            )
+
+
+def _measure_memory() -> None:
+    click.echo('\nmemory')
+    _say('remembered', 'bytes each')
+    _say('answer of a job of 3 tasks', _bytes_each(_fill_answers))
+    _say('refusal or ending', _bytes_each(_fill_endings))
+    _say('first claim of a key', _bytes_each(_fill_claims))
+
+
+def _bytes_each(fill: Callable[[random.Random], object]) -> int:
+    rng = random.Random(SEED)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = fill(rng)
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return (after - before) // REMEMBERED
+
+
+def _fill_answers(rng: random.Random) -> HomeTable:
+    table = HomeTable(TableLimits(REMEMBERED, 1 << 40))
+    for number in range(REMEMBERED):
+        name = mint_submission_id(HOME, WALL_S + number / 100, rng)
+        run = table.open_run(name, _job_of(3, f'{number:064d}'), 1)
+        for position in range(3):
+            run.mark_started(position)
+            run.finish_task(position, {'echo': number, 'ok': True})
+    return table
+
+
+def _fill_endings(rng: random.Random) -> HomeTable:
+    table = HomeTable(TableLimits(10, max_endings=REMEMBERED))
+    for number in range(REMEMBERED):
+        name = mint_submission_id(HOME, WALL_S + number / 100, rng)
+        ending = Ending(Outcome.NOT_RUN, Reason.QUEUE_FULL)
+        table.endings.add(name, ending)
+    return table
+
+
+def _fill_claims(rng: random.Random) -> ClaimIndex:
+    index = ClaimIndex()
+    for number in range(REMEMBERED):
+        name = str(mint_submission_id(HOME, WALL_S, rng))
+        key = CallerKey('caster', f'booking-{number}')
+        index.fold_own([Claim(key, name)], number, WALL_S)
+    return index
+
+
+def _job_of(count: int, digest: str) -> Job:
+    tasks = tuple(TaskSpec(f't{number}', None) for number in range(count))
+    return Job('caster', 'surveyors', tasks, CLAIMS_S, False, digest)
+
+
+def _measure_waves() -> None:
+    click.echo(f'\ncancellations in waves, jobs of {WAVE_TASKS} tasks')
+    _say('open jobs', 'us for each cancellation (median of rounds)')
+    for size in WAVES:
+        rounds = [_time_wave(size) for _ in range(ROUNDS)]
+        _say(size, f'{statistics.median(rounds):.1f}')
+
+
+def _time_wave(size: int) -> float:
+    core = EntryCore(HOME, WALL_S, size)
+    manifest = check_manifest(
+        {
+            'schema': 1,
+            'services': {'caster': {'max_queued': 100_000}},
+            'backends': {},
+            'teams': {'surveyors': {}},
+        },
+    )
+    core.handle(messages.VersionInForce(1, manifest), 0)
+    rng = random.Random(SEED)
+    names = [mint_submission_id(HOME, WALL_S, rng) for _ in range(size)]
+    for caller, name in enumerate(names):
+        submit = messages.Submit(name, _job_of(WAVE_TASKS, 'd'), caller)
+        core.handle(submit, 0)
+    if core.table.open_count != size:
+        click.echo(f'only {core.table.open_count} of {size} jobs were open')
+    started_s = time.perf_counter()
+    for name in names:
+        core.handle(messages.Cancel(str(name)), 0)
+    spent_s = time.perf_counter() - started_s
+    return spent_s * US_PER_S / size
+
+
+if __name__ == '__main__':
+    main()
--- a/src/camphorlink/internal/core/request/claim_records.py
+++ b/src/camphorlink/internal/core/request/claim_records.py
@@ -11,7 +11,7 @@
 from camphorlink.internal.core.request.identifiers import Home
 
 #: Streams that the claims are spread over, so that no VM reads all of them.
-PARTITIONS = 16
+PARTITIONS = 8
 STREAM_PREFIX = 'claims-'
 _KIND = 'claim'
 
--- /dev/null
+++ b/tests/nocover/test_resubmit_storm.py
@@ -0,0 +1,140 @@
+"""Resubmit storms to several entry VMs while one of them fails.
+
+Every submission goes to all entry VMs at once.  Whatever happens to one of
+them, the backend servers must have seen no task twice, and each outcome that
+a caller was told must agree with what they have seen.
+"""
+
+import concurrent.futures
+import http.client
+import signal
+import time
+
+import pytest
+
+from processes import ProcessSite, call, wait_until
+
+ENTRIES = 3
+SUBMISSIONS = 36
+TASKS = 3
+DEADLINE_MS = 4000
+FAIL_AFTER_S = 0.3
+PAUSE_S = 6.0
+SETTLE_S = 1.5
+
+
+def job_of(number):
+    return {
+        'service': 'caster',
+        'team': 'surveyors',
+        'deadline_ms': DEADLINE_MS,
+        'tasks': [
+            {'id': f't{task}', 'payload': {'work_ms': 60, 'n': number}}
+            for task in range(TASKS)
+        ],
+    }
+
+
+def introduce(site):
+    """Puts the entry VMs on the platform's list and waits for their links."""
+    for name, entry in site.entries.items():
+        document = {
+            'zone': 'larissa',
+            'vm': name,
+            'peers': entry.addresses['peers'],
+            'operators': entry.addresses['operators'],
+            'state': 'live',
+        }
+        call('PUT', site.log.address, '/standin/vms', document)
+    for home in site.entries.values():
+        for other in site.entries.values():
+            wait_until(lambda: relays(home, other), what='links')  # noqa: B023
+
+
+def issue(entry):
+    answer = call('POST', entry.addresses['callers'], '/v1/submission-ids')
+    return answer.body['submission_id']
+
+
+def relays(home, other):
+    return deliver(other, issue(home), job_of(0)) == 'complete'
+
+
+def deliver(entry, submission_id, job):
+    """Returns the outcome that one copy was told, or why there is none."""
+    path = f'/v1/submissions/{submission_id}'
+    address = entry.addresses['callers']
+    try:
+        answer = call('PUT', address, path, job, timeout_s=12.0)
+    except (OSError, http.client.HTTPException):
+        return 'no-answer'
+    return answer.body['outcome']
+
+
+def fail_kill(entry):
+    entry.kill()
+
+
+def fail_stop(entry):
+    assert entry.stop() == 0
+
+
+def fail_pause(entry):
+    entry.signal(signal.SIGSTOP)
+    time.sleep(PAUSE_S)
+    entry.signal(signal.SIGCONT)
+
+
+def storm(site, ids, fail):
+    victim = site.entries['larissa-entry-1']
+    copies = [
+        (submission_id, entry)
+        for submission_id in ids
+        for entry in site.entries.values()
+    ]
+    with concurrent.futures.ThreadPoolExecutor(len(copies) + 1) as pool:
+        failing = pool.submit(
+            lambda: (time.sleep(FAIL_AFTER_S), fail(victim)),
+        )
+        told = [
+            pool.submit(deliver, entry, submission_id, job_of(1))
+            for submission_id, entry in copies
+        ]
+        outcomes_by_id = {submission_id: [] for submission_id in ids}
+        for (submission_id, _entry), future in zip(copies, told, strict=True):
+            outcomes_by_id[submission_id].append(future.result(30))
+        failing.result(30)
+    return outcomes_by_id
+
+
+@pytest.mark.parametrize('fail', [fail_kill, fail_stop, fail_pause])
+def test_no_task_starts_twice_and_every_outcome_is_true(tmp_path, fail):
+    with ProcessSite(
+        tmp_path,
+        entries_per_zone=ENTRIES,
+        speeds=(1.0, 2.0),
+        slots=16,
+    ) as site:
+        introduce(site)
+        homes = list(site.entries.values())
+        ids = [issue(homes[n % ENTRIES]) for n in range(SUBMISSIONS)]
+        outcomes_by_id = storm(site, ids, fail)
+        time.sleep(SETTLE_S)
+        starts = site.starts_by_reference()
+    assert set(starts.values()) == {1}
+    for submission_id, outcomes in outcomes_by_id.items():
+        references = {f'{submission_id}/t{task}' for task in range(TASKS)}
+        seen = references & set(starts)
+        if 'complete' in outcomes:
+            assert seen == references, outcomes
+        if 'not-run' in outcomes:
+            assert not seen, outcomes
+    told = [told for outcomes in outcomes_by_id.values() for told in outcomes]
+    assert 'complete' in told
+    survivors = [
+        outcomes
+        for submission_id, outcomes in outcomes_by_id.items()
+        if '.larissa-entry-1.' not in submission_id
+    ]
+    for outcomes in survivors:
+        assert outcomes.count('complete') >= ENTRIES - 1, outcomes
