--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PATHS = src tests examples
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: venv run measure test lint format
+.PHONY: venv run serve measure test lint format
 
 venv: .venv/ready
 
@@ -19,6 +19,10 @@
 run: $(VENV)
 	$(PYTHON) -m camphorlink.cli.dev
 
+# The same, and stays up for callers until it is interrupted.
+serve: $(VENV)
+	$(PYTHON) -m camphorlink.cli.dev --serve
+
 # Response time, starts a second and memory, against the stated targets.
 measure: $(VENV)
 	$(PYTHON) -m camphorlink.bench.load
--- a/src/camphorlink/cli/dev.py
+++ b/src/camphorlink/cli/dev.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import shlex
 import signal
 import sys
 from pathlib import Path
@@ -19,7 +18,12 @@
 # See the comment in internal/shell/process/programs.py.
 os.environ['UV_USE_IO_URING'] = '0'
 
-EXAMPLE_JOB_PATH = Path(__file__).parents[3] / 'examples' / 'base-shifts.json'
+EXAMPLE_JOB = Path('examples', 'base-shifts.json')
+#: In a clone, and where ``pip install`` puts it.
+EXAMPLE_ROOTS = (
+    Path(__file__).parents[3],
+    Path(sys.prefix, 'share', 'camphorlink'),
+)
 EXIT_NOT_COMPLETE = 1
 
 
@@ -28,20 +32,26 @@
     '--job',
     'job_path',
     type=click.Path(path_type=Path, exists=True),
-    default=EXAMPLE_JOB_PATH,
-    show_default='examples/base-shifts.json',
-    help='JSON file with the job to run.',
+    help='JSON file with the job to run; examples/base-shifts.json if none.',
 )
 @click.option('--serve', is_flag=True, help='Stay up until interrupted.')
-def main(job_path: Path, serve: bool) -> None:
+def main(job_path: Path | None, serve: bool) -> None:
     """Start a site on free loopback ports and run an example job."""
-    job = orjson.loads(job_path.read_bytes())
+    job = orjson.loads((job_path or _find_example()).read_bytes())
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         is_complete = runner.run(_run(job, serve))
     if not is_complete:
         sys.exit(EXIT_NOT_COMPLETE)
 
 
+def _find_example() -> Path:
+    paths = [root / EXAMPLE_JOB for root in EXAMPLE_ROOTS]
+    found = [path for path in paths if path.exists()]
+    if not found:
+        raise click.UsageError('the example is not installed; give --job')
+    return found[0]
+
+
 async def _run(job: dict[str, Any], serve: bool) -> bool:
     stopped = _catch_signals()
     async with LocalSite(SiteShape()) as site:
@@ -49,7 +59,7 @@
         is_complete = await _run_job(urls, job)
         if serve:
             click.echo('\nserving until interrupted; try in another shell:')
-            click.echo(f'  export CAMPHORLINK_ENTRY={shlex.quote(urls[0])}')
+            _show_exports(site)
             await stopped.wait()
     return is_complete
 
@@ -75,6 +85,15 @@
     return urls
 
 
+def _show_exports(site: LocalSite) -> None:
+    daemon = site.daemons[0]
+    for name, port in (
+        ('ENTRY', daemon.callers_port),
+        ('OPERATORS', daemon.operators_port),
+    ):
+        click.echo(f'  export CAMPHORLINK_{name}=http://127.0.0.1:{port}')
+
+
 async def _run_job(urls: list[str], job: dict[str, Any]) -> bool:
     click.echo(f'\nrunning a job of {len(job["tasks"])} tasks')
     async with Client(urls) as client:
--- /dev/null
+++ b/tests/nocover/test_readme.py
@@ -0,0 +1,80 @@
+"""The lines of README.md are typed in a shell, as a newcomer would."""
+
+import os
+import re
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from camphorlink.bench.programs import SOURCE
+
+ROOT = Path(__file__).parents[2]
+README = (ROOT / 'README.md').read_text().partition('```')[0]
+LINES = re.findall(r'^    (\S.*)$', README, re.MULTILINE)
+SHELL_LINES = [line for line in LINES if not line.startswith('make ')]
+TIMEOUT_S = 60
+
+
+@pytest.fixture
+def dev(tmp_path):
+    """``camphorlink-dev --serve``; returns the exports that it printed."""
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'camphorlink.cli.dev', '--serve'],
+        stdout=subprocess.PIPE,
+        text=True,
+        cwd=tmp_path,
+        env={**os.environ, 'PYTHONPATH': str(SOURCE), 'PYTHONUNBUFFERED': '1'},
+    )
+    shown = []
+    try:
+        while sum('export' in line for line in shown) < 2:
+            line = process.stdout.readline()
+            assert line, shown
+            shown.append(line)
+        yield shown
+    finally:
+        process.send_signal(signal.SIGINT)
+        assert process.wait(TIMEOUT_S) == 0
+        process.stdout.close()
+
+
+def make_commands(directory):
+    """Puts the installed commands where the README has them."""
+    target = directory / '.venv' / 'bin' / 'camphorlink-submit'
+    target.parent.mkdir(parents=True)
+    module = 'camphorlink.cli.submit'
+    target.write_text(f'#!/bin/sh\nexec {sys.executable} -m {module} "$@"\n')
+    target.chmod(0o755)
+    (directory / 'examples').symlink_to(ROOT / 'examples')
+
+
+def test_every_line_works_as_written(dev, tmp_path):
+    assert 'complete: 12 tasks\n' in dev
+    make_commands(tmp_path)
+    exports = [line.strip() for line in dev if 'export' in line]
+    script = '\n'.join(['set -e', *exports, *SHELL_LINES])
+    ended = subprocess.run(
+        ['bash', '-c', script],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        env={**os.environ, 'PYTHONPATH': str(SOURCE)},
+    )
+    assert ended.returncode == 0, ended.stderr
+    shown = ended.stdout
+    assert shown.count('"outcome":"complete"') == 4
+    assert shown.count('"outcome": "complete"') == 2
+    assert '"known":true' in shown
+    assert '"reason":"bad-job"' in shown
+    assert '"ready":true' in shown
+    assert 'camphorlink_refusals_total{reason="bad-job"} 1' in shown
+    assert ended.stderr.startswith('submission ')
+
+
+def test_the_lines_are_those_that_matter():
+    assert {'make run', 'make serve', 'make test'} <= set(LINES)
+    assert len(SHELL_LINES) == 10
