--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -81,10 +81,11 @@
             settings.operators,
         )
         callers = CallersApi(self.host, rng)
-        self.callers_port = await self._serve(
-            callers.build_app(),
-            settings.callers,
+        callers_app = callers.build_app()
+        callers_app.on_response_prepare.append(
+            self.planned_stop.close_connection,
         )
+        self.callers_port = await self._serve(callers_app, settings.callers)
         if settings.callers.ip != ANY_ADDRESS:
             callers.address = f'{settings.callers.ip}:{self.callers_port}'
         self._log.info('started', extra={'home': str(self.host.core.home)})
--- a/src/camphorlink/internal/shell/process/planned_stop.py
+++ b/src/camphorlink/internal/shell/process/planned_stop.py
@@ -1,13 +1,16 @@
 """Planned stop of an entry VM, so gradual that no caller is cut off.
 
 Three steps follow each other.  First ``/readyz`` says no while everything
-else goes on, so that the balancer sends new callers elsewhere.  Then the
+else goes on, so that the balancer sends new callers elsewhere; each answer
+from then on closes its connection, which a caller would keep otherwise.  Then the
 core admits nothing new.  At last the answers that are due are waited for.
 """
 
 import asyncio
 from collections.abc import Callable
 
+from aiohttp import web
+
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberState
 from camphorlink.internal.shell.process.core_host import CoreHost
@@ -55,6 +58,16 @@
         self._drain()
         await self._poll(lambda: self._host.core.is_idle, self._drain_s)
 
+    async def close_connection(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+    ) -> None:
+        """Ends a kept connection with an answer, never between requests."""
+        if self.is_begun:
+            response.headers['Connection'] = 'close'
+            response.force_close()
+
     def _drain(self) -> None:
         if not self._host.core.is_draining:
             self._members.set_state(MemberState.LEAVING)
--- a/tests/nocover/test_planned_stop.py
+++ b/tests/nocover/test_planned_stop.py
@@ -30,6 +30,8 @@
 
         in_flight = threading.Thread(target=submit, args=(3000,))
         in_flight.start()
+        submit(10)
+        before = answers.pop()
         wait_until(site.starts_by_reference, what='task started')
         entry.signal(signal.SIGTERM)
         wait_until(
@@ -48,8 +50,11 @@
         code = entry.process.wait(30)
         in_flight.join(30)
         log = entry.log()
+    assert before.status == 200
+    assert 'connection' not in before.headers
     assert health.status == 200
     assert during_notice.status == 200
+    assert during_notice.headers['connection'] == 'close'
     assert while_draining.status == 503
     assert while_draining.body['outcome'] == 'not-run'
     assert while_draining.body['reason'] == 'draining'
