Admission, fairness between teams, quotas and limits over all entry VMs

Cause: nothing refused work that could not be done; one team or one kind of task could take every slot; quotas of the manifest had no effect. Change: refusals, cheapest first: queue full (beyond half, a team gets no more than its part), no usable back end, a job that failed under three identifiers at two back ends, a deadline that 0.6 of the expected time misses; each with retry_after where coming back helps. Teams far ahead of their part are set back while 5 s of work wait. Long tasks leave 12% of the slots free. Quotas and limits (manifest: max_running and max_starts_per_s, now for services too): a quarter is split evenly, the rest by demand reports; shares fall at once and rise after 1.5 s; who is not heard keeps its demand.

--- a/src/camphorlink/bench/experiment.py
+++ b/src/camphorlink/bench/experiment.py
@@ -41,6 +41,7 @@
     mint_submission_id,
 )
 from camphorlink.internal.core.request.job import Answer, Job, TaskSpec
+from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.version.manifest import check_manifest
 
 MS_PER_S = 1000
@@ -141,7 +142,9 @@
                 'schema': 1,
                 'services': {'caster': {'max_task_ms': 20_000}},
                 'backends': backends,
-                'teams': {team: {} for team in cases.TEAMS},
+                'teams': {
+                    team: {} for team in (*cases.TEAMS, cases.FLOOD_TEAM)
+                },
             }
         )
         # The fakes are found by name: they have no addresses.
@@ -173,9 +176,13 @@
         for vm in self.vms():
             vm.post(message)
 
-    def submit(self, plan: JobPlan) -> tuple[EntryVm, SubmissionId]:
-        """Submits a job to an entry VM of its zone, as a balancer would."""
-        vms = [vm for vm in self.vms_by_zone[plan.zone] if vm.is_up]
+    def submit(
+        self,
+        plan: JobPlan,
+        zone: str = '',
+    ) -> tuple[EntryVm, SubmissionId]:
+        """Submits a job to an entry VM of a zone, as a balancer would."""
+        vms = [vm for vm in self.vms_by_zone[zone or plan.zone] if vm.is_up]
         weights = [vm.member.weight for vm in vms]
         vm = self.rng.choices(vms, weights)[0]
         caller = len(self._plans)
@@ -213,6 +220,10 @@
     def _note_answer(self, caller: int, answer: Answer) -> None:
         plan = self._plans[caller]
         reason = answer.reason.value if answer.reason else ''
+        if answer.reason is Reason.NO_BACKEND:
+            self.counts['handoffs'] += 1
+            self.submit(plan, cases.ZONES[1 + caller % 2])
+            return
         self.note_end(plan, reason)
 
     def note_end(self, plan: JobPlan, reason: str = '') -> None:
@@ -295,7 +306,7 @@
     task = cases.TaskPlan(1, 1, 'fix')
     tasks = (task,) * cases.MAX_TASKS
     for _ in range(CANCELLED_TASKS // cases.MAX_TASKS // len(cases.ZONES)):
-        plan = JobPlan(fleet.clock.now, zone, cases.TEAMS[0], tasks, 'flood')
+        plan = JobPlan(fleet.clock.now, zone, cases.FLOOD_TEAM, tasks, 'flood')
         vm, submission_id = fleet.submit(plan)
         message = messages.Cancel(str(submission_id))
         fleet.clock.call_in(CANCEL_AFTER_S, vm.post, message)
@@ -319,7 +330,11 @@
     by_team = [_team_median(seen, team) for team in cases.TEAMS]
     per_thousand = 1000 / max(run.counts['starts'], 1)
     on_time = bisect_right(stretches, ON_TIME_STRETCH)
-    failed = Counter(record.reason for record in seen if record.reason)
+    failed = Counter(
+        f'{record.plan.kind}:{record.reason}'
+        for record in seen
+        if record.reason
+    )
     return {
         'case': run.case,
         'policy': run.policy,
--- a/src/camphorlink/bench/experiment_cases.py
+++ b/src/camphorlink/bench/experiment_cases.py
@@ -16,6 +16,7 @@
 BURST_S = 2.0
 BURST_FACTOR = 5
 TEAMS = ('north', 'south', 'west')
+FLOOD_TEAM = 'flood'
 ZONES = ('larissa', 'volos', 'trikala')
 #: Speeds of the eight back ends of each zone, slowest to fastest 1:4.
 SPEEDS = (0.4, 0.57, 0.74, 0.91, 1.09, 1.26, 1.43, 1.6)
@@ -155,7 +156,7 @@
     tasks = tuple(_draw_task(case, is_long_flood, rng) for _ in range(count))
     is_mixed = any(task.task_class == 'batch' for task in tasks)
     if is_flood:
-        return JobPlan(now, zone, TEAMS[0], tasks, 'flood')
+        return JobPlan(now, zone, FLOOD_TEAM, tasks, 'flood')
     kind = ('short', 'mixed')[is_mixed]
     return JobPlan(now, zone, rng.choice(TEAMS), tasks, kind)
 
--- a/src/camphorlink/internal/core/connection/backend_load.py
+++ b/src/camphorlink/internal/core/connection/backend_load.py
@@ -66,11 +66,16 @@
         """Slots that this VM may use, free or not."""
         return self.allotted + self.borrowed - self.lent
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether it may be given tasks, once slots are free."""
+        is_out = self.backend.leaving or self.is_stalled
+        return self.limit > 0 and not is_out
+
     @property
     def may_free(self) -> bool:
         """Whether it is worth waiting for one of its slots."""
-        is_out = self.backend.leaving or self.is_stalled
-        return self.limit > 0 and self.held > 0 and not is_out
+        return self.held > 0 and self.is_usable
 
     def next_free_s(self, now: float) -> float:
         """Estimates when a slot becomes free, as core time in seconds."""
--- /dev/null
+++ b/src/camphorlink/internal/core/connection/backend_pool.py
@@ -0,0 +1,85 @@
+"""The back ends of this zone, as the manifest in force names them."""
+
+import math
+import statistics
+
+from camphorlink.internal.core.connection.backend_load import BackendLoad
+from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
+
+INITIAL_SPEED = 1.0
+MIN_SPEED = 0.01
+#: Tasks that a back end gets at first when it joins a running zone.
+SLOW_START_TASKS = 2
+
+
+class BackendPool:
+    """Loads of all back ends of a zone.
+
+    Attributes:
+        manifest: The manifest in force.
+        load_by_backend: All back ends that were ever named; tasks may still
+            run on one that the manifest has dropped.
+        loads_by_service: Those that serve a service now.
+    """
+
+    def __init__(self, zone: str) -> None:
+        """Starts without a manifest."""
+        self.manifest = EMPTY_MANIFEST
+        self.load_by_backend: dict[str, BackendLoad] = {}
+        self.loads_by_service: dict[str, list[BackendLoad]] = {}
+        self._zone = zone
+
+    def install(self, manifest: Manifest) -> None:
+        """Takes over the back ends of a new version."""
+        is_first = not self.manifest.digest
+        self.manifest = manifest
+        for name, backend in manifest.backends_by_name.items():
+            if backend.zone != self._zone:
+                continue
+            load = self.load_by_backend.get(name)
+            if load is not None:
+                load.backend = backend
+                continue
+            load = BackendLoad(backend, self._usual_speed())
+            self.load_by_backend[name] = load
+            if not is_first:
+                load.limit = min(SLOW_START_TASKS, backend.slots)
+        self.loads_by_service = {
+            service: [
+                load
+                for load in self.load_by_backend.values()
+                if load.backend.name in manifest.backends_by_name
+                and service in load.backend.services
+            ]
+            for service in manifest.services_by_name
+        }
+
+    def serving(self, service: str) -> list[BackendLoad]:
+        """Lists the back ends that serve a service."""
+        return self.loads_by_service.get(service, [])
+
+    def own_speed(self) -> float:
+        """Returns the speed of all slots that are this VM's."""
+        speed = math.fsum(
+            load.speed * load.allotted
+            for load in self.load_by_backend.values()
+            if load.is_usable
+        )
+        return max(speed, MIN_SPEED)
+
+    def ideal_s(self, service: str, works_s: list[float]) -> float:
+        """Returns the least time in which tasks could run, in seconds.
+
+        Args:
+            service: The service that they need.
+            works_s: Run time of each at speed 1, in seconds.
+        """
+        loads = self.serving(service)
+        fastest = max((load.speed for load in loads), default=INITIAL_SPEED)
+        total = math.fsum(load.speed * load.backend.slots for load in loads)
+        work_s = math.fsum(works_s)
+        return max(max(works_s) / fastest, work_s / max(total, fastest))
+
+    def _usual_speed(self) -> float:
+        speeds = [load.speed for load in self.load_by_backend.values()]
+        return statistics.median(speeds) if speeds else INITIAL_SPEED
--- a/src/camphorlink/internal/core/connection/slot_messages.py
+++ b/src/camphorlink/internal/core/connection/slot_messages.py
@@ -1,4 +1,4 @@
-"""Messages about the slots that the entry VMs of a zone share."""
+"""Messages about what entry VMs share: slots, suspicions, limits."""
 
 from typing import NamedTuple
 
@@ -52,11 +52,36 @@
     period_s: float
 
 
-SlotMessage = SlotWant | SlotLoan | SlotReturn | BackendSuspect
+class LimitDemand(NamedTuple):
+    """What the sender could use of one limit.
+
+    Attributes:
+        kind: ``team`` or ``service``.
+        name: Its name in the manifest.
+        tasks: Tasks that run or wait.
+    """
+
+    kind: str
+    name: str
+    tasks: int
+
+
+class DemandReport(NamedTuple):
+    """What the sender could use of each limit; none is left out.
+
+    Attributes:
+        demands: Only limits that it could use something of.
+    """
+
+    demands: tuple[LimitDemand, ...]
+
+
+SlotMessage = SlotWant | SlotLoan | SlotReturn | BackendSuspect | DemandReport
 
 SLOT_MESSAGE_BY_KIND: dict[str, type[SlotMessage]] = {
     'slot-want': SlotWant,
     'slot-loan': SlotLoan,
     'slot-return': SlotReturn,
     'backend-suspect': BackendSuspect,
+    'demand-report': DemandReport,
 }
--- a/src/camphorlink/internal/core/connection/slot_shares.py
+++ b/src/camphorlink/internal/core/connection/slot_shares.py
@@ -57,6 +57,7 @@
 
     Attributes:
         address_by_peer: The other entry VMs of the zone that take load.
+        address_by_any_peer: The other entry VMs of all zones.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
     ) -> None:
         """Starts alone: without a view every slot is this VM's."""
         self.address_by_peer: dict[Home, str] = {}
+        self.address_by_any_peer: dict[Home, str] = {}
         self._home = home
         self._timers = timers
         self._load_by_backend = load_by_backend
@@ -75,6 +77,11 @@
     def change_view(self, view: MemberView, now: float) -> None:
         """Shrinks shares at once and lets them grow a little later."""
         is_first = not self._members
+        self.address_by_any_peer = {
+            member.home: member.address
+            for member in view.members
+            if member.home != self._home
+        }
         members = view.live_in_zone(self._home.zone)
         if all(member.home != self._home for member in members):
             members = (*members, Member(self._home, ''))
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -27,8 +27,6 @@
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.request.scheduler import (
-    DEFAULT_POLICY,
-    PlacementPolicy,
     Scheduler,
     Try,
 )
@@ -44,7 +42,6 @@
         wall_offset_s: float,
         max_entries: int,
         answer_bytes: int = DEFAULT_ANSWER_BYTES,
-        policy: PlacementPolicy = DEFAULT_POLICY,
     ) -> None:
         """Starts without a manifest.
 
@@ -54,7 +51,6 @@
             max_entries: Submissions that the table may remember with their
                 answers.
             answer_bytes: Memory of the answers that are held, in bytes.
-            policy: How tasks are placed.
         """
         self.home = home
         self.timers = Timers()
@@ -72,7 +68,7 @@
         self.manifest: Manifest = EMPTY_MANIFEST
         self.is_draining = False
         self._wall_offset_s = wall_offset_s
-        self._scheduler = Scheduler(home, self.timers, policy)
+        self._scheduler = Scheduler(home, self.timers)
         self._desk = self._submissions.desk
         self._now = 0.0
 
@@ -206,7 +202,8 @@
             return not_run(Reason.DRAINING)
         if self.table.is_full:
             return not_run(Reason.TABLE_FULL, retry_after_s=FULL_RETRY_S)
-        return refuse_job(job, self.manifest, self._now)
+        refusal = refuse_job(job, self.manifest, self._now)
+        return refusal or self._scheduler.refuse(job, self._now)
 
     def _end(
         self,
--- /dev/null
+++ b/src/camphorlink/internal/core/request/job_intake.py
@@ -0,0 +1,155 @@
+"""Takes jobs in: refuses what can't be served, ranks and queues the rest."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from camphorlink.internal.core.connection.backend_pool import BackendPool
+from camphorlink.internal.core.request.admission import (
+    NO_BACKEND_RETRY_S,
+    Backlog,
+    PoisonJobs,
+    refuse_for_queue,
+    refuse_for_time,
+)
+from camphorlink.internal.core.request.due_times import DueTimes
+from camphorlink.internal.core.request.job import Answer, Job, not_run
+from camphorlink.internal.core.request.job_run import JobRun
+from camphorlink.internal.core.request.queues import (
+    JobQueue,
+    QueuedJob,
+    WaitingTask,
+)
+from camphorlink.internal.core.request.quotas import LimitKey
+from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.core.request.run_times import RunTimes
+
+
+class JobEstimate(NamedTuple):
+    """What a job is expected to take.
+
+    Attributes:
+        job: The job.
+        tasks: Its tasks as they wait.
+        ideal_s: Time that it takes when it has all slots, in seconds.
+    """
+
+    job: Job
+    tasks: list[WaitingTask]
+    ideal_s: float
+
+
+class JobIntake:
+    """Admission and ranking at one entry VM.
+
+    Attributes:
+        poison: Jobs that failed too often.
+        queue_by_service: The jobs that wait.
+    """
+
+    def __init__(self, pool: BackendPool, run_times: RunTimes) -> None:
+        """Starts with empty queues."""
+        self.poison = PoisonJobs()
+        self.queue_by_service: dict[str, JobQueue] = {}
+        self._pool = pool
+        self._run_times = run_times
+        self._due_times = DueTimes()
+        self._last: JobEstimate | None = None
+
+    def queue_of(self, service: str) -> JobQueue:
+        """Returns the queue of a service, a new one if need be."""
+        queue = self.queue_by_service.get(service)
+        if queue is None:
+            queue = JobQueue()
+            self.queue_by_service[service] = queue
+        return queue
+
+    def refuse(self, job: Job, now: float) -> Answer | None:
+        """Says why a job that the manifest allows is not admitted now.
+
+        The cheap reasons come first: under overload most jobs end here.
+        """
+        return (
+            self._refuse_for_queue(job)
+            or self._refuse_for_backends(job)
+            or self.poison.refuse(job, now)
+            or self._refuse_for_time(job, now)
+        )
+
+    def queue_job(self, run: JobRun, now: float) -> QueuedJob:
+        """Queues all tasks of a submission."""
+        job = run.job
+        estimate = self._estimate(job)
+        due_s = self._due_s(estimate, now)
+        queued = QueuedJob(run, due_s, estimate.tasks)
+        self._due_times.charge(
+            job.team,
+            queued.work_s,
+            self._pool.own_speed(),
+            now,
+        )
+        self.queue_of(job.service).put(queued)
+        return queued
+
+    def waiting_by_limit(self) -> Counter[LimitKey]:
+        """Counts the waiting tasks by what may limit them."""
+        waiting: Counter[LimitKey] = Counter()
+        for service, queue in self.queue_by_service.items():
+            waiting[LimitKey('service', service)] += queue.waiting_tasks
+            for team, tasks in queue.waiting_by_team.items():
+                waiting[LimitKey('team', team)] += tasks
+        return waiting
+
+    def _refuse_for_queue(self, job: Job) -> Answer | None:
+        queue = self.queue_of(job.service)
+        service = self._pool.manifest.services_by_name[job.service]
+        if queue.waiting_tasks + len(job.tasks) <= service.max_queued / 2:
+            return None
+        team_waiting = queue.waiting_by_team[job.team]
+        backlog = Backlog(
+            service.max_queued,
+            queue.waiting_tasks,
+            team_waiting,
+            len(queue.waiting_by_team) + (not team_waiting),
+            queue.work_s / self._pool.own_speed(),
+        )
+        return refuse_for_queue(job, backlog)
+
+    def _refuse_for_backends(self, job: Job) -> Answer | None:
+        loads = self._pool.serving(job.service)
+        if any(load.is_usable for load in loads):
+            return None
+        return not_run(
+            Reason.NO_BACKEND,
+            f'none of {len(loads)} back ends of this zone can be used',
+            NO_BACKEND_RETRY_S,
+        )
+
+    def _refuse_for_time(self, job: Job, now: float) -> Answer | None:
+        if not self._run_times.is_known(job.service, job.tasks[0]):
+            return None
+        estimate = self._estimate(job)
+        due_s = self._due_s(estimate, now)
+        work_s = self.queue_of(job.service).work_before(due_s)
+        ahead_s = work_s / self._pool.own_speed()
+        return refuse_for_time(job, estimate.ideal_s, ahead_s, now)
+
+    def _estimate(self, job: Job) -> JobEstimate:
+        # Admission and queueing follow each other with the same job.
+        last = self._last
+        if last is not None and last.job is job:
+            return last
+        service = job.service
+        tasks = [
+            WaitingTask(self._run_times.estimate(service, task), position, 1)
+            for position, task in enumerate(job.tasks)
+        ]
+        ideal_s = self._pool.ideal_s(service, [task.work_s for task in tasks])
+        self._last = JobEstimate(job, tasks, ideal_s)
+        return self._last
+
+    def _due_s(self, estimate: JobEstimate, now: float) -> float:
+        job = estimate.job
+        team = self._pool.manifest.teams_by_name[job.team]
+        queue = self.queue_of(job.service)
+        drain_s = queue.work_s / self._pool.own_speed()
+        return self._due_times.due_s(job, team, estimate.ideal_s, drain_s, now)
--- a/src/camphorlink/internal/core/request/placement.py
+++ b/src/camphorlink/internal/core/request/placement.py
@@ -42,8 +42,12 @@
         self.free_by_load: dict[BackendLoad, int] = {}
         self._ready_by_load: dict[BackendLoad, float] = {}
         self.speed = 0.0
+        self.free = 0
+        self.held = 0
         for load in loads:
             free = load.free
+            self.held += load.held
+            self.free += max(free, 0)
             self.speed += load.backend.slots * load.speed
             if free > 0:
                 self.free_by_load[load] = free
@@ -77,6 +81,7 @@
     def take(self, load: BackendLoad) -> None:
         """Notes that a free slot is used."""
         left = self.free_by_load[load] - 1
+        self.free -= 1
         if left:
             self.free_by_load[load] = left
             return
--- a/src/camphorlink/internal/core/request/queues.py
+++ b/src/camphorlink/internal/core/request/queues.py
@@ -2,10 +2,17 @@
 
 import math
 from bisect import bisect_left, insort
+from collections import Counter
+from collections.abc import Container
 from typing import NamedTuple
 
 from camphorlink.internal.core.request.job_run import JobRun
 
+#: Jobs that are looked at for an estimate of the work before a new one.
+MAX_SAMPLES = 64
+#: Jobs that one pass may look at.
+MAX_LOOKED_AT = 256
+
 
 class WaitingTask(NamedTuple):
     """A task that waits for a slot.
@@ -70,6 +77,8 @@
     def __init__(self) -> None:
         """Starts empty."""
         self.waiting_tasks = 0
+        self.work_s = 0.0
+        self.waiting_by_team: Counter[str] = Counter()
         self._entries: list[_Entry] = []
         self._number = 0
 
@@ -85,7 +94,22 @@
         """Inserts a job by its due time."""
         self._number += 1
         insort(self._entries, _Entry(job.due_s, self._number, job))
-        self.waiting_tasks += len(job.tasks)
+        self._count(job, len(job.tasks), job.work_s)
+
+    def take(self, job: QueuedJob, task: WaitingTask) -> None:
+        """Removes a task that starts."""
+        job.take(task)
+        self._count(job, -1, -task.work_s)
+
+    def work_before(self, due_s: float) -> float:
+        """Estimates the work that is due before, in seconds at speed 1."""
+        index = bisect_left(self._entries, due_s, key=_due_of)
+        if not index:
+            return 0
+        stride = -(-index // MAX_SAMPLES)
+        sample = self._entries[:index:stride]
+        work_s = sum(entry.job.work_s for entry in sample)
+        return work_s * index / len(sample)
 
     def put_back(self, job: QueuedJob, task: WaitingTask) -> None:
         """Lets a task wait once more, and its job if that had left."""
@@ -94,31 +118,60 @@
         is_queued = any(entry.job is job for entry in self._entries)
         job.put_back(task)
         if is_queued:
-            self.waiting_tasks += 1
+            self._count(job, 1, task.work_s)
         else:
             self.put(job)
 
-    def first(self, count: int) -> list[QueuedJob]:
-        """Lists the first jobs that still wait for something."""
+    def first(
+        self,
+        count: int,
+        held_teams: Container[str] = (),
+    ) -> list[QueuedJob]:
+        """Lists the first jobs that still wait for something.
+
+        Args:
+            count: How many to list at the most.
+            held_teams: Teams whose jobs are passed over, as their quota is
+                used up.
+        """
         found: list[QueuedJob] = []
         index = 0
-        while index < len(self._entries) and len(found) < count:
+        while index < min(len(self._entries), MAX_LOOKED_AT):
+            if len(found) == count:
+                break
             job = self._entries[index].job
             if job.run.is_open and job.tasks:
-                found.append(job)
                 index += 1
+                if job.run.job.team not in held_teams:
+                    found.append(job)
             else:
-                self.waiting_tasks -= len(job.tasks)
+                self._count(job, -len(job.tasks), -job.work_s)
                 self._entries.pop(index)
         return found
 
     def purge(self) -> None:
         """Drops all jobs that have ended, so that they are not counted."""
-        self._entries = [
+        kept = [
             entry
             for entry in self._entries
             if entry.job.run.is_open and entry.job.tasks
         ]
-        self.waiting_tasks = sum(
-            len(entry.job.tasks) for entry in self._entries
-        )
+        self._entries = kept
+        self.waiting_tasks = 0
+        self.work_s = 0.0
+        self.waiting_by_team.clear()
+        for entry in kept:
+            job = entry.job
+            self._count(job, len(job.tasks), job.work_s)
+
+    def _count(self, job: QueuedJob, tasks: int, work_s: float) -> None:
+        self.waiting_tasks += tasks
+        self.work_s = max(self.work_s + work_s, 0)
+        team = job.run.job.team
+        self.waiting_by_team[team] += tasks
+        if not self.waiting_by_team[team]:
+            self.waiting_by_team.pop(team)
+
+
+def _due_of(entry: _Entry) -> float:
+    return entry.due_s
--- a/src/camphorlink/internal/core/request/reasons.py
+++ b/src/camphorlink/internal/core/request/reasons.py
@@ -35,6 +35,7 @@
     DEADLINE_UNREACHABLE = 'deadline-unreachable'
     NO_BACKEND = 'no-backend'
     CANCELLED = 'cancelled'
+    JOB_KEEPS_FAILING = 'job-keeps-failing'
     TASK_FAILED = 'task-failed'
     TASK_LOST = 'task-lost'
     CONNECT_FAILED = 'connect-failed'
@@ -72,6 +73,7 @@
     Reason.DEADLINE_UNREACHABLE: 'allow more time, or submit it later',
     Reason.NO_BACKEND: 'submit it to another zone, or later',
     Reason.CANCELLED: 'nothing: it was cancelled on request',
+    Reason.JOB_KEEPS_FAILING: 'mend the job: it failed again and again',
     Reason.TASK_FAILED: 'look at the failed task before you submit anew',
     Reason.TASK_LOST: 'find out by other means whether the task ran',
     Reason.CONNECT_FAILED: 'submit it again later: no try was started',
--- a/src/camphorlink/internal/core/request/run_times.py
+++ b/src/camphorlink/internal/core/request/run_times.py
@@ -20,6 +20,10 @@
 INITIAL_ERROR = 1.0
 MIN_WORK_S = 1e-4
 MAX_CLASSES = 4096
+#: Weight of the newest run in the usual run time of all tasks.
+USUAL_WEIGHT = 0.003
+#: Tasks longer than the usual (geometric mean) by this factor are long.
+LONG_FACTOR = 6.0
 #: Runs after which a class's estimate may refuse a job.
 KNOWN_RUNS = 20
 
@@ -71,6 +75,9 @@
     def __init__(self) -> None:
         """Starts knowing nothing."""
         self._times_by_class: dict[ClassKey, ClassTimes] = {}
+        self._usual_log_s = math.log(INITIAL_WORK_S)
+        #: Tasks from this run time on are long, in seconds at speed 1.
+        self.long_work_s = math.inf
 
     def estimate(self, service: str, task: TaskSpec) -> float:
         """Returns a task's expected run time at speed 1, in seconds."""
@@ -95,6 +102,9 @@
             times = ClassTimes()
             self._times_by_class[key] = times
         times.learn(_declared_s(task), work_s)
+        step = math.log(max(work_s, MIN_WORK_S)) - self._usual_log_s
+        self._usual_log_s += USUAL_WEIGHT * step
+        self.long_work_s = LONG_FACTOR * math.exp(self._usual_log_s)
 
 
 def _declared_s(task: TaskSpec) -> float | None:
--- a/src/camphorlink/internal/core/request/scheduler.py
+++ b/src/camphorlink/internal/core/request/scheduler.py
@@ -6,24 +6,29 @@
 """
 
 import itertools
-import statistics
 from functools import singledispatchmethod
 from typing import NamedTuple
 
 from camphorlink.internal.core.connection.backend_health import HealthGuard
-from camphorlink.internal.core.connection.backend_load import BackendLoad
-from camphorlink.internal.core.connection.peer_messages import PeerMessage
+from camphorlink.internal.core.connection.backend_pool import BackendPool
 from camphorlink.internal.core.connection.slot_lending import (
     NO_WANT,
     SlotLending,
     join_wants,
 )
-from camphorlink.internal.core.connection.slot_messages import BackendSuspect
+from camphorlink.internal.core.connection.slot_messages import (
+    BackendSuspect,
+    DemandReport,
+    LimitDemand,
+    SlotMessage,
+)
 from camphorlink.internal.core.connection.slot_shares import SlotShares
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberView
 from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.identifiers import Home
+from camphorlink.internal.core.request.job import Answer, Job
+from camphorlink.internal.core.request.job_intake import JobIntake
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.placement import Slots
 from camphorlink.internal.core.request.queues import (
@@ -31,35 +36,27 @@
     QueuedJob,
     WaitingTask,
 )
+from camphorlink.internal.core.request.quotas import (
+    REPORT_S,
+    LimitKey,
+    Quotas,
+)
 from camphorlink.internal.core.request.retries import RetryBudget
 from camphorlink.internal.core.request.run_times import RunTimes
 from camphorlink.internal.core.request.service_pass import (
     Assignment,
+    LongGuard,
     ServicePass,
 )
-from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
+from camphorlink.internal.core.version.manifest import Manifest
 
 MS_PER_S = 1000
-INITIAL_SPEED = 1.0
-#: Tasks that a back end gets at first when it joins a running zone.
-SLOW_START_TASKS = 2
 #: Period of the check of overruns and ejections, in seconds.
 CHECK_S = 0.25
 #: A failure sooner than this share of the expected time is quick.
 QUICK_SHARE = 0.1
-
-
-class PlacementPolicy(NamedTuple):
-    """What the experiment varies.
-
-    Attributes:
-        stretch: A job is due after this multiple of its ideal time.
-    """
-
-    stretch: float = 2.5
-
-
-DEFAULT_POLICY = PlacementPolicy()
+#: When to look again after a limit held tasks back, in seconds.
+LIMITED_S = 0.02
 
 
 class Try(NamedTuple):
@@ -69,89 +66,73 @@
     start_s: float
     task: WaitingTask
     job: QueuedJob
+    is_long: bool
 
 
 class Scheduler:
     """Queues of tasks by service, and the backend servers that serve them."""
 
-    def __init__(
-        self,
-        home: Home,
-        timers: Timers,
-        policy: PlacementPolicy = DEFAULT_POLICY,
-    ) -> None:
+    def __init__(self, home: Home, timers: Timers) -> None:
         """Starts without a manifest, for the backend servers of a zone."""
-        self._home = home
         self._timers = timers
-        self._policy = policy
-        self._manifest = EMPTY_MANIFEST
         self._run_times = RunTimes()
-        self._queue_by_service: dict[str, JobQueue] = {}
-        self._load_by_backend: dict[str, BackendLoad] = {}
-        self._loads_by_service: dict[str, list[BackendLoad]] = {}
+        self._pool = BackendPool(home.zone)
+        self._intake = JobIntake(self._pool, self._run_times)
+        self._quotas = Quotas(home)
         self._try_by_ticket: dict[messages.Ticket, Try] = {}
         self._numbers = itertools.count()
         self._guard = HealthGuard()
         self._budget = RetryBudget()
+        self._long_in_flight = 0
+        self._is_limited = False
+        self._last_rows: tuple[LimitDemand, ...] = ()
         self._effects: list[messages.Effect] = []
-        self._shares = SlotShares(home, timers, self._load_by_backend)
-        self._lending = SlotLending(
-            timers,
-            self._load_by_backend,
-            self._shares.address_by_peer,
-        )
+        loads = self._pool.load_by_backend
+        self._shares = SlotShares(home, timers, loads)
+        self._lending = SlotLending(timers, loads, self._shares.address_by_peer)
 
     def install(self, manifest: Manifest, now: float) -> None:
-        """Takes over the backend servers of a new version."""
-        is_first = not self._manifest.digest
-        if is_first and manifest.digest:
+        """Takes over the backend servers and limits of a new version."""
+        if not self._pool.manifest.digest:
             self._timers.call_every(now, CHECK_S, self._check)
-        self._manifest = manifest
-        for name, backend in manifest.backends_by_name.items():
-            if backend.zone != self._home.zone:
-                continue
-            load = self._load_by_backend.get(name)
-            if load is None:
-                speed = self._usual_speed()
-                load = BackendLoad(backend, speed)
-                self._load_by_backend[name] = load
-                if not is_first:
-                    load.limit = min(SLOW_START_TASKS, backend.slots)
-            else:
-                load.backend = backend
+            self._timers.call_every(now, REPORT_S, self._report_demand)
+        self._pool.install(manifest)
         self._shares.allot(may_grow=True)
-        self._guard.install(self._load_by_backend.values(), now)
-        self._loads_by_service = {
-            service: [
-                load
-                for load in self._load_by_backend.values()
-                if load.backend.name in manifest.backends_by_name
-                and service in load.backend.services
-            ]
-            for service in manifest.services_by_name
-        }
+        self._guard.install(self._pool.load_by_backend.values(), now)
+        self._quotas.install(manifest, now)
 
     def change_view(self, view: MemberView, now: float) -> None:
         """Takes over a new view of the entry VMs."""
         self._shares.change_view(view, now)
+        self._quotas.change_view(view)
 
-    def hear_peer(self, peer: Home, message: PeerMessage, now: float) -> None:
-        """Takes what another entry VM says of slots and back ends."""
+    def hear_peer(self, peer: Home, message: SlotMessage, now: float) -> None:
+        """Takes what another entry VM says of slots, back ends and limits."""
         if isinstance(message, BackendSuspect):
             self._guard.hear_suspicion(message.backend, message.period_s, now)
-        self._lending.hear(message, peer, now)
+        elif isinstance(message, DemandReport):
+            demand = {
+                LimitKey(kind, name): tasks
+                for kind, name, tasks in message.demands
+            }
+            self._quotas.hear(peer, demand)
+        else:
+            self._lending.hear(message, peer, now)
+
+    def refuse(self, job: Job, now: float) -> Answer | None:
+        """Says why a job that the manifest allows is not admitted now."""
+        return self._intake.refuse(job, now)
 
     def queue_job(self, run: JobRun, now: float) -> None:
         """Queues all tasks of a submission."""
-        service = run.job.service
-        tasks = [
-            WaitingTask(self._run_times.estimate(service, task), position, 1)
-            for position, task in enumerate(run.job.tasks)
-        ]
-        job = QueuedJob(run, now, tasks)
-        ideal_s = self._ideal_s(job)
-        job.due_s = now + self._policy.stretch * ideal_s
-        self._queue_of(service).put(job)
+        queued = self._intake.queue_job(run, now)
+        self._explain(
+            run.submission_id,
+            'queued',
+            due_in_s=round(queued.due_s - now, 3),
+            work_s=round(queued.work_s, 3),
+            waiting_tasks=self._intake.queue_of(run.job.service).waiting_tasks,
+        )
 
     def retry_task(
         self,
@@ -168,7 +149,7 @@
         if delay_s is None:
             return False
         task = ended.task._replace(attempt=ended.task.attempt + 1)
-        queue = self._queue_of(ended.job.run.job.service)
+        queue = self._intake.queue_of(ended.job.run.job.service)
         self._timers.call_at(
             now + delay_s,
             lambda _now: queue.put_back(ended.job, task),
@@ -188,7 +169,7 @@
         self._effects = []
         self._lending.recall(now)
         want = NO_WANT
-        for service, queue in self._queue_by_service.items():
+        for service, queue in self._intake.queue_by_service.items():
             if queue:
                 done = self._run_pass(service, queue, now)
                 effects.extend(
@@ -204,10 +185,12 @@
         """Frees the slot of a try that has ended, and learns from it."""
         ticket = message.ticket
         ended = self._try_by_ticket.pop(ticket, None)
-        load = self._load_by_backend.get(ticket.backend)
+        load = self._pool.load_by_backend.get(ticket.backend)
         if ended is None or load is None:
             return None
         load.note_end(ended.number, now)
+        self._quotas.note_end(ended.job.run.job)
+        self._long_in_flight -= ended.is_long
         self._judge(message, ended, now)
         return ended
 
@@ -215,6 +198,12 @@
     def _judge(self, message: messages.TaskEnd, ended: Try, now: float) -> None:
         """Learns from a task that ran and did not finish."""
         ticket = message.ticket
+        self._intake.poison.note_failure(
+            ended.job.run.job.digest,
+            ticket.submission_id,
+            ticket.backend,
+            now,
+        )
         period_s = self._guard.note_failure(
             ticket.backend,
             ticket.submission_id,
@@ -254,7 +243,7 @@
     def _check(self, now: float) -> None:
         """Looks at what no message tells: overruns, ends of ejections."""
         self._guard.check(now)
-        for load in self._load_by_backend.values():
+        for load in self._pool.load_by_backend.values():
             load.check_overruns(now)
 
     def _explain(
@@ -271,7 +260,7 @@
         ended: Try,
         run_s: float,
     ) -> None:
-        load = self._load_by_backend[ticket.backend]
+        load = self._pool.load_by_backend[ticket.backend]
         job = ended.job.run.job
         task = job.tasks[ticket.position]
         if self._run_times.is_known(job.service, task):
@@ -284,11 +273,34 @@
         queue: JobQueue,
         now: float,
     ) -> ServicePass:
-        loads = self._loads_by_service.get(service, [])
-        done = ServicePass(queue, Slots(loads, now))
+        loads = self._pool.serving(service)
+        guard = LongGuard(self._run_times.long_work_s, self._long_in_flight)
+        slots = Slots(loads, now)
+        done = ServicePass(queue, slots, guard, self._quotas)
         done.run()
+        if done.is_limited and not self._is_limited:
+            self._is_limited = True
+            self._timers.call_at(now + LIMITED_S, self._look_again)
         return done
 
+    def _look_again(self, now: float) -> None:
+        # The pass that follows every message does the work.
+        self._is_limited = False
+
+    def _report_demand(self, now: float) -> None:
+        """Tells all entry VMs what this one could use of each limit."""
+        demand = self._quotas.report(self._intake.waiting_by_limit(), now)
+        rows = tuple(
+            LimitDemand(*key, wanted) for key, wanted in demand.items()
+        )
+        if rows or self._last_rows:
+            report = DemandReport(rows)
+            self._effects.extend(
+                messages.SendPeer(address, report)
+                for address in self._shares.address_by_any_peer.values()
+            )
+        self._last_rows = rows
+
     def _start(
         self,
         assignment: Assignment,
@@ -303,13 +315,15 @@
             task.attempt,
             load.backend.name,
         )
-        service = self._manifest.services_by_name[job.run.job.service]
+        service = self._pool.manifest.services_by_name[job.run.job.service]
         number = next(self._numbers)
+        is_long = task.work_s > self._run_times.long_work_s
+        self._long_in_flight += is_long
         load.note_start(number, now, task.work_s)
         if task.attempt == 1:
             self._budget.note_first_sends(1)
         job.run.mark_started(task.position)
-        self._try_by_ticket[ticket] = Try(number, now, task, job)
+        self._try_by_ticket[ticket] = Try(number, now, task, job, is_long)
         return messages.StartTask(
             ticket=ticket,
             address=load.backend.address,
@@ -318,21 +332,3 @@
             payload=spec.payload,
             timeout_s=service.max_task_ms / MS_PER_S,
         )
-
-    def _ideal_s(self, job: QueuedJob) -> float:
-        loads = self._loads_by_service.get(job.run.job.service, [])
-        fastest = max((load.speed for load in loads), default=INITIAL_SPEED)
-        total = sum(load.speed * load.backend.slots for load in loads)
-        longest_s = job.tasks[-1].work_s
-        return max(longest_s / fastest, job.work_s / max(total, fastest))
-
-    def _usual_speed(self) -> float:
-        speeds = [load.speed for load in self._load_by_backend.values()]
-        return statistics.median(speeds) if speeds else INITIAL_SPEED
-
-    def _queue_of(self, service: str) -> JobQueue:
-        queue = self._queue_by_service.get(service)
-        if queue is None:
-            queue = JobQueue()
-            self._queue_by_service[service] = queue
-        return queue
--- a/src/camphorlink/internal/core/request/service_pass.py
+++ b/src/camphorlink/internal/core/request/service_pass.py
@@ -9,6 +9,7 @@
     QueuedJob,
     WaitingTask,
 )
+from camphorlink.internal.core.request.quotas import Quotas
 
 #: A slot sooner than this is no use to ask for, in seconds.
 MIN_RUN_S = 0.004
@@ -16,6 +17,10 @@
 SCAN_JOBS = 4
 #: Tasks that may wait for a better slot in one pass.
 SCAN_TASKS = 8
+#: Share of the slots that long tasks leave free.
+KEPT_SHARE = 0.12
+#: Share of the slots that long tasks may have in any case.
+LONG_SHARE = 0.1
 
 
 class Assignment(NamedTuple):
@@ -26,33 +31,70 @@
     choice: Choice
 
 
+class LongGuard(NamedTuple):
+    """Keeps long tasks from taking every slot.
+
+    A long task holds its slot for seconds, and short ones that arrive in the
+    meantime would wait for it.  So the last free slots are kept for short
+    tasks, however many long ones wait; a few long tasks always may run.
+
+    Attributes:
+        long_work_s: Expected run time from which a task is long.
+        in_flight: Long tasks that run.
+    """
+
+    long_work_s: float
+    in_flight: int
+
+    def may_start(self, task: WaitingTask, slots: Slots) -> bool:
+        """Whether a task may have one of the free slots."""
+        if task.work_s <= self.long_work_s:
+            return True
+        if slots.free > KEPT_SHARE * slots.held:
+            return True
+        return self.in_flight < LONG_SHARE * slots.held
+
+    def after(self, task: WaitingTask) -> 'LongGuard':
+        """Counts a task that starts."""
+        if task.work_s <= self.long_work_s:
+            return self
+        return self._replace(in_flight=self.in_flight + 1)
+
+
 class ServicePass:
     """Assigns waiting tasks to free slots.
 
     Attributes:
         assignments: What starts.
+        is_limited: Whether a quota or limit held tasks back.
         want: What slots of peers would be of use for.
     """
 
-    def __init__(self, queue: JobQueue, slots: Slots) -> None:
+    def __init__(
+        self, queue: JobQueue, slots: Slots, guard: LongGuard, quotas: Quotas
+    ) -> None:
         """Binds the queue to the slots as they are now."""
         self.assignments: list[Assignment] = []
         self.want = NO_WANT
         self._queue = queue
         self._slots = slots
         self._patience = SCAN_TASKS
+        self._guard = guard
+        self._quotas = quotas
+        self.is_limited = False
+        self._held_teams: frozenset[str] = frozenset()
 
     def run(self) -> None:
         """Goes through the queue until slots or patience run out."""
         slots = self._slots
         while slots.free_by_load and self._patience > 0:
-            jobs = self._queue.first(SCAN_JOBS)
+            jobs = self._queue.first(SCAN_JOBS, self._held_teams)
             if not jobs:
                 return
-            before = len(self.assignments)
+            before = len(self.assignments) + len(self._held_teams)
             for job in jobs:
                 self._start_job(job)
-            if len(self.assignments) == before:
+            if len(self.assignments) + len(self._held_teams) == before:
                 break
         if not slots.free_by_load and self._queue.waiting_tasks:
             self._note_want(
@@ -67,6 +109,12 @@
         for task in reversed(job.tasks.copy()):
             if self._patience <= 0 or not slots.free_by_load:
                 return
+            if not self._guard.may_start(task, slots):
+                continue
+            if not self._quotas.may_start(job.run.job, slots.now):
+                self.is_limited = True
+                self._held_teams |= {job.run.job.team}
+                return
             choice = slots.choose(job, task)
             if choice is None:
                 return
@@ -77,8 +125,9 @@
                 self._wish(job, task, choice)
             else:
                 slots.take(choice.load)
-                job.take(task)
-                self._queue.waiting_tasks -= 1
+                self._queue.take(job, task)
+                self._guard = self._guard.after(task)
+                self._quotas.note_start(job.run.job)
                 self.assignments.append(Assignment(job, task, choice))
 
     def _wish(self, job: QueuedJob, task: WaitingTask, choice: Choice) -> None:
--- a/src/camphorlink/internal/core/version/manifest.py
+++ b/src/camphorlink/internal/core/version/manifest.py
@@ -36,6 +36,8 @@
     __pydantic_config__ = _STRICT  # type: ignore[misc]
     max_task_ms: NotRequired[_Count]
     max_queued: NotRequired[_Count]
+    max_running: NotRequired[_Count]
+    max_starts_per_s: NotRequired[_Count]
     idempotent: NotRequired[bool]
 
 
@@ -78,12 +80,16 @@
         max_task_ms: Longest time that one task may take, in ms.
         max_queued: Tasks that may wait at one entry VM.
         idempotent: Whether its tasks may run more than once.
+        max_running: Tasks that may run at once over all VMs, or ``None``.
+        max_starts_per_s: Starts a second over all VMs, or ``None``.
     """
 
     name: str
     max_task_ms: int
     max_queued: int
     idempotent: bool
+    max_running: int | None = None
+    max_starts_per_s: int | None = None
 
 
 class Backend(NamedTuple):
@@ -210,6 +216,8 @@
         max_task_ms=entry.get('max_task_ms', DEFAULT_MAX_TASK_MS),
         max_queued=entry.get('max_queued', DEFAULT_MAX_QUEUED),
         idempotent=entry.get('idempotent', False),
+        max_running=entry.get('max_running'),
+        max_starts_per_s=entry.get('max_starts_per_s'),
     )
 
 
--- a/tests/core/test_slot_sharing.py
+++ b/tests/core/test_slot_sharing.py
@@ -42,7 +42,7 @@
     loads = [
         load
         for vm in fleet.vms()
-        for load in vm.core._scheduler._load_by_backend.values()
+        for load in vm.core._scheduler._pool.load_by_backend.values()
     ]
     assert fleet.counts['peer:SlotLoan'] > 0
     assert all(load.lent == load.borrowed == 0 for load in loads)
