--- a/src/camphorlink/internal/core/connection/backend_pool.py
+++ b/src/camphorlink/internal/core/connection/backend_pool.py
@@ -4,7 +4,11 @@
 import statistics
 
 from camphorlink.internal.core.connection.backend_load import BackendLoad
-from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
+from camphorlink.internal.core.version.manifest import (
+    EMPTY_MANIFEST,
+    Manifest,
+    Service,
+)
 
 INITIAL_SPEED = 1.0
 MIN_SPEED = 0.01
@@ -45,13 +49,8 @@
             if not is_first:
                 load.limit = min(SLOW_START_TASKS, backend.slots)
         self.loads_by_service = {
-            service: [
-                load
-                for load in self.load_by_backend.values()
-                if load.backend.name in manifest.backends_by_name
-                and service in load.backend.services
-            ]
-            for service in manifest.services_by_name
+            service_name: self._find_serving(service)
+            for service_name, service in manifest.services_by_name.items()
         }
 
     def serving(self, service: str) -> list[BackendLoad]:
@@ -80,6 +79,15 @@
         work_s = math.fsum(works_s)
         return max(max(works_s) / fastest, work_s / max(total, fastest))
 
+    def _find_serving(self, service: Service) -> list[BackendLoad]:
+        return [
+            load
+            for load in self.load_by_backend.values()
+            if load.backend.name in self.manifest.backends_by_name
+            and service.name in load.backend.services
+            and service.needs <= load.backend.capabilities
+        ]
+
     def _usual_speed(self) -> float:
         speeds = [load.speed for load in self.load_by_backend.values()]
         return statistics.median(speeds) if speeds else INITIAL_SPEED
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -18,12 +18,7 @@
 from camphorlink.internal.core.request.identifiers import (
     Home,
 )
-from camphorlink.internal.core.request.job import (
-    Answer,
-    Fate,
-    Job,
-    not_run,
-)
+from camphorlink.internal.core.request.job import Answer, Fate, Job, not_run
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.request.scheduler import (
@@ -71,6 +66,8 @@
         self._scheduler = Scheduler(home, self.timers)
         self._desk = self._submissions.desk
         self._now = 0.0
+        # Looking a single-dispatch method up builds a function every time.
+        self._dispatch = self._apply
 
     def handle(
         self,
@@ -79,7 +76,7 @@
     ) -> Sequence[messages.Effect]:
         """Takes one message at core time ``now`` and returns what to do."""
         self._now = now
-        self._apply(message)
+        self._dispatch(message)
         starts = self._scheduler.start_tasks(now)
         return [
             *self._desk.take_effects(),
--- a/src/camphorlink/internal/core/request/scheduler.py
+++ b/src/camphorlink/internal/core/request/scheduler.py
@@ -100,6 +100,7 @@
         self._shares.allot(may_grow=True)
         self._guard.install(self._pool.load_by_backend.values(), now)
         self._quotas.install(manifest, now)
+        self._run_times.install(manifest)
 
     def change_view(self, view: MemberView, now: float) -> None:
         """Takes over a new view of the entry VMs."""
--- a/src/camphorlink/internal/shell/process/core_host.py
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -12,6 +12,7 @@
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.shell.connection.backend_client import BackendClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
+from camphorlink.internal.shell.process.audit import Audit
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.metrics import Metrics
 
@@ -28,6 +29,7 @@
         """Binds the core to the running loop."""
         self.core = core
         self.links: PeerLinks | None = None
+        self.audit: Audit | None = None
         self._decisions = PartLog('decisions', core.home.vm)
         self._loop = asyncio.get_running_loop()
         self._backend_client = backend_client
@@ -36,6 +38,8 @@
         self._answer_by_caller: dict[int, asyncio.Future[Answer]] = {}
         self._sends: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
+        # Looking a single-dispatch method up builds a function every time.
+        self._dispatch = self._carry_out
         self._add_gauges()
 
     def __enter__(self) -> 'CoreHost':
@@ -57,7 +61,7 @@
     def post(self, message: messages.Message) -> None:
         """Hands one message to the core and carries out its effects."""
         for effect in self.core.handle(message, self._loop.time()):
-            self._carry_out(effect)
+            self._dispatch(effect)
         self._arm_timer()
 
     async def submit(self, submission_id: SubmissionId, job: Job) -> Answer:
@@ -122,6 +126,8 @@
     @_carry_out.register
     def _deliver(self, effect: messages.Deliver) -> None:
         self._metrics.count_answer(effect.answer.outcome)
+        if self.audit is not None:
+            self.audit.note_answer(effect)
         waiter = self._answer_by_caller.get(effect.caller)
         if waiter is not None and not waiter.done():
             waiter.set_result(effect.answer)
@@ -141,6 +147,8 @@
             effect.event,
             extra={'submission_id': effect.submission_id, **effect.facts},
         )
+        if self.audit is not None:
+            self.audit.note_decision(effect)
 
     async def _send(self, start: messages.StartTask) -> None:
         self.post(await self._backend_client.run_task(start))
