--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -29,8 +29,6 @@
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.request.scheduler import (
-    DEFAULT_POLICY,
-    PlacementPolicy,
     Scheduler,
     Try,
 )
@@ -47,7 +45,6 @@
         max_entries: int,
         answer_bytes: int = DEFAULT_ANSWER_BYTES,
         claim_appends_per_s: float = DEFAULT_APPENDS_PER_S,
-        policy: PlacementPolicy = DEFAULT_POLICY,
     ) -> None:
         """Starts without a manifest.
 
@@ -59,7 +56,6 @@
             answer_bytes: Memory of the answers that are held, in bytes.
             claim_appends_per_s: Appends that this process may make for
                 callers' keys.
-            policy: How tasks are placed.
         """
         self.home = home
         self.timers = Timers()
@@ -80,7 +76,7 @@
         self.manifest: Manifest = EMPTY_MANIFEST
         self.is_draining = False
         self._wall_offset_s = wall_offset_s
-        self._scheduler = Scheduler(home, self.timers, policy)
+        self._scheduler = Scheduler(home, self.timers)
         self._desk = self._submissions.desk
         self._now = 0.0
         # Looking a single-dispatch method up builds a function every time.
@@ -212,7 +208,8 @@
             return not_run(Reason.DRAINING)
         if self.table.is_full:
             return not_run(Reason.TABLE_FULL, retry_after_s=FULL_RETRY_S)
-        return refuse_job(job, self.manifest, self._now)
+        refusal = refuse_job(job, self.manifest, self._now)
+        return refusal or self._scheduler.refuse(job, self._now)
 
     def _end(
         self,
