--- a/src/camphorlink/internal/core/request/run_times.py
+++ b/src/camphorlink/internal/core/request/run_times.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from camphorlink.internal.core.request.job import TaskSpec
+from camphorlink.internal.core.version.manifest import Manifest
 
 MS_PER_S = 1000
 #: Run time on a back end of speed 1 when nothing at all is known, in seconds.
@@ -20,6 +21,10 @@
 INITIAL_ERROR = 1.0
 MIN_WORK_S = 1e-4
 MAX_CLASSES = 4096
+#: Weight of the newest run in the usual run time of all tasks.
+USUAL_WEIGHT = 0.003
+#: Tasks longer than the usual (geometric mean) by this factor are long.
+LONG_FACTOR = 6.0
 #: Runs after which a class's estimate may refuse a job.
 KNOWN_RUNS = 20
 
@@ -71,14 +76,29 @@
     def __init__(self) -> None:
         """Starts knowing nothing."""
         self._times_by_class: dict[ClassKey, ClassTimes] = {}
+        self._typical_by_class: dict[ClassKey, float] = {}
+        self._usual_log_s = math.log(INITIAL_WORK_S)
+        #: Tasks from this run time on are long, in seconds at speed 1.
+        self.long_work_s = math.inf
+
+    def install(self, manifest: Manifest) -> None:
+        """Takes over the typical run times that the manifest states."""
+        self._typical_by_class = {
+            ClassKey(service.name, name): known.typical_ms / MS_PER_S
+            for service in manifest.services_by_name.values()
+            for name, known in service.classes_by_name.items()
+        }
 
     def estimate(self, service: str, task: TaskSpec) -> float:
         """Returns a task's expected run time at speed 1, in seconds."""
-        times = self._times_by_class.get(ClassKey(service, task.task_class))
+        key = ClassKey(service, task.task_class)
+        times = self._times_by_class.get(key)
         declared_s = _declared_s(task)
         if times is not None:
             return times.estimate(declared_s)
-        return INITIAL_WORK_S if declared_s is None else declared_s
+        if declared_s is not None:
+            return declared_s
+        return self._typical_by_class.get(key, INITIAL_WORK_S)
 
     def is_known(self, service: str, task: TaskSpec) -> bool:
         """Whether enough of the class has run to refuse a job by it."""
@@ -95,6 +115,9 @@
             times = ClassTimes()
             self._times_by_class[key] = times
         times.learn(_declared_s(task), work_s)
+        step = math.log(max(work_s, MIN_WORK_S)) - self._usual_log_s
+        self._usual_log_s += USUAL_WEIGHT * step
+        self.long_work_s = LONG_FACTOR * math.exp(self._usual_log_s)
 
 
 def _declared_s(task: TaskSpec) -> float | None:
