--- a/tests/nocover/test_resubmit_storm.py
+++ b/tests/nocover/test_resubmit_storm.py
@@ -68,7 +68,9 @@
         answer = call('PUT', address, path, job, timeout_s=12.0)
     except (OSError, http.client.HTTPException):
         return 'no-answer'
-    return answer.body['outcome']
+    reason = answer.body.get('reason')
+    outcome = answer.body['outcome']
+    return f'{outcome}: {reason}' if outcome == 'unknown' else outcome
 
 
 def fail_kill(entry):
