--- /dev/null
+++ b/tests/core/test_machine_submissions.py
@@ -0,0 +1,151 @@
+"""Entry cores under random faults: the promises hold after every step."""
+
+import hypothesis.strategies as st
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.members import MemberState
+from cores import job_of
+from faulty_cores import FATES, FaultyCores, Net, check_promises
+
+VMS = ('a', 'b', 'c')
+SKEWS_S = (0.0, 100.0, -80.0)
+MAX_WAIT_S = 20.0
+vms = st.sampled_from(VMS)
+
+
+class SubmissionsMachine(RuleBasedStateMachine):
+    """Several entry VMs, their callers, and everything that may go wrong."""
+
+    named = Bundle('named')
+
+    @initialize(seed=st.integers(0, 2**16), skewed=st.booleans())
+    def start(self, seed, skewed):
+        skews = SKEWS_S if skewed else ()
+        self.cores = FaultyCores(
+            *VMS,
+            seed=seed,
+            skews=skews,
+            answer_bytes=2000,
+        )
+        self.cores.show_members()
+
+    @rule(
+        target=named,
+        home=vms,
+        via=vms,
+        count=st.integers(1, 3),
+        fate=st.sampled_from(FATES),
+        wait_s=st.sampled_from((0.05, 2.0, 10.0)),
+        age_s=st.sampled_from((0.0, 0.0, 590.0, -65.0)),
+    )
+    def submit(self, home, via, count, fate, wait_s, age_s):
+        submission_id = self.cores.mint(home)
+        issued_ms = submission_id.issued_ms - int(age_s * 1000)
+        submission_id = submission_id._replace(issued_ms=issued_ms)
+        self.cores.fate = fate
+        job = self.make_job(count, wait_s, 'first')
+        self.cores.submit(via, submission_id, job)
+        return submission_id, count
+
+    @rule(one=named, via=vms, digest=st.sampled_from(('first', 'other')))
+    def resubmit(self, one, via, digest):
+        submission_id, count = one
+        job = self.make_job(count, 3.0, digest)
+        self.cores.submit(via, submission_id, job)
+
+    def make_job(self, count, wait_s, digest):
+        deadline_s = self.cores.now + wait_s
+        return job_of(count, deadline_s, digest=digest, payload=digest)
+
+    @rule(one=named, via=vms)
+    def cancel(self, one, via):
+        self.cores.post(via, messages.Cancel(str(one[0])))
+
+    @rule(fate=st.sampled_from(FATES))
+    def change_backends(self, fate):
+        self.cores.fate = fate
+
+    @rule(
+        loss=st.sampled_from((0.0, 0.3)),
+        copies=st.sampled_from((0.0, 0.5)),
+        delay_s=st.sampled_from((0.001, 0.8)),
+    )
+    def change_net(self, loss, copies, delay_s):
+        self.cores.net = Net(loss, copies, delay_s)
+
+    @rule(one=vms, other=vms)
+    def cut(self, one, other):
+        self.cores.cut.add(frozenset((one, other)))
+
+    @rule()
+    def heal(self):
+        self.cores.cut.clear()
+
+    @rule(seconds=st.sampled_from((0.01, 0.1, 0.5, 2.0, 30.0)))
+    def wait(self, seconds):
+        self.cores.run(seconds)
+
+    @rule(vm=vms)
+    def crash(self, vm):
+        self.cores.down.add(vm)
+
+    @rule(vm=vms, tells=st.booleans())
+    def start_again(self, vm, tells):
+        self.cores.start(vm)
+        if tells:
+            self.cores.show_members()
+
+    @rule(vm=vms, state=st.sampled_from(MemberState))
+    def suspect(self, vm, state):
+        self.cores.show_members({vm: state})
+
+    @rule(vm=vms)
+    def pause(self, vm):
+        self.cores.pause(vm)
+
+    @rule(vm=vms)
+    def resume(self, vm):
+        self.cores.resume(vm)
+
+    @rule(vm=vms)
+    def drain(self, vm):
+        self.cores.post(vm, messages.Drain())
+
+    @rule(vm=vms, seconds=st.sampled_from((0.0, 0.01, 0.5)))
+    def stop(self, vm, seconds):
+        self.cores.post(vm, messages.Drain())
+        self.cores.run(seconds)
+        self.cores.post(vm, messages.Seal())
+
+    @precondition(lambda self: hasattr(self, 'cores'))
+    @invariant()
+    def keeps_the_promises(self):
+        check_promises(self.cores)
+
+    def teardown(self):
+        if not hasattr(self, 'cores'):
+            return
+        cores = self.cores
+        for vm in tuple(cores.paused):
+            cores.resume(vm)
+        cores.run(MAX_WAIT_S)
+        check_promises(cores)
+
+
+SubmissionsMachine.TestCase.settings = settings(
+    max_examples=120,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.filter_too_much],
+)
+TestSubmissions = SubmissionsMachine.TestCase
--- /dev/null
+++ b/tests/faulty_cores.py
@@ -0,0 +1,163 @@
+"""Entry cores on a virtual clock, with every fault that the brief names.
+
+The back end keeps the truth: what really started and finished, by task, so
+that the answers can be held against it.
+"""
+
+import collections
+import random
+from typing import NamedTuple
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.core.request.identifiers import Home
+from camphorlink.internal.core.request.job import Outcome
+from camphorlink.internal.core.request.reasons import Reason
+from cores import LINK_S, MANIFEST, RUN_S, WALL_S, Cores
+
+FATES = ('runs', 'slow', 'fails', 'refused', 'lost-before', 'lost-after')
+SLOW_S = 3.0
+
+
+class Net(NamedTuple):
+    """How messages between entry VMs fare; shares are from 0 to 1."""
+
+    loss_share: float = 0.0
+    copy_share: float = 0.0
+    max_delay_s: float = LINK_S
+
+
+class Asked(NamedTuple):
+    """What one caller asked for."""
+
+    submission_id: str
+    job: object
+
+
+class FaultyCores(Cores):
+    """Cores whose net, back ends, clocks and processes misbehave."""
+
+    def __init__(self, *vms, seed, max_entries=4, skews=(), **options):
+        self.net = Net()
+        self.cut = set()
+        self.paused = collections.defaultdict(list)
+        self.fate = 'runs'
+        self.asked_by_caller = {}
+        self.told = []
+        self.started = collections.Counter()
+        self.finished = collections.Counter()
+        self._chance = random.Random(seed)
+        self._max_entries = max_entries
+        self._skew_by_vm = dict(zip(vms, skews, strict=False))
+        super().__init__(*vms, rng=random.Random(seed), **options)
+
+    def start(self, vm):
+        self.paused.pop(vm, None)
+        self.down.discard(vm)
+        home = Home('larissa', vm, f'{next(self._numbers):016x}')
+        wall_s = WALL_S + self._skew_by_vm.get(vm, 0)
+        core = EntryCore(home, wall_s, self._max_entries, **self.options)
+        self.core_by_vm[vm] = core
+        self.post(vm, messages.VersionInForce(1, MANIFEST))
+        return home
+
+    def submit(self, vm, submission_id, job):
+        caller = next(self._numbers)
+        self.asked_by_caller[caller] = Asked(str(submission_id), job)
+        self.post(vm, messages.Submit(submission_id, job, caller))
+        return caller
+
+    def pause(self, vm):
+        self.paused.setdefault(vm, [])
+
+    def resume(self, vm):
+        for message in self.paused.pop(vm, []):
+            self.post(vm, message)
+        self.post(vm, messages.Tick())
+
+    def post(self, vm, message):
+        if vm in self.paused:
+            self.paused[vm].append(message)
+            return
+        super().post(vm, message)
+
+    def _next_due(self):
+        hidden = self.down
+        self.down = hidden | set(self.paused)
+        due = super()._next_due()
+        self.down = hidden
+        return due
+
+    def _step(self):
+        hidden = self.down
+        self.down = hidden | set(self.paused)
+        super()._step()
+        self.down = hidden
+
+    def _carry_out(self, vm, core, effect):
+        if isinstance(effect, messages.StartTask):
+            self._run_task(vm, effect)
+        elif isinstance(effect, messages.Deliver):
+            self.told.append(effect)
+        elif isinstance(effect, messages.SendPeer):
+            self._send(core.home, effect)
+
+    def _run_task(self, vm, effect):
+        ticket, fate = effect.ticket, self.fate
+        task = (ticket.submission_id, effect.payload, effect.task_id)
+        report = messages.TaskFinished(ticket, task)
+        delay_s = SLOW_S if fate == 'slow' else RUN_S
+        if fate == 'refused':
+            report = messages.TaskNotStarted(ticket, Reason.BACKEND_BUSY)
+        else:
+            self.started[task] += fate != 'lost-before'
+            self.finished[task] += fate in {'runs', 'slow', 'lost-after'}
+        if fate == 'fails':
+            report = messages.TaskFailed(ticket, 'failed')
+        elif fate.startswith('lost'):
+            report = messages.TaskLost(ticket, Reason.CONNECTION_LOST)
+        self.later(vm, delay_s, report)
+
+    def _send(self, sender, effect):
+        to, chance = effect.address, self._chance
+        if to not in self.core_by_vm or frozenset((sender.vm, to)) in self.cut:
+            return
+        if chance.random() < self.net.loss_share:
+            return
+        copies = 2 if chance.random() < self.net.copy_share else 1
+        for _copy in range(copies):
+            delay_s = chance.uniform(0, self.net.max_delay_s)
+            said = messages.PeerSaid(sender, effect.message)
+            self.later(to, delay_s, said)
+
+
+def check_promises(cores):
+    """Holds every answer so far against what the back ends saw."""
+    assert set(cores.started.values()) <= {0, 1}, 'no_task_starts_twice'
+    callers = [said.caller for said in cores.told]
+    assert len(callers) == len(set(callers)), 'one answer for each caller'
+    for said in cores.told:
+        if said.caller in cores.asked_by_caller:
+            _check_answer(cores, said)
+
+
+def _check_answer(cores, said):
+    asked = cores.asked_by_caller[said.caller]
+    answer, job = said.answer, asked.job
+    tasks = [
+        (asked.submission_id, job.digest, one.task_id) for one in job.tasks
+    ]
+    started = [task for task in tasks if cores.started[task]]
+    finished = [task for task in tasks if cores.finished[task]]
+    assert said.submission_id == asked.submission_id, 'own answer'
+    if answer.outcome is Outcome.COMPLETE:
+        wanted = {task[2]: task for task in tasks}
+        got = {key: tuple(one) for key, one in answer.results_by_task.items()}
+        assert got == wanted, 'answer_complete_or_failed'
+        assert finished == tasks, 'answer_complete_or_failed'
+        return
+    assert not answer.results_by_task, 'partial results never leave'
+    if answer.outcome is Outcome.NOT_RUN:
+        assert not started, 'not_run_is_true'
+    elif answer.outcome is Outcome.FAILED:
+        assert finished != tasks, 'failed is true'
