--- a/src/camphorlink/internal/core/connection/peer_messages.py
+++ b/src/camphorlink/internal/core/connection/peer_messages.py
@@ -7,6 +7,10 @@
 
 from typing import NamedTuple
 
+from camphorlink.internal.core.connection.slot_messages import (
+    SLOT_MESSAGE_BY_KIND,
+    SlotMessage,
+)
 from camphorlink.internal.core.connection.submission_messages import (
     SUBMISSION_MESSAGE_BY_KIND,
     SubmissionMessage,
@@ -75,7 +79,7 @@
     rows: tuple[ZoneRow, ...]
 
 
-PeerMessage = Hello | Heartbeat | ZoneReport | SubmissionMessage
+PeerMessage = Hello | Heartbeat | ZoneReport | SlotMessage | SubmissionMessage
 
 #: Kinds that the membership takes in; the entry core never sees them.
 MEMBERSHIP_KINDS = (Hello, Heartbeat, ZoneReport)
@@ -83,6 +87,7 @@
 PEER_MESSAGE_BY_KIND: dict[str, type[PeerMessage]] = {
     'hello': Hello,
     'heartbeat': Heartbeat,
+    **SLOT_MESSAGE_BY_KIND,
     'zone-report': ZoneReport,
     **SUBMISSION_MESSAGE_BY_KIND,
 }
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from functools import singledispatchmethod
 
+from camphorlink.internal.core.connection.slot_messages import SlotMessage
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberView
 from camphorlink.internal.core.process.submissions import Submissions
@@ -17,12 +18,7 @@
 from camphorlink.internal.core.request.identifiers import (
     Home,
 )
-from camphorlink.internal.core.request.job import (
-    Answer,
-    Fate,
-    Job,
-    not_run,
-)
+from camphorlink.internal.core.request.job import Answer, Fate, Job, not_run
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.request.scheduler import (
@@ -173,6 +169,18 @@
         self.manifest = message.manifest
         self._scheduler.install(message.manifest)
 
+    @_apply.register
+    def _members_changed(self, message: messages.MembersChanged) -> None:
+        self._submissions.handle(message, self._now)
+        self._scheduler.change_view(message.view, self._now)
+
+    @_apply.register
+    def _peer_said(self, message: messages.PeerSaid) -> None:
+        if isinstance(message.message, SlotMessage):
+            self._scheduler.hear_peer(message.peer, message.message, self._now)
+        else:
+            self._submissions.handle(message, self._now)
+
     @_apply.register
     def _drain(self, message: messages.Drain) -> None:
         self.is_draining = True
