Replay of recorded traces, and traces of the incidents

Cause: an incident could be told but not run again.

Change: with trace_file in its settings a daemon writes every message to its core, with times and outcomes, as JSON lines under a versioned header; camphorlink-replay feeds them to the real core and holds answers and starts against the stated ones: exit code 0, 1 with the first difference, or 2 if the trace can't be read. Five incidents ship in traces/, written by make traces from the real cores, each checked against what it must lead to.

Conclusion: outcomes can be held against any later release. The trace of a write whose answer was lost waits for claims.

--- a/Makefile
+++ b/Makefile
@@ -60,3 +60,8 @@
 .PHONY: counterexamples
 counterexamples: $(VENV)
 	$(PYTHON) -m camphorlink.spec.programs write docs/design/proof.md
+
+# Writes the traces of the brief's incidents anew.
+.PHONY: traces
+traces: $(VENV)
+	PYTHONPATH=$(CURDIR)/src:$(CURDIR)/tests $(PYTHON) tests/traces.py traces
--- /dev/null
+++ b/src/camphorlink/cli/replay.py
@@ -0,0 +1,48 @@
+"""``camphorlink-replay``: holds a recorded trace against the real core."""
+
+import sys
+from pathlib import Path
+
+import click
+import orjson
+
+from camphorlink.internal.shell.process.replay import Difference, replay
+from camphorlink.internal.shell.process.trace_codec import TraceError
+
+EXIT_DIFFERENT = 1
+EXIT_UNREADABLE = 2
+
+
+@click.command()
+@click.argument('trace', type=click.Path(path_type=Path))
+def main(trace: Path) -> None:
+    """Feed TRACE to the real core and compare the outcomes with it.
+
+    Exits with 1 and the first difference if an outcome is not as stated, and
+    with 2 if the trace can't be read.
+    """
+    try:
+        with trace.open('rb') as lines:
+            replayed = replay(lines)
+    except (OSError, TraceError) as exc:
+        click.echo(f'{trace}: {exc}', err=True)
+        sys.exit(EXIT_UNREADABLE)
+    click.echo(f'{trace}: {replayed.title}')
+    if replayed.difference is not None:
+        _show(replayed.difference)
+        sys.exit(EXIT_DIFFERENT)
+    click.echo(
+        f'{replayed.events} messages, {replayed.outcomes} outcomes, '
+        'all as stated',
+    )
+
+
+def _show(difference: Difference) -> None:
+    click.echo(f'line {difference.line}: the outcome is not as stated')
+    for name in ('stated', 'seen'):
+        shown = orjson.dumps(getattr(difference, name)).decode()
+        click.echo(f'  {name:7}{shown}')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/camphorlink/internal/shell/process/core_host.py
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -1,6 +1,7 @@
 """Runs an entry core on the event loop: time and messages in, effects out."""
 
 import asyncio
+import contextlib
 import itertools
 from functools import singledispatchmethod
 from types import TracebackType
@@ -14,6 +15,7 @@
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.metrics import Metrics
+from camphorlink.internal.shell.process.trace import TraceWriter
 
 
 class CoreHost:
@@ -24,10 +26,13 @@
         core: EntryCore,
         backend_client: BackendClient,
         metrics: Metrics,
+        trace_file: str | None = None,
     ) -> None:
-        """Binds the core to the running loop."""
+        """Binds the core to the running loop; may record what it is told."""
         self.core = core
         self.links: PeerLinks | None = None
+        self._trace = TraceWriter(core, trace_file)
+        self._stack = contextlib.ExitStack()
         self._decisions = PartLog('decisions', core.home.vm)
         self._loop = asyncio.get_running_loop()
         self._backend_client = backend_client
@@ -40,6 +45,7 @@
 
     def __enter__(self) -> 'CoreHost':
         """Takes ownership of the sends that will be in flight."""
+        self._stack.enter_context(self._trace)
         return self
 
     def __exit__(
@@ -53,10 +59,14 @@
             self._wake.cancel()
         for send in self._sends:
             send.cancel()
+        self._stack.close()
 
     def post(self, message: messages.Message) -> None:
         """Hands one message to the core and carries out its effects."""
-        for effect in self.core.handle(message, self._loop.time()):
+        now = self._loop.time()
+        effects = self.core.handle(message, now)
+        self._trace.note(message, now, effects)
+        for effect in effects:
             self._carry_out(effect)
         self._arm_timer()
 
--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -55,7 +55,12 @@
         )
         backend_client = await self._stack.enter_async_context(BackendClient())
         self.host = self._stack.enter_context(
-            CoreHost(self._build_core(rng), backend_client, metrics),
+            CoreHost(
+                self._build_core(rng),
+                backend_client,
+                metrics,
+                settings.trace_file,
+            ),
         )
         tail = ConfigTail(
             log_client,
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/replay.py
@@ -0,0 +1,112 @@
+"""Feeds a trace to the real core and holds the outcomes against it."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import orjson
+
+from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.shell.process.trace_codec import (
+    Event,
+    Header,
+    TraceError,
+    list_outcomes,
+    read_event,
+    read_header,
+    read_message,
+)
+
+
+class Difference(NamedTuple):
+    """The first outcome that is not as stated.
+
+    Attributes:
+        line: Number of the line, from 1.
+        stated: What the trace states, or ``None`` for nothing.
+        seen: What the core did, or ``None`` for nothing.
+    """
+
+    line: int
+    stated: Any
+    seen: Any
+
+
+class Replayed(NamedTuple):
+    """Result of a replay.
+
+    Attributes:
+        title: What the trace shows.
+        events: Messages that were fed in.
+        outcomes: Outcomes that were compared.
+        difference: The first one that was not, or ``None``.
+    """
+
+    title: str
+    events: int = 0
+    outcomes: int = 0
+    difference: Difference | None = None
+
+
+def replay(lines: Iterable[bytes]) -> Replayed:
+    """Replays a trace up to the first difference.
+
+    Raises:
+        TraceError: The trace can't be read; its line is named.
+    """
+    numbered = enumerate(lines, 1)
+    _number, first = next(numbered, (1, b''))
+    header = read_header(first)
+    cores = _build_cores(header)
+    replayed = Replayed(header.title)
+    for number, line in numbered:
+        replayed = _replay_line(cores, replayed, number, line)
+        if replayed.difference is not None:
+            break
+    return replayed
+
+
+def _replay_line(
+    cores: dict[str, EntryCore],
+    so_far: Replayed,
+    number: int,
+    line: bytes,
+) -> Replayed:
+    try:
+        event = read_event(line)
+        seen = _feed(cores, event)
+    except TraceError as exc:
+        raise TraceError(f'line {number}: {exc}') from exc
+    return so_far._replace(
+        events=so_far.events + 1,
+        outcomes=so_far.outcomes + len(seen),
+        difference=_compare(number, list(event.outcomes), seen),
+    )
+
+
+def _build_cores(header: Header) -> dict[str, EntryCore]:
+    return {
+        name: EntryCore(*made) for name, made in header.core_by_name.items()
+    }
+
+
+def _feed(cores: dict[str, EntryCore], event: Event) -> list[Any]:
+    core = cores.get(event.core)
+    if core is None:
+        raise TraceError(f'no core {event.core!r} in the header')
+    effects = core.handle(read_message(event), event.at_s)
+    # As it would be read back from a line.
+    plain: list[Any] = orjson.loads(orjson.dumps(list_outcomes(effects)))
+    return plain
+
+
+def _compare(
+    number: int,
+    stated: list[Any],
+    seen: list[Any],
+) -> Difference | None:
+    for position in range(max(len(stated), len(seen))):
+        wanted = stated[position] if position < len(stated) else None
+        got = seen[position] if position < len(seen) else None
+        if wanted != got:
+            return Difference(number, wanted, got)
+    return None
--- a/src/camphorlink/internal/shell/process/settings.py
+++ b/src/camphorlink/internal/shell/process/settings.py
@@ -84,6 +84,7 @@
     max_remembered: NotRequired[Annotated[int, Field(ge=100, le=1_000_000)]]
     drain_s: NotRequired[_Seconds]
     notice_s: NotRequired[_Seconds]
+    trace_file: NotRequired[Annotated[str, Field(min_length=1)]]
 
 
 class Listen(NamedTuple):
@@ -113,6 +114,7 @@
             seconds.
         notice_s: Time in which a VM that is to stop says so to the balancer
             and still admits submissions, in seconds.
+        trace_file: Where to record every message to the core, or ``None``.
     """
 
     zone: str
@@ -124,6 +126,7 @@
     max_remembered: int = DEFAULT_MAX_ENTRIES
     drain_s: float = DEFAULT_DRAIN_S
     notice_s: float = DEFAULT_NOTICE_S
+    trace_file: str | None = None
 
 
 _ADAPTER: TypeAdapter[EntryDocument] = TypeAdapter(EntryDocument)
@@ -161,6 +164,7 @@
         max_remembered=typed.get('max_remembered', DEFAULT_MAX_ENTRIES),
         drain_s=typed.get('drain_s', DEFAULT_DRAIN_S),
         notice_s=typed.get('notice_s', DEFAULT_NOTICE_S),
+        trace_file=typed.get('trace_file'),
     )
 
 
--- /dev/null
+++ b/tests/core/test_replay.py
@@ -0,0 +1,76 @@
+"""Replay: recorded traces lead to the stated outcomes, or say where not."""
+
+from pathlib import Path
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from camphorlink.cli.replay import main
+from traces import INCIDENTS
+
+HEADER = '{"format": 1, "title": "t", "core_by_name": {}}'
+TICK = '{"core":"a","at_s":0,"kind":"Tick","fields":{},"outcomes":[]}'
+TRACES = sorted((Path(__file__).parents[2] / 'traces').glob('*.jsonl'))
+
+
+def replay(path):
+    return CliRunner().invoke(main, [str(path)])
+
+
+def changed(path, tmp_path, change):
+    """Writes a copy of a trace whose last outcome is changed."""
+    lines = [orjson.loads(line) for line in path.read_bytes().splitlines()]
+    event = [line for line in lines[1:] if line['outcomes']][-1]
+    change(event['outcomes'])
+    copy = tmp_path / path.name
+    copy.write_bytes(b'\n'.join(orjson.dumps(line) for line in lines))
+    return copy
+
+
+def test_the_incidents_are_there():
+    names = {incident.__name__.replace('_', '-') for incident in INCIDENTS}
+    assert {path.stem for path in TRACES} == names
+
+
+@pytest.mark.parametrize('path', TRACES, ids=lambda path: path.stem)
+def test_a_trace_replays_as_stated(path):
+    outcome = replay(path)
+    assert outcome.exit_code == 0, outcome.output
+    assert 'all as stated' in outcome.output
+
+
+@pytest.mark.parametrize('path', TRACES, ids=lambda path: path.stem)
+@pytest.mark.parametrize(
+    'change',
+    [
+        lambda outcomes: outcomes.pop(),
+        lambda outcomes: outcomes.append(outcomes[-1]),
+        lambda outcomes: outcomes[-1].update(Other={}),
+    ],
+    ids=['missing', 'twice', 'other'],
+)
+def test_a_changed_trace_fails_at_its_line(path, change, tmp_path):
+    outcome = replay(changed(path, tmp_path, change))
+    assert outcome.exit_code == 1, outcome.output
+    assert 'not as stated' in outcome.output
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        '',
+        'no trace',
+        '{"format": 99, "title": "t", "core_by_name": {}}',
+        HEADER + '\n' + '{"core": "a"}',
+        HEADER + '\n' + TICK,
+    ],
+)
+def test_an_unreadable_trace_is_told_apart(text, tmp_path):
+    path = tmp_path / 'trace.jsonl'
+    path.write_text(text)
+    assert replay(path).exit_code == 2
+
+
+def test_a_missing_file_is_unreadable(tmp_path):
+    assert replay(tmp_path / 'none.jsonl').exit_code == 2
--- /dev/null
+++ b/tests/traces.py
@@ -0,0 +1,180 @@
+"""Makes the traces of the brief's incidents; run it to write them anew.
+
+The events go through the real cores on a virtual clock, and what came of
+them is checked here against what the incident must lead to before a trace
+is written.
+"""
+
+import random
+import sys
+from pathlib import Path
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.request.job import Outcome
+from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.shell.process.trace_codec import (
+    FORMAT,
+    CoreHeader,
+    Header,
+    build_event,
+    write_line,
+)
+from cores import MANIFEST, WALL_S, Cores, job_of
+
+MAX_ENTRIES = 1000
+
+
+class RecordedCores(Cores):
+    """Cores whose every message and effect is kept."""
+
+    def __init__(self, *vms):
+        self.headers = {}
+        self.events = []
+        super().__init__(*vms, rng=random.Random(11))
+        self.show_members()
+
+    def start(self, vm):
+        home = super().start(vm)
+        made = CoreHeader(home, WALL_S, MAX_ENTRIES)
+        self.headers[str(home)] = made
+        first = messages.VersionInForce(1, MANIFEST)
+        self.events.insert(0, build_event(str(home), 0.0, first, ()))
+        return home
+
+    def post(self, vm, message):
+        if vm in self.down:
+            return
+        core = self.core_by_vm[vm]
+        effects = core.handle(message, self.now)
+        if str(core.home) in self.headers:
+            event = build_event(str(core.home), self.now, message, effects)
+            self.events.append(event)
+        for effect in effects:
+            self._carry_out(vm, core, effect)
+
+    def outcomes_of(self, *callers):
+        found = [self.answer_of(caller) for caller in callers]
+        return [one.outcome if one else None for one in found]
+
+    def tickets(self):
+        return [
+            messages.Ticket(**outcome['start'])
+            for event in self.events
+            for outcome in event.outcomes
+            if 'start' in outcome
+        ]
+
+
+def batch_received_twice():
+    """A network-solution batch is submitted again at two entry VMs."""
+    cores = RecordedCores('a', 'b')
+    named = cores.mint('a')
+    callers = [cores.submit('a', named, job_of(3))]
+    callers.append(cores.submit('b', named, job_of(3)))
+    cores.run(1)
+    callers.append(cores.submit('b', named, job_of(3)))
+    cores.run(1)
+    assert cores.outcomes_of(*callers) == [Outcome.COMPLETE] * 3
+    assert set(cores.starts.values()) == {1}
+    return cores
+
+
+def lost_window_check():
+    """The connection that carries a launch-window check is lost."""
+    cores = RecordedCores('a')
+    cores.silent_tasks = True
+    named = cores.mint('a')
+    first = cores.submit('a', named, job_of())
+    lost = messages.TaskLost(cores.tickets()[0], Reason.CONNECTION_LOST)
+    cores.post('a', lost)
+    again = cores.submit('a', named, job_of())
+    cores.run(1)
+    assert cores.outcomes_of(first, again) == [Outcome.UNKNOWN] * 2
+    assert set(cores.starts.values()) == {1}
+    return cores
+
+
+def crossed_and_late_answers():
+    """Answers of two jobs come crossed, and one comes after its deadline."""
+    cores = RecordedCores('a')
+    cores.silent_tasks = True
+    one = cores.submit('a', cores.mint('a'), job_of())
+    other = cores.submit('a', cores.mint('a'), job_of(deadline_s=0.5))
+    late = cores.submit('a', cores.mint('a'), job_of(2, deadline_s=0.2))
+    tickets = cores.tickets()
+    cores.post('a', messages.TaskFinished(tickets[1], 'other'))
+    cores.post('a', messages.TaskFinished(tickets[0], 'one'))
+    cores.run(0.3)
+    for ticket in tickets[2:]:
+        cores.post('a', messages.TaskFinished(ticket, 'late'))
+    cores.run(1)
+    results = [cores.answer_of(one), cores.answer_of(other)]
+    assert [dict(said.results_by_task) for said in results] == [
+        {'t0': 'one'},
+        {'t0': 'other'},
+    ]
+    assert cores.outcomes_of(late) == [Outcome.UNKNOWN]
+    return cores
+
+
+def partition_and_other_vm():
+    """A job is submitted again at a VM that is cut off from its home."""
+    cores = RecordedCores('a', 'b')
+    named = cores.mint('a')
+    cores.lose = lambda _from, _to, _said: True
+    first = cores.submit('a', named, job_of())
+    cut_off = cores.submit('b', named, job_of(deadline_s=2.0))
+    cores.run(8)
+    cores.lose = lambda _from, _to, _said: False
+    healed = cores.submit('b', named, job_of(deadline_s=12.0))
+    cores.run(2)
+    assert cores.outcomes_of(first, cut_off, healed) == [
+        Outcome.COMPLETE,
+        Outcome.UNKNOWN,
+        Outcome.COMPLETE,
+    ]
+    assert set(cores.starts.values()) == {1}
+    return cores
+
+
+def home_crashes_while_it_runs():
+    """The home crashes between the start and the answer, and comes back."""
+    cores = RecordedCores('a', 'b')
+    named = cores.mint('a')
+    cores.submit('a', named, job_of())
+    cores.run(0.05)
+    cores.start('a')
+    cores.show_members()
+    at_home = cores.submit('a', named, job_of())
+    elsewhere = cores.submit('b', named, job_of())
+    cores.run(6)
+    assert cores.outcomes_of(at_home, elsewhere) == [Outcome.UNKNOWN] * 2
+    assert set(cores.starts.values()) == {1}
+    return cores
+
+
+INCIDENTS = (
+    batch_received_twice,
+    lost_window_check,
+    crossed_and_late_answers,
+    partition_and_other_vm,
+    home_crashes_while_it_runs,
+)
+
+
+def write_trace(incident):
+    """Runs an incident and writes it out."""
+    cores = incident()
+    title = incident.__doc__.strip()
+    lines = [Header(FORMAT, title, cores.headers), *cores.events]
+    return b''.join(write_line(line) for line in lines)
+
+
+def main(folder):
+    for incident in INCIDENTS:
+        name = incident.__name__.replace('_', '-')
+        (folder / f'{name}.jsonl').write_bytes(write_trace(incident))
+
+
+if __name__ == '__main__':
+    main(Path(sys.argv[1]))
