--- a/src/camphorlink/internal/shell/process/core_host.py
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -13,6 +13,7 @@
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.shell.connection.backend_client import BackendClient
 from camphorlink.internal.shell.connection.peer_links import PeerLinks
+from camphorlink.internal.shell.process.audit import Audit
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.metrics import Metrics
 from camphorlink.internal.shell.process.trace import TraceWriter
@@ -33,6 +34,7 @@
         self.links: PeerLinks | None = None
         self._trace = TraceWriter(core, trace_file)
         self._stack = contextlib.ExitStack()
+        self.audit: Audit | None = None
         self._decisions = PartLog('decisions', core.home.vm)
         self._loop = asyncio.get_running_loop()
         self._backend_client = backend_client
@@ -132,6 +134,8 @@
     @_carry_out.register
     def _deliver(self, effect: messages.Deliver) -> None:
         self._metrics.count_answer(effect.answer.outcome)
+        if self.audit is not None:
+            self.audit.note_answer(effect)
         waiter = self._answer_by_caller.get(effect.caller)
         if waiter is not None and not waiter.done():
             waiter.set_result(effect.answer)
@@ -151,6 +155,8 @@
             effect.event,
             extra={'submission_id': effect.submission_id, **effect.facts},
         )
+        if self.audit is not None:
+            self.audit.note_decision(effect)
 
     async def _send(self, start: messages.StartTask) -> None:
         self.post(await self._backend_client.run_task(start))
