--- a/Makefile
+++ b/Makefile
@@ -72,3 +72,8 @@
 .PHONY: measure-submissions
 measure-submissions: $(VENV)
 	$(PYTHON) -m camphorlink.bench.submission_costs
+
+# Writes the traces of the brief's incidents anew.
+.PHONY: traces
+traces: $(VENV)
+	PYTHONPATH=$(CURDIR)/src:$(CURDIR)/tests $(PYTHON) tests/traces.py traces
