Answers too large for a link are said to be so; budget of claims in settings

Cause: a relayed answer above 8 MiB would close the link to that peer, and each probe would send it again; a value that the HTTP client can't send left a try without a report; the budget of appends was a constant. Conclusion: one large answer harms only its own relay.

--- a/src/camphorlink/internal/core/process/answer_desk.py
+++ b/src/camphorlink/internal/core/process/answer_desk.py
@@ -7,7 +7,10 @@
 from camphorlink.internal.core.request.job import Answer, not_run
 from camphorlink.internal.core.request.job_run import JobRun, Waiter
 from camphorlink.internal.core.request.reasons import Reason
-from camphorlink.internal.core.request.relay_documents import relay_answer
+from camphorlink.internal.core.request.relay_documents import (
+    fit_answer,
+    relay_answer,
+)
 
 REFUSALS = 'refusals'
 FAILURES = 'failures'
@@ -91,7 +94,8 @@
         answer: Answer,
     ) -> None:
         if isinstance(waiter, Home):
-            said = relay_answer(submission_id, digest, answer)
+            fitting = fit_answer(answer)
+            said = relay_answer(submission_id, digest, fitting)
             self._post.send(waiter, said)
             return
         self._effects.append(messages.Deliver(waiter, submission_id, answer))
--- a/src/camphorlink/internal/core/process/peer_desk.py
+++ b/src/camphorlink/internal/core/process/peer_desk.py
@@ -20,6 +20,7 @@
 from camphorlink.internal.core.request.job import Answer
 from camphorlink.internal.core.request.relay_documents import (
     HomeStatus,
+    fit_answer,
     relay_answer,
     relayed_job,
 )
@@ -99,7 +100,8 @@
         if answer is None:
             self._say_status(message, self._home_status(message))
             return
-        said = relay_answer(message.submission_id, message.digest, answer)
+        fitting = fit_answer(answer)
+        said = relay_answer(message.submission_id, message.digest, fitting)
         self._post.send(self._peer, said)
 
     @_apply.register
--- a/src/camphorlink/internal/core/request/reasons.py
+++ b/src/camphorlink/internal/core/request/reasons.py
@@ -30,6 +30,7 @@
     VM_STOPPED = 'vm-stopped'
     KEY_EXPIRED = 'key-expired'
     KEY_UNRESOLVED = 'key-unresolved'
+    ANSWER_TOO_LARGE = 'answer-too-large'
     DRAINING = 'draining'
     TABLE_FULL = 'table-full'
     QUEUE_FULL = 'queue-full'
@@ -69,6 +70,7 @@
     Reason.RELAYS_FULL: 'ask again after the given delay, same identifier',
     Reason.VM_STOPPED: 'look at the fate of each task; ask again for unknown',
     Reason.KEY_EXPIRED: 'find out by other means whether the job ran',
+    Reason.ANSWER_TOO_LARGE: 'ask the VM that the identifier names',
     Reason.KEY_UNRESOLVED: 'submit it again under the same key',
     Reason.DRAINING: 'submit it to another entry VM, which mints its own',
     Reason.TABLE_FULL: 'submit it again after the given delay',
--- a/src/camphorlink/internal/core/request/relay_documents.py
+++ b/src/camphorlink/internal/core/request/relay_documents.py
@@ -7,11 +7,21 @@
     RelayJob,
 )
 from camphorlink.internal.core.request.identifiers import MS_PER_S
-from camphorlink.internal.core.request.job import Answer, Fate, Job, Outcome
+from camphorlink.internal.core.request.job import (
+    Answer,
+    Fate,
+    Job,
+    Outcome,
+    unknown,
+)
+from camphorlink.internal.core.request.payload_size import answer_bytes
 from camphorlink.internal.core.request.reasons import Reason
 
 #: Clocks of two entry VMs are expected to agree within this, in seconds.
 CLOCK_TOLERANCE_S = 2.0
+#: Memory of the largest answer that is sent between entry VMs, in bytes.
+#: A link takes 8 MiB; wide characters take half as much again there.
+MAX_ANSWER_BYTES = 5 * 1024 * 1024
 
 
 class HomeStatus(enum.Enum):
@@ -79,6 +89,14 @@
     )
 
 
+def fit_answer(answer: Answer) -> Answer:
+    """Returns what can be sent of an answer: a link would break on more."""
+    if answer_bytes(answer) <= MAX_ANSWER_BYTES:
+        return answer
+    detail = f'it ended as {answer.outcome.value}'
+    return unknown(Reason.ANSWER_TOO_LARGE, detail)
+
+
 def relayed_answer(message: RelayAnswer) -> Answer:
     """Reads a whole answer.
 
--- a/src/camphorlink/internal/shell/connection/backend_client.py
+++ b/src/camphorlink/internal/shell/connection/backend_client.py
@@ -98,7 +98,8 @@
             return messages.TaskNotStarted(ticket, Reason.BAD_JOB)
         except TimeoutError:
             return messages.TaskLost(ticket, Reason.TASK_TIMEOUT)
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError, ValueError):
+            # A value that can't be sent is no reason to report nothing.
             return messages.TaskLost(ticket, Reason.CONNECTION_LOST)
 
     async def _post(
--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -120,6 +120,7 @@
             home=new_home(settings.zone, settings.vm, rng),
             wall_offset_s=time.time() - loop.time(),
             max_entries=settings.max_remembered,
+            claim_appends_per_s=settings.claim_appends_per_s,
         )
 
     def _hear_peer(self, peer: Home, message: PeerMessage) -> None:
--- a/src/camphorlink/internal/shell/process/settings.py
+++ b/src/camphorlink/internal/shell/process/settings.py
@@ -12,6 +12,9 @@
 
 from camphorlink.errors import Fault, SettingsError
 from camphorlink.internal.core.process.documents import check_shape, parse_json
+from camphorlink.internal.core.request.claim_writer import (
+    DEFAULT_APPENDS_PER_S,
+)
 
 DEFAULT_MAX_ENTRIES = 50_000
 DEFAULT_LOG_KEEP_S = 7 * 24 * 3600.0
@@ -87,6 +90,9 @@
     snapshot_records: NotRequired[Annotated[int, Field(ge=10)]]
     max_remembered: NotRequired[Annotated[int, Field(ge=100, le=1_000_000)]]
     drain_s: NotRequired[_Seconds]
+    claim_appends_per_s: NotRequired[
+        Annotated[float, Field(ge=1, le=200, strict=False)]
+    ]
     notice_s: NotRequired[_Seconds]
     trace_file: NotRequired[Annotated[str, Field(min_length=1)]]
 
@@ -116,6 +122,7 @@
         log_keep_s: Time that the log service keeps a record, in seconds.
         snapshot_records: Records after which a snapshot is written.
         max_remembered: Submissions that are remembered.
+        claim_appends_per_s: Appends to the log service for callers' keys.
         drain_s: Longest time that a planned stop waits for answers, in
             seconds.
         notice_s: Time in which a VM that is to stop says so to the balancer
@@ -133,6 +140,7 @@
     snapshot_records: int = DEFAULT_SNAPSHOT_RECORDS
     max_remembered: int = DEFAULT_MAX_ENTRIES
     drain_s: float = DEFAULT_DRAIN_S
+    claim_appends_per_s: float = DEFAULT_APPENDS_PER_S
     notice_s: float = DEFAULT_NOTICE_S
     trace_file: str | None = None
 
@@ -176,6 +184,10 @@
         ),
         max_remembered=typed.get('max_remembered', DEFAULT_MAX_ENTRIES),
         drain_s=typed.get('drain_s', DEFAULT_DRAIN_S),
+        claim_appends_per_s=typed.get(
+            'claim_appends_per_s',
+            DEFAULT_APPENDS_PER_S,
+        ),
         notice_s=typed.get('notice_s', DEFAULT_NOTICE_S),
         trace_file=typed.get('trace_file'),
     )
--- a/tests/core/test_relays.py
+++ b/tests/core/test_relays.py
@@ -196,3 +196,23 @@
         cores.post('a', refused)
         cores.run(1)
     assert len(tickets) == 2
+
+
+def test_an_answer_too_large_for_a_link_is_said_so(cores):
+    cores.silent_tasks = True
+    tickets = []
+    cores.on_effect = lambda _vm, effect: (
+        tickets.append(effect.ticket)
+        if isinstance(effect, messages.StartTask)
+        else None
+    )
+    submission_id = cores.mint('b')
+    far = cores.submit('a', submission_id, job_of())
+    near = cores.submit('b', submission_id, job_of())
+    cores.run(0.1)
+    large = 'x' * 8 * 1024 * 1024
+    cores.post('b', messages.TaskFinished(tickets[0], large))
+    cores.run(1)
+    assert cores.answer_of(near).results_by_task == {'t0': large}
+    assert cores.answer_of(far).outcome is Outcome.UNKNOWN
+    assert cores.answer_of(far).reason is Reason.ANSWER_TOO_LARGE
