Slot lending: wants have a budget that falls with the number of peers

Cause: lending messages grow with the starts. Change: wants go to two peers in turn, 4 / peers wants a second.

--- a/src/camphorlink/internal/core/connection/slot_lending.py
+++ b/src/camphorlink/internal/core/connection/slot_lending.py
@@ -1,6 +1,6 @@
 """Lending of free slots between the entry VMs of an availability zone.
 
-A VM whose tasks wait tells its peers how many slots it could use; a peer
+A VM whose tasks wait tells some peers how many slots it could use; a peer
 with free slots and no tasks of its own lends some for a short term.  Slots
 come back when they are not needed, when their task has ended after the
 term, or, should the message be lost, when the lender's own time runs out.
@@ -19,6 +19,7 @@
     SlotReturn,
     SlotWant,
 )
+from camphorlink.internal.core.connection.want_budget import WantBudget
 from camphorlink.internal.core.process.messages import SendPeer
 from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.identifiers import Home
@@ -101,6 +102,7 @@
         self._lent: Counter[LoanKey] = Counter()
         self._lost_s_by_loan: dict[LoanKey, float] = {}
         self._want_sent = NO_WANT
+        self._budget = WantBudget()
         self._next_batch_s = 0.0
         self._is_batch_due = False
         self._effects: list[SendPeer] = []
@@ -175,9 +177,12 @@
         )
         if now < sent.until_s and is_alike:
             return
+        asked = self._budget.draw(self._address_by_peer.values(), now)
+        if not asked:
+            return
         self._want_sent = want._replace(until_s=now + WANT_GAP_S)
         message = SlotWant(want.slots, want.due_s - now, want.min_speed)
-        self.tell_all(message)
+        self._effects.extend(SendPeer(address, message) for address in asked)
 
     def _batch(self, want: Want, now: float) -> None:
         if now >= self._next_batch_s:
