--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,10 @@
 measure-broadcast: $(VENV)
 	$(PYTHON) -m camphorlink.bench.broadcast
 
+.PHONY: measure-submissions
+measure-submissions: $(VENV)
+	$(PYTHON) -m camphorlink.bench.submission_costs
+
 # Writes the traces of the brief's incidents anew.
 .PHONY: traces
 traces: $(VENV)
