Decisions explained; cheaper passes; guard for long tasks only beyond a quarter

Change: a dispatching method is bound once; a pass reads each load once and looks at busy slots only when the job waits for the task; the earliest end at a back end is kept. Long tasks may have a quarter of the slots in any case; a team is compared with who is least ahead. Queued, placed, retried, refused and ejected are explained by submission.

--- a/src/camphorlink/internal/core/connection/backend_load.py
+++ b/src/camphorlink/internal/core/connection/backend_load.py
@@ -52,6 +52,8 @@
         self._last_end_s = 0.0
         self._runs = 0
         self._finish_by_try: dict[int, tuple[float, float]] = {}
+        #: Start and finish of who is expected to end first, when known.
+        self._first: tuple[float, float] | None = None
 
     @property
     def free(self) -> int:
@@ -79,12 +81,11 @@
 
     def next_free_s(self, now: float) -> float:
         """Estimates when a slot becomes free, as core time in seconds."""
-        if not self._finish_by_try:
-            return math.inf
-        start_s, finish_s = min(
-            self._finish_by_try.values(),
-            key=_finish_of,
-        )
+        if self._first is None:
+            if not self._finish_by_try:
+                return math.inf
+            self._first = min(self._finish_by_try.values(), key=_finish_of)
+        start_s, finish_s = self._first
         if finish_s > now:
             return finish_s
         return now + OVERRUN_SHARE * (now - start_s)
@@ -98,12 +99,15 @@
         self.in_flight += 1
         finish_s = now + work_s / self.speed
         self._finish_by_try[number] = (now, finish_s)
+        if self._first is not None and finish_s < self._first[1]:
+            self._first = (now, finish_s)
         return finish_s
 
     def note_end(self, number: int, now: float) -> None:
         """Counts one task less."""
         self.is_stalled = False
         self._last_end_s = now
+        self._first = None
         if self._finish_by_try.pop(number, None) is not None:
             self.in_flight -= 1
 
--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -66,6 +66,8 @@
         self._scheduler = Scheduler(home, self.timers)
         self._desk = self._submissions.desk
         self._now = 0.0
+        # Bound once: each look-up of a dispatching method builds a wrapper.
+        self._dispatch = self._apply
         # Looking a single-dispatch method up builds a function every time.
         self._dispatch = self._apply
 
@@ -189,6 +191,10 @@
         if refusal is not None:
             table.refuse(message.submission_id, refusal)
             self._desk.refuse(message, refusal)
+            self._scheduler.decisions.note_refusal(
+                str(message.submission_id),
+                refusal,
+            )
             return
         run = table.open_run(message.submission_id, message.job, self.version)
         self._desk.wait(run, message.caller)
--- a/src/camphorlink/internal/core/request/due_times.py
+++ b/src/camphorlink/internal/core/request/due_times.py
@@ -12,7 +12,7 @@
 #: A job is due after this multiple of its ideal time.
 STRETCH = 2.5
 #: Seconds of work that a team may be ahead of its part without any loss.
-ALLOWANCE_S = 4.0
+ALLOWANCE_S = 10.0
 #: With less work waiting than this, in seconds, no team is set back.
 CALM_S = 5.0
 #: A class of priority sets a job back by this time, in seconds.
@@ -46,11 +46,21 @@
         """
         set_back_s = PRIORITY_STEP_S * team.priority
         if drain_s > CALM_S:
-            ahead_s = self._clock_by_team.get(team.name, now) - now
+            ahead_s = self._ahead_s(team.name, now)
             set_back_s += max(ahead_s - ALLOWANCE_S, 0)
         due_s = now + set_back_s + STRETCH * ideal_s
         return min(due_s, max(job.deadline_s - ideal_s, now + set_back_s))
 
+    def _ahead_s(self, team: str, now: float) -> float:
+        """Returns how far a team is ahead of whoever else is least ahead."""
+        clock_s = max(self._clock_by_team.get(team, now), now)
+        others = [
+            max(known_s, now)
+            for name, known_s in self._clock_by_team.items()
+            if name != team
+        ]
+        return clock_s - min(others, default=clock_s)
+
     def charge(
         self, team: str, work_s: float, speed: float, now: float
     ) -> None:
--- a/src/camphorlink/internal/core/request/placement.py
+++ b/src/camphorlink/internal/core/request/placement.py
@@ -7,6 +7,7 @@
 when a busy slot promises an earlier end than any free one, the task waits.
 """
 
+from bisect import bisect_left
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -15,6 +16,7 @@
 
 #: How much later than needed a task may end, as a share of its job's time.
 SLACK_SHARE = 0.05
+MIN_RUN_S = 1e-6
 
 
 class Choice(NamedTuple):
@@ -34,79 +36,87 @@
 
 
 class Slots:
-    """The slots of one service during one pass over its queue."""
+    """The slots of one service during one pass over its queue.
+
+    Attributes:
+        now: Core time of the pass, in seconds.
+        free: Free slots that are left.
+        held: Slots that this VM may use, free or not.
+        speed: Their speed in all.
+    """
 
     def __init__(self, loads: Iterable[BackendLoad], now: float) -> None:
         """Reads the loads once."""
         self.now = now
-        self.free_by_load: dict[BackendLoad, int] = {}
-        self._ready_by_load: dict[BackendLoad, float] = {}
         self.speed = 0.0
         self.free = 0
         self.held = 0
+        self._free_by_load: dict[BackendLoad, int] = {}
+        self._busy: list[BackendLoad] = []
+        self._ready_by_load: dict[BackendLoad, float] = {}
         for load in loads:
-            free = load.free
-            self.held += load.held
-            self.free += max(free, 0)
-            self.speed += load.backend.slots * load.speed
+            # Read once: this runs for every back end at every message.
+            held = load.held
+            self.held += held
+            self.speed += held * load.speed
+            if not load.is_usable:
+                continue
+            free = min(held, load.limit) - load.in_flight
             if free > 0:
-                self.free_by_load[load] = free
-            elif load.may_free:
-                self._ready_by_load[load] = load.next_free_s(now)
-
-    def choose(self, job: QueuedJob, task: WaitingTask) -> Choice | None:
-        """Chooses for one task of a job.
-
-        Returns:
-            The choice, or ``None`` if nothing serves the task at all.
-        """
-        fastest = self._fastest_free()
-        best = self._soonest(task)
-        if fastest is None:
-            return best
+                self._free_by_load[load] = free
+                self.free += free
+            elif held > 0:
+                self._busy.append(load)
+        #: Back ends with free slots, slowest first, and their speeds.
+        self._free_loads = sorted(self._free_by_load, key=_speed_of)
+        self._free_speeds = [known.speed for known in self._free_loads]
+
+    def choose(self, job: QueuedJob, task: WaitingTask) -> Choice:
+        """Chooses for one task of a job; some slot must be free."""
         now = self.now
-        free_finish_s = now + task.work_s / fastest.speed
+        fastest = self._free_loads[-1]
+        finish_s = now + task.work_s / fastest.speed
+        best = Choice(fastest, finish_s, must_wait=False, why='soonest')
         need_s = max(job.finish_s, now + job.work_s / self.speed)
-        if best is not None and best.finish_s < free_finish_s:
+        if need_s < finish_s:
+            # The job waits for this task, so a busy slot may be better.
+            best = self._sooner(task, best)
             need_s = max(need_s, best.finish_s)
-        else:
-            best = Choice(
-                fastest, free_finish_s, must_wait=False, why='soonest'
-            )
-            need_s = max(need_s, free_finish_s)
         limit_s = need_s + SLACK_SHARE * (need_s - now)
-        fitting = self._slowest_fitting(task, limit_s)
-        return fitting or best
+        return self._slowest_fitting(task, limit_s) or best
 
     def take(self, load: BackendLoad) -> None:
         """Notes that a free slot is used."""
-        left = self.free_by_load[load] - 1
+        left = self._free_by_load[load] - 1
         self.free -= 1
+        self._free_by_load[load] = left
         if left:
-            self.free_by_load[load] = left
             return
-        self.free_by_load.pop(load)
-        self._ready_by_load[load] = load.next_free_s(self.now)
+        index = self._free_loads.index(load)
+        self._free_loads.pop(index)
+        self._free_speeds.pop(index)
+        self._busy.append(load)
 
     def reserve(self, choice: Choice, work_s: float) -> None:
         """Notes that a task waits for a slot that is busy now."""
         load = choice.load
         self._ready_by_load[load] += work_s / load.speed / max(load.held, 1)
 
-    def _fastest_free(self) -> BackendLoad | None:
-        return max(self.free_by_load, key=_speed_of, default=None)
-
-    def _soonest(self, task: WaitingTask) -> Choice | None:
+    def _sooner(self, task: WaitingTask, best: Choice) -> Choice:
+        """Returns the busy slot that ends a task soonest, if sooner."""
         work_s = task.work_s
+        while self._busy:
+            load = self._busy.pop()
+            self._ready_by_load[load] = load.next_free_s(self.now)
         soonest: BackendLoad | None = None
-        finish_s = float('inf')
-        for load, ready_s in self._ready_by_load.items():
-            end_s = ready_s + work_s / load.speed
+        finish_s = best.finish_s
+        for busy, ready_s in self._ready_by_load.items():
+            end_s = ready_s + work_s / busy.speed
             if end_s < finish_s:
-                soonest = load
+                soonest = busy
                 finish_s = end_s
         if soonest is None:
-            return None
+            return best
         return Choice(soonest, finish_s, must_wait=True, why='waits')
 
     def _slowest_fitting(
@@ -114,17 +124,13 @@
         task: WaitingTask,
         limit_s: float,
     ) -> Choice | None:
-        least_speed = task.work_s / max(limit_s - self.now, 1e-6)
-        slowest: BackendLoad | None = None
-        for load in self.free_by_load:
-            if load.speed >= least_speed and (
-                slowest is None or load.speed < slowest.speed
-            ):
-                slowest = load
-        if slowest is None:
+        least_speed = task.work_s / max(limit_s - self.now, MIN_RUN_S)
+        index = bisect_left(self._free_speeds, least_speed)
+        if index == len(self._free_loads):
             return None
-        finish_s = self.now + task.work_s / slowest.speed
-        return Choice(slowest, finish_s, must_wait=False, why='fits')
+        load = self._free_loads[index]
+        finish_s = self.now + task.work_s / load.speed
+        return Choice(load, finish_s, must_wait=False, why='fits')
 
 
 def _speed_of(load: BackendLoad) -> float:
--- a/src/camphorlink/internal/core/request/scheduler.py
+++ b/src/camphorlink/internal/core/request/scheduler.py
@@ -26,6 +26,7 @@
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberView
 from camphorlink.internal.core.process.timers import Timers
+from camphorlink.internal.core.request.decisions import Decisions
 from camphorlink.internal.core.request.identifiers import Home
 from camphorlink.internal.core.request.job import Answer, Job
 from camphorlink.internal.core.request.job_intake import JobIntake
@@ -70,10 +71,15 @@
 
 
 class Scheduler:
-    """Queues of tasks by service, and the backend servers that serve them."""
+    """Queues of tasks by service, and the backend servers that serve them.
+
+    Attributes:
+        decisions: Why each submission was treated as it was.
+    """
 
     def __init__(self, home: Home, timers: Timers) -> None:
         """Starts without a manifest, for the backend servers of a zone."""
+        self.decisions = Decisions()
         self._timers = timers
         self._run_times = RunTimes()
         self._pool = BackendPool(home.zone)
@@ -87,6 +93,8 @@
         self._is_limited = False
         self._last_rows: tuple[LimitDemand, ...] = ()
         self._effects: list[messages.Effect] = []
+        # Bound once: each look-up of a dispatching method builds a wrapper.
+        self._judge_end = self._judge
         loads = self._pool.load_by_backend
         self._shares = SlotShares(home, timers, loads)
         self._lending = SlotLending(timers, loads, self._shares.address_by_peer)
@@ -127,7 +135,7 @@
     def queue_job(self, run: JobRun, now: float) -> None:
         """Queues all tasks of a submission."""
         queued = self._intake.queue_job(run, now)
-        self._explain(
+        self.decisions.note(
             run.submission_id,
             'queued',
             due_in_s=round(queued.due_s - now, 3),
@@ -155,7 +163,7 @@
             now + delay_s,
             lambda _now: queue.put_back(ended.job, task),
         )
-        self._explain(
+        self.decisions.note(
             ended.job.run.submission_id,
             'retried',
             backend=message.ticket.backend,
@@ -180,6 +188,7 @@
                 want = join_wants(want, done.want)
         self._lending.settle(want, now)
         effects.extend(self._lending.take_effects())
+        effects.extend(self.decisions.take_effects())
         return effects
 
     def note_end(self, message: messages.TaskEnd, now: float) -> Try | None:
@@ -192,7 +201,7 @@
         load.note_end(ended.number, now)
         self._quotas.note_end(ended.job.run.job)
         self._long_in_flight -= ended.is_long
-        self._judge(message, ended, now)
+        self._judge_end(message, ended, now)
         return ended
 
     @singledispatchmethod
@@ -214,7 +223,7 @@
         if period_s is not None:
             suspect = BackendSuspect(ticket.backend, period_s)
             self._lending.tell_all(suspect)
-            self._explain(
+            self.decisions.note(
                 ticket.submission_id,
                 'ejected',
                 backend=ticket.backend,
@@ -247,14 +256,6 @@
         for load in self._pool.load_by_backend.values():
             load.check_overruns(now)
 
-    def _explain(
-        self,
-        submission_id: str,
-        event: str,
-        **facts: str | float | None,
-    ) -> None:
-        self._effects.append(messages.Explain(submission_id, event, facts))
-
     def _learn(
         self,
         ticket: messages.Ticket,
@@ -324,6 +325,7 @@
         if task.attempt == 1:
             self._budget.note_first_sends(1)
         job.run.mark_started(task.position)
+        self.decisions.note_start(ticket, choice, now)
         self._try_by_ticket[ticket] = Try(number, now, task, job, is_long)
         return messages.StartTask(
             ticket=ticket,
--- a/src/camphorlink/internal/core/request/service_pass.py
+++ b/src/camphorlink/internal/core/request/service_pass.py
@@ -18,9 +18,9 @@
 #: Tasks that may wait for a better slot in one pass.
 SCAN_TASKS = 8
 #: Share of the slots that long tasks leave free.
-KEPT_SHARE = 0.12
+KEPT_SHARE = 0.15
 #: Share of the slots that long tasks may have in any case.
-LONG_SHARE = 0.1
+LONG_SHARE = 0.25
 
 
 class Assignment(NamedTuple):
@@ -87,7 +87,7 @@
     def run(self) -> None:
         """Goes through the queue until slots or patience run out."""
         slots = self._slots
-        while slots.free_by_load and self._patience > 0:
+        while slots.free and self._patience > 0:
             jobs = self._queue.first(SCAN_JOBS, self._held_teams)
             if not jobs:
                 return
@@ -96,7 +96,7 @@
                 self._start_job(job)
             if len(self.assignments) + len(self._held_teams) == before:
                 break
-        if not slots.free_by_load and self._queue.waiting_tasks:
+        if not slots.free and self._queue.waiting_tasks:
             self._note_want(
                 self._queue.waiting_tasks,
                 self._queue.first_due_s,
@@ -107,7 +107,7 @@
         """Starts what it can of a job, longest task first."""
         slots = self._slots
         for task in reversed(job.tasks.copy()):
-            if self._patience <= 0 or not slots.free_by_load:
+            if self._patience <= 0 or not slots.free:
                 return
             if not self._guard.may_start(task, slots):
                 continue
@@ -116,8 +116,6 @@
                 self._held_teams |= {job.run.job.team}
                 return
             choice = slots.choose(job, task)
-            if choice is None:
-                return
             job.finish_s = max(job.finish_s, choice.finish_s)
             if choice.must_wait:
                 slots.reserve(choice, task.work_s)
