--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -6,9 +6,16 @@
 from camphorlink.internal.core.connection.slot_messages import SlotMessage
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberView
-from camphorlink.internal.core.process.submissions import Submissions
+from camphorlink.internal.core.process.submissions import (
+    Admission,
+    SubmissionLimits,
+    Submissions,
+)
 from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.admission import refuse_job
+from camphorlink.internal.core.request.claim_writer import (
+    DEFAULT_APPENDS_PER_S,
+)
 from camphorlink.internal.core.request.home_table import (
     DEFAULT_ANSWER_BYTES,
     FULL_RETRY_S,
@@ -37,6 +44,7 @@
         wall_offset_s: float,
         max_entries: int,
         answer_bytes: int = DEFAULT_ANSWER_BYTES,
+        claim_appends_per_s: float = DEFAULT_APPENDS_PER_S,
     ) -> None:
         """Starts without a manifest.
 
@@ -46,6 +54,8 @@
             max_entries: Submissions that the table may remember with their
                 answers.
             answer_bytes: Memory of the answers that are held, in bytes.
+            claim_appends_per_s: Appends that this process may make for
+                callers' keys.
         """
         self.home = home
         self.timers = Timers()
@@ -53,8 +63,11 @@
             home,
             self.timers,
             wall_offset_s,
-            TableLimits(max_entries, answer_bytes),
-            self._admit,
+            SubmissionLimits(
+                TableLimits(max_entries, answer_bytes),
+                claim_appends_per_s,
+            ),
+            Admission(self._admit, self._refuse_job),
         )
         self.tables = self._submissions.tables
         self.table = self.tables.own
@@ -80,11 +93,7 @@
         self._now = now
         self._dispatch(message)
         starts = self._scheduler.start_tasks(now)
-        return [
-            *self._desk.take_effects(),
-            *starts,
-            *self.post.take_effects(),
-        ]
+        return [*starts, *self._submissions.take_effects()]
 
     def wall_s(self, now: float) -> float:
         """Returns wall-clock time in seconds since the epoch.
