A doubted speed is taken from the next run that ends

Cause: after a back end became ten times slower each VM still gave it work for 20 s, as every VM learns from two or three slots alone. Change: overruns are noticed with one running task where few run, and the first run that ends after a doubt counts half.

--- a/src/camphorlink/internal/core/connection/backend_load.py
+++ b/src/camphorlink/internal/core/connection/backend_load.py
@@ -12,10 +12,14 @@
 QUICK_DISTANCE = 1.0
 #: Running tasks may overrun their estimates by this factor unnoticed.
 OVERRUN_FACTOR = 3.0
-#: Running tasks that must overrun before the speed is doubted.
+#: Running tasks that must overrun before the speed is doubted; one is
+#: enough where fewer than ``FEW_TASKS`` run.
 OVERRUN_TASKS = 2
+FEW_TASKS = 4
 #: Back ends without any end for this long and all tasks overrun are stalled.
 STALL_S = 1.0
+#: The same for the run that ends after the speed was doubted.
+DOUBTED_WEIGHT = 0.5
 #: How far one run may move the speed, on the logarithmic scale.
 MAX_STEP = 1.5
 #: A task that overran its estimate is expected to take this share longer.
@@ -50,6 +54,7 @@
         self._log_speed = math.log(speed)
         self._quick_speed = math.log(speed)
         self._last_end_s = 0.0
+        self._is_doubted = False
         self._runs = 0
         self._finish_by_try: dict[int, tuple[float, float]] = {}
         #: Start and finish of who is expected to end first, when known.
@@ -115,6 +120,9 @@
         """Learns the speed from a run of known work, both in seconds."""
         self._runs += 1
         weight = max(1 / (self._runs + 1), MIN_WEIGHT)
+        if self._is_doubted:
+            weight = DOUBTED_WEIGHT
+            self._is_doubted = False
         seen = math.log(max(work_s, MIN_RUN_S) / max(run_s, MIN_RUN_S))
         step = max(-MAX_STEP, min(MAX_STEP, seen - self._log_speed))
         self._log_speed += weight * step
@@ -129,10 +137,12 @@
             (now - start_s) / max(finish_s - start_s, MIN_RUN_S)
             for start_s, finish_s in self._finish_by_try.values()
         )
-        if len(factors) < OVERRUN_TASKS:
+        if not factors:
             return
-        doubt = factors[-OVERRUN_TASKS] / OVERRUN_FACTOR
+        needed = min(OVERRUN_TASKS, 1 + len(factors) // FEW_TASKS)
+        doubt = factors[-needed] / OVERRUN_FACTOR
         if doubt > 1:
+            self._is_doubted = True
             self.speed = math.exp(self._log_speed) / doubt
         silent_s = now - max(
             self._last_end_s,
