--- a/src/camphorlink/internal/core/request/due_times.py
+++ b/src/camphorlink/internal/core/request/due_times.py
@@ -13,6 +13,11 @@
 STRETCH = 2.5
 #: Seconds of work that a team may be ahead of its part without any loss.
 ALLOWANCE_S = 10.0
+#: Jobs with a long task are set back by this multiple of the work that
+#: waits, so that short jobs go on passing them while the backlog lasts.
+LONG_SET_BACK = 2.0
+#: With less work waiting than this, in seconds, long jobs are not set back.
+LONG_CALM_S = 2.0
 #: With less work waiting than this, in seconds, no team is set back.
 CALM_S = 5.0
 #: A class of priority sets a job back by this time, in seconds.
@@ -34,6 +39,8 @@
         ideal_s: float,
         drain_s: float,
         now: float,
+        *,
+        is_long: bool = False,
     ) -> float:
         """Returns when a job that has just arrived is due, in core seconds.
 
@@ -43,11 +50,14 @@
             ideal_s: Time that it takes when it has all slots, in seconds.
             drain_s: Seconds of work that wait at this VM.
             now: Core time in seconds.
+            is_long: Whether some task of it is long.
         """
         set_back_s = PRIORITY_STEP_S * team.priority
         if drain_s > CALM_S:
             ahead_s = self._ahead_s(team.name, now)
             set_back_s += max(ahead_s - ALLOWANCE_S, 0)
+        if is_long and drain_s > LONG_CALM_S:
+            set_back_s += LONG_SET_BACK * drain_s
         due_s = now + set_back_s + STRETCH * ideal_s
         return min(due_s, max(job.deadline_s - ideal_s, now + set_back_s))
 
--- a/src/camphorlink/internal/core/request/job_intake.py
+++ b/src/camphorlink/internal/core/request/job_intake.py
@@ -152,4 +152,12 @@
         team = self._pool.manifest.teams_by_name[job.team]
         queue = self.queue_of(job.service)
         drain_s = queue.work_s / self._pool.own_speed()
-        return self._due_times.due_s(job, team, estimate.ideal_s, drain_s, now)
+        longest_s = max(task.work_s for task in estimate.tasks)
+        return self._due_times.due_s(
+            job,
+            team,
+            estimate.ideal_s,
+            drain_s,
+            now,
+            is_long=longest_s > self._run_times.long_work_s,
+        )
