--- a/Makefile
+++ b/Makefile
@@ -68,3 +68,8 @@
 .PHONY: measure-broadcast
 measure-broadcast: $(VENV)
 	$(PYTHON) -m camphorlink.bench.broadcast
+
+# Writes the traces of the brief's incidents anew.
+.PHONY: traces
+traces: $(VENV)
+	PYTHONPATH=$(CURDIR)/src:$(CURDIR)/tests $(PYTHON) tests/traces.py traces
