--- /dev/null
+++ b/tests/core/test_machine_configuration.py
@@ -0,0 +1,193 @@
+"""Configuration folds under random races, expiry and outages: all agree."""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+from test_config_fold import Stream, manifest_of
+
+from camphorlink.internal.core.connection.log_records import Page
+from camphorlink.internal.core.version.acceptance import (
+    approval_record,
+    patch_record,
+    proposal_record,
+    ruleset_record,
+)
+from camphorlink.internal.core.version.config_fold import ConfigFold
+from camphorlink.internal.core.version.snapshots import snapshot_record
+
+VMS = 3
+folds = st.integers(0, VMS - 1)
+teams = st.sampled_from(('red', 'green', 'blue'))
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """One stream, the folds of several VMs, and racing operators."""
+
+    @initialize()
+    def start(self):
+        self.stream = Stream()
+        self.folds = [ConfigFold() for _vm in range(VMS)]
+        self.versions = [0] * VMS
+        self.pages = []
+        self.appends = []
+        self.states = []
+        self.answers_lost = 0
+
+    @rule(vm=folds, team=teams, is_patch=st.booleans())
+    def propose(self, vm, team, is_patch):
+        """An operator builds on what one VM shows, which may be stale."""
+        state = self.folds[vm].state
+        document = manifest_of(team)
+        if is_patch and state.document is not None:
+            self.appends.append(patch_record(state, document))
+        else:
+            self.appends.append(proposal_record(state.version, document))
+
+    @rule(vm=folds, team=teams)
+    def approve(self, vm, team):
+        state = self.folds[vm].state
+        digest = proposal_record(0, manifest_of(team))['digest']
+        self.appends.append(approval_record(state.version, digest))
+
+    @rule(vm=folds, team=teams)
+    def publish(self, vm, team):
+        """An operator at an up-to-date VM gets its manifest in force."""
+        self.catch_up(vm)
+        state = self.folds[vm].state
+        proposed = proposal_record(state.version, manifest_of(team))
+        approved = approval_record(state.version, proposed['digest'])
+        for record in (proposed, approved):
+            self.stream.append(record)
+        self.catch_up(vm)
+
+    @rule(vm=folds)
+    def publish_snapshot(self, vm):
+        state = self.folds[vm].state
+        if state.version:
+            self.stream.append(snapshot_record(state))
+
+    @rule(keeps=st.integers(0, 2))
+    def expire_most(self, keeps):
+        end = len(self.stream.records)
+        self.stream.earliest = max(self.stream.earliest, end - keeps)
+
+    @rule(vm=folds)
+    def write_snapshot(self, vm):
+        state = self.folds[vm].state
+        if state.version:
+            self.appends.append(snapshot_record(state))
+
+    @rule(bad=st.sampled_from((None, 'text', {'kind': 'approved'}, {'a': 1})))
+    def corrupt(self, bad):
+        self.appends.append(bad)
+
+    @rule(version=st.integers(0, 3))
+    def call_newer_rules(self, version):
+        self.appends.append(ruleset_record(version, 2))
+
+    @rule(choice=st.integers(0, 99), keeps=st.booleans())
+    def land(self, choice, keeps):
+        """Any append lands, late or early; its answer may get lost."""
+        if not self.appends:
+            return
+        number = choice % len(self.appends)
+        self.stream.append(self.appends[number])
+        if not keeps:
+            self.appends.pop(number)
+
+    @rule(count=st.integers(1, 4))
+    def expire(self, count):
+        end = len(self.stream.records)
+        self.stream.earliest = min(end, self.stream.earliest + count)
+
+    @rule(vm=folds, size=st.integers(1, 5))
+    def read(self, vm, size):
+        """A page is read now and may be taken later."""
+        start = max(self.folds[vm].read_from, self.stream.earliest)
+        records = tuple(self.stream.records[start : start + size])
+        end = len(self.stream.records)
+        page = Page(records, self.stream.earliest, end)
+        self.pages.append((vm, self.folds[vm], page))
+
+    @rule(choice=st.integers(0, 99))
+    def take(self, choice):
+        if not self.pages:
+            return
+        vm, fold, page = self.pages.pop(choice % len(self.pages))
+        if self.folds[vm] is fold:
+            fold.take_page(page)
+
+    @rule(vm=folds)
+    def catch_up(self, vm):
+        for _page in range(6):
+            self.read(vm, 5)
+            self.take(len(self.pages) - 1)
+
+    @rule()
+    def catch_up_all(self):
+        for vm in range(VMS):
+            self.catch_up(vm)
+
+    @rule(vm=folds)
+    def send_state(self, vm):
+        state = self.folds[vm].state
+        if state.version:
+            self.states.append(snapshot_record(state))
+
+    @rule(vm=folds, choice=st.integers(0, 99))
+    def take_state(self, vm, choice):
+        """A peer's state comes, however late, and any number of times."""
+        if self.states:
+            record = self.states[choice % len(self.states)]
+            self.folds[vm].take_peer_state(record)
+
+    @rule(vm=folds)
+    def start_anew(self, vm):
+        self.folds[vm] = ConfigFold()
+        self.versions[vm] = 0
+
+    @invariant()
+    def version_never_reverts(self):
+        if not hasattr(self, 'folds'):
+            return
+        for vm, fold in enumerate(self.folds):
+            assert fold.state.version >= self.versions[vm]
+            self.versions[vm] = fold.state.version
+
+    @invariant()
+    def no_unseen_overwrite(self):
+        if not hasattr(self, 'stream'):
+            return
+        states = self.stream.prefix_states
+        for stored in self.stream.records:
+            before, after = states[stored.offset : stored.offset + 2]
+            if after.version > before.version:
+                assert stored.record['base_version'] == before.version
+
+    @invariant()
+    def all_agree(self):
+        if not hasattr(self, 'folds'):
+            return
+        for fold in self.folds:
+            state = fold.state
+            true = self.stream.prefix_states[state.next_offset]
+            assert state.version == true.version
+            assert state.manifest == true.manifest
+            assert state.ruleset == true.ruleset
+            assert dict(state.proposals_by_digest) == dict(
+                true.proposals_by_digest,
+            )
+
+
+ConfigurationMachine.TestCase.settings = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+)
+TestConfiguration = ConfigurationMachine.TestCase
--- /dev/null
+++ b/tests/core/test_machine_home_table.py
@@ -0,0 +1,134 @@
+"""A home's table under eviction: nothing forgotten is ever taken for new."""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from camphorlink.internal.core.request.home_table import (
+    HomeTable,
+    TableLimits,
+)
+from camphorlink.internal.core.request.identifiers import Home, SubmissionId
+from camphorlink.internal.core.request.job import Outcome, not_run
+from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.core.request.table_chunks import (
+    read_chunks,
+    write_chunks,
+)
+from cores import job_of
+
+HOME = Home('larissa', 'a', '0' * 16)
+LIMITS = TableLimits(max_entries=3, answer_bytes=600, max_endings=4)
+WALL_S = 1_800_000_000.0
+
+
+class HomeTableMachine(RuleBasedStateMachine):
+    """Submissions of any age, answers, evictions, and hand-overs."""
+
+    named = Bundle('named')
+
+    @initialize()
+    def start(self):
+        self.table = HomeTable(LIMITS)
+        self.wall_s = WALL_S
+        self.numbers = 0
+        self.ran = set()
+        self.refused = set()
+        self.open = {}
+        self.issued = []
+
+    @rule(
+        target=named,
+        age_s=st.sampled_from((0, 0, 1, 5, 300, 599, -59, -61)),
+        refuses=st.sampled_from((False, False, True)),
+    )
+    def issue(self, age_s, refuses):
+        self.numbers += 1
+        issued_ms = int((self.wall_s - age_s) * 1000)
+        one = SubmissionId(HOME, issued_ms, f'{self.numbers:020x}')
+        self.issued.append(one)
+        self.submit(one, refuses=refuses)
+        return one
+
+    @rule(one=named, refuses=st.booleans())
+    def submit(self, one, refuses):
+        if self.table.find(str(one)) is not None:
+            return
+        answer = self.table.refusal(one, self.wall_s)
+        if answer is not None:
+            self.hold(one, answer)
+        elif refuses:
+            assert one not in self.ran
+            self.table.refuse(one, not_run(Reason.QUEUE_FULL))
+            self.refused.add(one)
+        elif not self.table.is_full:
+            assert one not in self.ran, 'no_task_starts_twice'
+            assert one not in self.refused, 'not_run_is_true'
+            run = self.table.open_run(one, job_of(), 1)
+            run.mark_started(0)
+            self.ran.add(one)
+            self.open[one] = run
+
+    @rule(refuses=st.booleans())
+    def submit_all(self, refuses):
+        """Copies of everything that was ever sent arrive."""
+        for one in self.issued:
+            self.submit(one, refuses=refuses)
+
+    def hold(self, one, answer):
+        if answer.outcome is Outcome.NOT_RUN:
+            assert one not in self.ran, 'not_run_is_true'
+            self.refused.add(one)
+
+    @rule()
+    def end_all(self):
+        for one in tuple(self.open):
+            self.end(one, 'finishes')
+
+    @rule(one=named, ends=st.sampled_from(('finishes', 'fails', 'is lost')))
+    def end(self, one, ends):
+        run = self.open.pop(one, None)
+        if run is None:
+            return
+        if ends == 'finishes':
+            run.finish_task(0, 'r' * 300)
+        elif ends == 'fails':
+            run.fail_task(0, 'failed')
+        else:
+            run.lose_task(0, 'lost')
+
+    @rule(seconds=st.sampled_from((0.001, 1, 10, 10, 400)))
+    def wait(self, seconds):
+        self.wall_s += seconds
+
+    @rule(skew_s=st.sampled_from((0, -30, 30)))
+    def hand_over(self, skew_s):
+        """A successor whose clock differs takes the sealed table."""
+        for run in self.open.values():
+            run.close(Reason.VM_STOPPED)
+        self.open.clear()
+        oldest_ms = int((self.wall_s - 600) * 1000)
+        self.table.endings.raise_floor(oldest_ms)
+        self.table = read_chunks(write_chunks(HOME, 1, self.table), LIMITS)
+        self.wall_s += skew_s
+
+    @invariant()
+    def stays_bounded(self):
+        if hasattr(self, 'table'):
+            assert len(self.table) <= 2 * LIMITS.max_entries
+            assert len(self.table.endings) <= LIMITS.max_endings
+
+
+HomeTableMachine.TestCase.settings = settings(
+    max_examples=300,
+    stateful_step_count=40,
+    derandomize=True,
+    deadline=None,
+)
+TestHomeTable = HomeTableMachine.TestCase
--- a/tests/core/test_machine_submissions.py
+++ b/tests/core/test_machine_submissions.py
@@ -19,6 +19,7 @@
 VMS = ('a', 'b', 'c')
 SKEWS_S = (0.0, 100.0, -80.0)
 MAX_WAIT_S = 20.0
+MAX_ENTRIES = 2
 #: Crashes, stops, pauses and wrong views in one example.
 MAX_TROUBLES = 4
 vms = st.sampled_from(VMS)
@@ -38,10 +39,12 @@
             *VMS,
             seed=seed,
             skews=skews,
+            max_entries=MAX_ENTRIES,
             answer_bytes=2000,
         )
         self.cores.show_members()
         self.troubles_left = MAX_TROUBLES
+        self.issued = []
 
     def is_quiet(self):
         return self.troubles_left > 0
@@ -62,6 +65,7 @@
         self.cores.fate = fate
         job = self.make_job(count, wait_s, 'first')
         self.cores.submit(via, submission_id, job)
+        self.issued.append((submission_id, count))
         return submission_id, count
 
     @rule(one=named, via=vms, digest=st.sampled_from(('first', 'other')))
@@ -70,6 +74,33 @@
         job = self.make_job(count, 3.0, digest)
         self.cores.submit(via, submission_id, job)
 
+    @rule(one=named)
+    def resubmit_everywhere(self, one):
+        """A caller that believes its job lost tries every entry VM."""
+        for via in VMS:
+            self.resubmit(one, via, 'first')
+            self.cores.run(0.2)
+
+    @rule(via=vms, seconds=st.sampled_from((0.1, 2.0)))
+    def resubmit_all(self, via, seconds):
+        """Copies of everything that was ever sent reach one VM."""
+        for one in self.issued:
+            self.resubmit(one, via, 'first')
+        self.cores.run(seconds)
+
+    @rule(home=vms, seconds=st.sampled_from((0.0, 2.0)))
+    def overload(self, home, seconds):
+        """More slow jobs come at once than the home may hold."""
+        fate, self.cores.fate = self.cores.fate, 'slow'
+        named = [self.cores.mint(home) for _job in range(MAX_ENTRIES + 1)]
+        for one in named:
+            self.cores.submit(home, one, self.make_job(1, 5.0, 'first'))
+        self.cores.run(seconds)
+        self.cores.fate = fate
+        self.issued.extend((one, 1) for one in named)
+        for one in named:
+            self.resubmit((one, 1), home, 'first')
+
     def make_job(self, count, wait_s, digest):
         deadline_s = self.cores.now + wait_s
         return job_of(count, deadline_s, digest=digest, payload=digest)
@@ -160,8 +191,8 @@
 
 
 SubmissionsMachine.TestCase.settings = settings(
-    max_examples=120,
-    stateful_step_count=30,
+    max_examples=250,
+    stateful_step_count=40,
     derandomize=True,
     deadline=None,
     suppress_health_check=[HealthCheck.too_slow, HealthCheck.filter_too_much],
