Eight entry VMs as processes, and make measure-control

Cause: what control costs, and whether replacing all entry VMs cuts anyone, had not been measured with real processes. Change: process tests of a rolling restart under load (8 VMs, 3 zones, 6 callers that keep to the client) and of a paused VM and an outage of the log; a measuring command that prints JSON; /v1/members shows the links' counts.

--- a/Makefile
+++ b/Makefile
@@ -64,3 +64,7 @@
 .PHONY: measure-broadcast
 measure-broadcast: $(VENV)
 	$(PYTHON) -m camphorlink.bench.broadcast
+
+.PHONY: measure-control
+measure-control: $(VENV)
+	$(PYTHON) -m camphorlink.bench.control
--- /dev/null
+++ b/src/camphorlink/bench/control.py
@@ -0,0 +1,247 @@
+"""Measures what control costs an entry VM, and how fast a change spreads.
+
+Real daemons on loopback, idle but for control.  Run ``make measure-control``;
+it prints one JSON line for each number of peers.
+"""
+
+import contextlib
+import os
+import statistics
+import tempfile
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Any, NamedTuple
+from urllib import request as http
+
+import click
+import orjson
+
+from camphorlink.bench.programs import (
+    FREE_PORT,
+    Program,
+    entry_program,
+    standin_program,
+)
+from camphorlink.internal.core.version.acceptance import (
+    approval_record,
+    proposal_record,
+)
+from camphorlink.internal.shell.connection.peer_links import PING_INTERVAL_S
+
+PEERS = (2, 4, 8, 16)
+CHANGES = 10
+WATCH_S = 15.0
+SETTLE_S = 5.0
+READY_TIMEOUT_S = 60.0
+POLL_S = 0.1
+US_PER_S = 1_000_000
+NS_PER_S = 1_000_000_000
+#: TCP and IP headers of a message and of its acknowledgement, and the
+#: websocket frame; what is sent is counted without them.
+OVERHEAD_BYTES = 92
+#: Each link is pinged by its opener every 2 s and answered by the other end.
+PING_BYTES_A_SECOND = 2 * OVERHEAD_BYTES / PING_INTERVAL_S
+
+
+class Usage(NamedTuple):
+    """What a VM has used so far.
+
+    Attributes:
+        at_s: When, in seconds.
+        cpu_s: Processor time in seconds.
+        messages: Messages sent to peers.
+        sent_bytes: Their bytes, without headers.
+        received: Messages received from peers.
+    """
+
+    at_s: float
+    cpu_s: float
+    messages: int
+    sent_bytes: int
+    received: int
+
+
+class ControlSite:
+    """A platform and entry VMs of one zone, without backend servers."""
+
+    def __init__(self, directory: str, vms: int) -> None:
+        """Takes the number of entry VMs."""
+        self.entries: list[Program] = []
+        self._directory = directory
+        self._vms = vms
+        self._stack = contextlib.ExitStack()
+
+    def __enter__(self) -> 'ControlSite':
+        """Starts everything and waits until all see each other."""
+        settings = {'listen': FREE_PORT}
+        self.log = self._stack.enter_context(
+            standin_program(self._directory, 'log', 'log-service', settings),
+        )
+        for number in range(self._vms):
+            self._start_entry(f'entry-{number:02d}')
+        self._await_all_live()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Ends every process."""
+        self._stack.close()
+
+    def change(self, version: int) -> list[float]:
+        """Publishes a change; returns the seconds until each VM had it."""
+        document = {
+            'schema': 1,
+            'services': {},
+            'backends': {},
+            'teams': {f'team-{version}': {}},
+        }
+        proposal = proposal_record(version, document)
+        approval = approval_record(version, proposal['digest'])
+        path = '/v1/streams/config/records'
+        started_s = time.time()
+        _call(self.log, path, {'records': [proposal, approval]}, 'POST')
+        _wait(lambda: self._lowest_version() > version)
+        return [
+            self._config(entry)['in_force_since'] - started_s
+            for entry in self.entries
+        ]
+
+    def usage(self) -> list[Usage]:
+        """Reads what every VM has used."""
+        return [_read_usage(entry) for entry in self.entries]
+
+    def _start_entry(self, vm: str) -> None:
+        settings = {
+            'zone': 'larissa',
+            'vm': vm,
+            'callers': FREE_PORT,
+            'operators': FREE_PORT,
+            'peers': FREE_PORT,
+            'log_service': f'http://{self.log.address}',
+            'notice_s': 0,
+        }
+        entry = self._stack.enter_context(
+            entry_program(self._directory, vm, settings),
+        )
+        listed = {
+            'zone': 'larissa',
+            'vm': vm,
+            'peers': entry.addresses['peers'],
+            'operators': entry.addresses['operators'],
+            'state': 'live',
+        }
+        _call(self.log, '/standin/vms', listed, 'PUT')
+        self.entries.append(entry)
+
+    def _await_all_live(self) -> None:
+        _wait(lambda: all(map(self._sees_all, self.entries)))
+
+    def _sees_all(self, entry: Program) -> bool:
+        members = _ask(entry, '/v1/members')['members']
+        live = [member for member in members if member['state'] == 'live']
+        return len(live) == self._vms
+
+    def _lowest_version(self) -> int:
+        return min(
+            int(self._config(entry)['version']) for entry in self.entries
+        )
+
+    def _config(self, entry: Program) -> Any:
+        return _ask(entry, '/v1/config')
+
+
+@click.command()
+@click.option('--peers', type=int, multiple=True, default=PEERS)
+def main(peers: tuple[int, ...]) -> None:
+    """Print bytes, processor time and spreading time for numbers of peers."""
+    for count in peers:
+        click.echo(orjson.dumps(measure(count)))
+
+
+def measure(peers: int) -> dict[str, Any]:
+    """Measures an idle site in which every VM has ``peers`` peers."""
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        ControlSite(directory, peers + 1) as site,
+    ):
+        time.sleep(SETTLE_S)
+        before = site.usage()
+        time.sleep(WATCH_S)
+        after = site.usage()
+        slowest = [max(site.change(version)) for version in range(CHANGES)]
+    spent = [_spent(*pair) for pair in zip(before, after, strict=True)]
+    return {
+        'peers': peers,
+        'cores_shared': os.cpu_count(),
+        'cpu_share': _median(spent, 'cpu_share'),
+        'cpu_us_a_message': _median(spent, 'cpu_us_a_message'),
+        'messages_a_second': _median(spent, 'messages_a_second'),
+        'bytes_a_second': _median(spent, 'bytes_a_second'),
+        'ping_bytes_a_second': peers * PING_BYTES_A_SECOND,
+        'bytes_a_second_worst': max(row['bytes_a_second'] for row in spent),
+        'in_force_s_median': round(statistics.median(slowest), 4),
+        'in_force_s_worst': round(max(slowest), 4),
+    }
+
+
+def _spent(before: Usage, after: Usage) -> dict[str, float]:
+    span_s = after.at_s - before.at_s
+    cpu_s = after.cpu_s - before.cpu_s
+    sent = after.messages - before.messages
+    handled = sent + after.received - before.received
+    sent_bytes = after.sent_bytes - before.sent_bytes
+    return {
+        'cpu_share': cpu_s / span_s,
+        'cpu_us_a_message': cpu_s / max(1, handled) * US_PER_S,
+        'messages_a_second': sent / span_s,
+        'bytes_a_second': (sent_bytes + sent * OVERHEAD_BYTES) / span_s,
+    }
+
+
+def _median(rows: list[dict[str, float]], name: str) -> float:
+    return round(statistics.median(row[name] for row in rows), 5)
+
+
+def _read_usage(entry: Program) -> Usage:
+    links = _ask(entry, '/v1/members')['links']
+    threads = Path(f'/proc/{entry.process.pid}/task').glob('*/schedstat')
+    run_ns = sum(int(path.read_text().split()[0]) for path in threads)
+    return Usage(
+        time.monotonic(),
+        run_ns / NS_PER_S,
+        links.get('sent', 0),
+        links.get('sent-bytes', 0),
+        links.get('received', 0),
+    )
+
+
+def _ask(entry: Program, path: str) -> Any:
+    url = f'http://{entry.addresses["operators"]}{path}'
+    with http.urlopen(url, timeout=READY_TIMEOUT_S) as answer:
+        return orjson.loads(answer.read())
+
+
+def _call(program: Program, path: str, document: Any, method: str) -> None:
+    asked = http.Request(
+        f'http://{program.address}{path}',
+        orjson.dumps(document),
+        method=method,
+    )
+    http.urlopen(asked, timeout=READY_TIMEOUT_S).close()
+
+
+def _wait(condition: Any) -> None:
+    give_up_s = time.monotonic() + READY_TIMEOUT_S
+    while not condition():
+        if time.monotonic() > give_up_s:
+            raise TimeoutError('entry VMs do not agree in time')
+        time.sleep(POLL_S)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/camphorlink/internal/shell/process/operators_api.py
+++ b/src/camphorlink/internal/shell/process/operators_api.py
@@ -94,6 +94,10 @@
                     }
                     for member in self._host.core.view.members
                 ],
+                'links': dict(self._host.links.counts)
+                if self._host.links
+                else {},
+                'membership': self._control.members.membership.counts,
             }
         )
 
--- /dev/null
+++ b/tests/nocover/test_fleet.py
@@ -0,0 +1,179 @@
+"""Eight entry VMs in three zones as processes: restarts, pauses, outages."""
+
+import asyncio
+import contextlib
+import signal
+
+from camphorlink import CamphorlinkError
+from camphorlink.client import Client
+from processes import ProcessSite, call, is_ready, wait_until
+
+SIZES = {'larissa': 3, 'volos': 3, 'trikala': 2}
+CALLERS = 6
+
+
+def homes_of(program, state='live'):
+    members = call('GET', program.addresses['operators'], '/v1/members').body
+    return {
+        member['home']
+        for member in members['members']
+        if member['state'] == state
+    }
+
+
+def config_of(program):
+    return call('GET', program.addresses['operators'], '/v1/config').body
+
+
+def register(site, zone, vm, state='live'):
+    program = site.entries[vm]
+    entry = {
+        'zone': zone,
+        'vm': vm,
+        'peers': program.addresses['peers'],
+        'operators': program.addresses['operators'],
+        'state': state,
+    }
+    assert call('PUT', site.log.address, '/standin/vms', entry).status == 200
+
+
+def await_all_live(site):
+    count = len(site.entries)
+    wait_until(
+        lambda: all(
+            len(homes_of(program)) == count for program in site.entries.values()
+        ),
+        what='all entry VMs see each other',
+    )
+
+
+@contextlib.contextmanager
+def fleet(directory):
+    zone_of = {}
+    with ProcessSite(
+        directory,
+        zones=tuple(SIZES),
+        entries_per_zone=0,
+        entry_changes={'notice_s': 0.5},
+    ) as site:
+        for zone, size in SIZES.items():
+            for number in range(size):
+                vm = f'{zone}-entry-{number}'
+                site.start_entry(zone, vm)
+                register(site, zone, vm)
+                zone_of[vm] = zone
+        site.await_ready()
+        await_all_live(site)
+        yield site, zone_of
+
+
+def replace(site, zone, vm):
+    """Stops one VM as planned and starts the next at the same address."""
+    old = site.entries[vm]
+    ip, port = old.addresses['callers'].split(':')
+    assert old.stop() == 0, old.log()
+    program = site.start_entry(
+        zone,
+        vm,
+        callers={'ip': ip, 'port': int(port)},
+    )
+    register(site, zone, vm)
+    wait_until(lambda: is_ready(program), what=f'{vm} ready')
+    await_all_live(site)
+
+
+def job_of(count):
+    return {
+        'service': 'caster',
+        'team': 'surveyors',
+        'deadline_ms': 10_000,
+        'tasks': [
+            {'id': f't{number}', 'payload': {'work_ms': 20}}
+            for number in range(count)
+        ],
+    }
+
+
+async def call_steadily(urls, stop, outcomes):
+    async with Client(urls) as client:
+        while not stop.is_set():
+            try:
+                results = await client.submit(job_of(3))
+                outcomes.append(len(results))
+            except CamphorlinkError as exc:
+                outcomes.append(exc)
+            await asyncio.sleep(0.02)
+
+
+async def under_load(urls, action):
+    stop, outcomes = asyncio.Event(), []
+    turned = [urls[number:] + urls[:number] for number in range(CALLERS)]
+    callers = [
+        asyncio.create_task(call_steadily(each, stop, outcomes))
+        for each in turned
+    ]
+    await asyncio.to_thread(action)
+    stop.set()
+    await asyncio.gather(*callers)
+    return outcomes
+
+
+def urls_of(site):
+    return [
+        f'http://{program.addresses["callers"]}'
+        for program in site.entries.values()
+    ]
+
+
+def test_a_rolling_restart_fails_no_request(tmp_path):
+    with fleet(tmp_path) as (site, zone_of):
+
+        def restart_all():
+            for vm, zone in zone_of.items():
+                replace(site, zone, vm)
+
+        outcomes = asyncio.run(under_load(urls_of(site), restart_all))
+        starts = site.starts_by_reference()
+    failed = [outcome for outcome in outcomes if outcome != 3]
+    assert failed == []
+    assert len(outcomes) > len(zone_of)
+    assert set(starts.values()) == {1}
+    assert len(starts) == 3 * len(outcomes)
+
+
+def test_a_pause_and_an_outage_of_the_log_lose_nothing(tmp_path):
+    with fleet(tmp_path) as (site, _zone_of):
+        paused, *others = site.entries.values()
+        home = config_of(paused)['home']
+        paused.signal(signal.SIGSTOP)
+        wait_until(
+            lambda: all(home in homes_of(vm, 'suspect') for vm in others),
+            what='the paused VM is suspected',
+        )
+        site.publish({**site.manifest(), 'services': {}, 'backends': {}}, 1)
+        paused.signal(signal.SIGCONT)
+        assert homes_of(paused, 'suspect') == set()
+        await_all_live(site)
+        wait_until(lambda: config_of(paused)['version'] == 2, what='version 2')
+
+        faults = {'down': True}
+        call('PUT', site.log.address, '/standin/faults', faults)
+        wait_until(
+            lambda: all(
+                config_of(vm)['log_away'] for vm in site.entries.values()
+            ),
+            what='all VMs say that the log is away',
+        )
+        assert all(map(is_ready, site.entries.values()))
+        call('PUT', site.log.address, '/standin/faults', {})
+        site.publish(base_version=2)
+        wait_until(
+            lambda: (
+                {
+                    (config_of(vm)['version'], config_of(vm)['next_offset'])
+                    for vm in site.entries.values()
+                }
+                == {(3, 6)}
+            ),
+            what='version 3 everywhere',
+        )
