--- a/src/camphorlink/internal/core/connection/slot_messages.py
+++ b/src/camphorlink/internal/core/connection/slot_messages.py
@@ -1,4 +1,4 @@
-"""Messages about the slots that the entry VMs of a zone share."""
+"""Messages about what entry VMs share: slots, suspicions, limits."""
 
 from typing import NamedTuple
 
@@ -40,10 +40,48 @@
     slots_by_backend: dict[str, int]
 
 
-SlotMessage = SlotWant | SlotLoan | SlotReturn
+class BackendSuspect(NamedTuple):
+    """The sender has ejected a back end of the zone.
+
+    Attributes:
+        backend: Name of the backend server.
+        period_s: Seconds for which the sender gives it nothing.
+    """
+
+    backend: str
+    period_s: float
+
+
+class LimitDemand(NamedTuple):
+    """What the sender could use of one limit.
+
+    Attributes:
+        kind: ``team`` or ``service``.
+        name: Its name in the manifest.
+        tasks: Tasks that run or wait.
+    """
+
+    kind: str
+    name: str
+    tasks: int
+
+
+class DemandReport(NamedTuple):
+    """What the sender could use of each limit; none is left out.
+
+    Attributes:
+        demands: Only limits that it could use something of.
+    """
+
+    demands: tuple[LimitDemand, ...]
+
+
+SlotMessage = SlotWant | SlotLoan | SlotReturn | BackendSuspect | DemandReport
 
 SLOT_MESSAGE_BY_KIND: dict[str, type[SlotMessage]] = {
     'slot-want': SlotWant,
     'slot-loan': SlotLoan,
     'slot-return': SlotReturn,
+    'backend-suspect': BackendSuspect,
+    'demand-report': DemandReport,
 }
--- a/src/camphorlink/internal/core/request/reasons.py
+++ b/src/camphorlink/internal/core/request/reasons.py
@@ -28,6 +28,8 @@
     HOME_GONE = 'home-gone'
     RELAYS_FULL = 'relays-full'
     VM_STOPPED = 'vm-stopped'
+    KEY_EXPIRED = 'key-expired'
+    KEY_UNRESOLVED = 'key-unresolved'
     DRAINING = 'draining'
     TABLE_FULL = 'table-full'
     QUEUE_FULL = 'queue-full'
@@ -35,6 +37,7 @@
     DEADLINE_UNREACHABLE = 'deadline-unreachable'
     NO_BACKEND = 'no-backend'
     CANCELLED = 'cancelled'
+    JOB_KEEPS_FAILING = 'job-keeps-failing'
     TASK_FAILED = 'task-failed'
     TASK_LOST = 'task-lost'
     CONNECT_FAILED = 'connect-failed'
@@ -65,6 +68,8 @@
     Reason.HOME_GONE: 'the VM that held the job is gone; check what it did',
     Reason.RELAYS_FULL: 'ask again after the given delay, same identifier',
     Reason.VM_STOPPED: 'look at the fate of each task; ask again for unknown',
+    Reason.KEY_EXPIRED: 'find out by other means whether the job ran',
+    Reason.KEY_UNRESOLVED: 'submit it again under the same key',
     Reason.DRAINING: 'submit it to another entry VM, which mints its own',
     Reason.TABLE_FULL: 'submit it again after the given delay',
     Reason.QUEUE_FULL: 'submit it again after the given delay',
@@ -72,6 +77,7 @@
     Reason.DEADLINE_UNREACHABLE: 'allow more time, or submit it later',
     Reason.NO_BACKEND: 'submit it to another zone, or later',
     Reason.CANCELLED: 'nothing: it was cancelled on request',
+    Reason.JOB_KEEPS_FAILING: 'mend the job: it failed again and again',
     Reason.TASK_FAILED: 'look at the failed task before you submit anew',
     Reason.TASK_LOST: 'find out by other means whether the task ran',
     Reason.CONNECT_FAILED: 'submit it again later: no try was started',
