Tests: membership after any trouble, replaced links, whom to ask

Change: a Hypothesis test drives 11 VMs in 3 zones through pauses, restarts, cuts and cut-off zones and wants one view afterwards (60 seeded runs); a test for link ends that die together; tests of the exchange's turns and rate.

--- /dev/null
+++ b/tests/core/test_exchange.py
@@ -0,0 +1,56 @@
+"""Who is behind asks one peer after the other, and not before its time."""
+
+import random
+
+from camphorlink.internal.core.request.identifiers import Home
+from camphorlink.internal.core.version.exchange import (
+    ASK_AGAIN_S,
+    GRACE_S,
+    ConfigExchange,
+)
+
+PEERS = [Home('larissa', f'entry-{number}', '') for number in range(3)]
+
+
+def exchange_of(versions):
+    exchange = ConfigExchange(random.Random(1))
+    for peer, version in zip(PEERS, versions, strict=True):
+        exchange.note(peer, version)
+    return exchange
+
+
+def test_nobody_is_asked_when_nobody_is_ahead():
+    assert exchange_of([2, 2, 1]).choose(2, 100) is None
+
+
+def test_the_log_gets_a_moment_first():
+    exchange = exchange_of([3, 2, 2])
+    assert exchange.choose(2, 0) is None
+    assert exchange.choose(2, GRACE_S / 2) is None
+    assert exchange.choose(2, GRACE_S) == PEERS[0]
+
+
+def test_a_vm_without_any_version_asks_at_once():
+    assert exchange_of([3, 0, 0]).choose(0, 100) == PEERS[0]
+
+
+def test_each_peer_that_is_ahead_is_asked_in_turn():
+    exchange = exchange_of([3, 3, 3])
+    exchange.choose(2, 100)
+    asked = [
+        exchange.choose(2, 101 + number * ASK_AGAIN_S) for number in range(6)
+    ]
+    assert set(asked[:3]) == set(asked[3:]) == set(PEERS)
+
+
+def test_asking_is_limited_in_rate():
+    exchange = exchange_of([3, 3, 3])
+    exchange.choose(2, 100)
+    asked = [exchange.choose(2, 100 + tick / 10) for tick in range(1, 31)]
+    assert sum(peer is not None for peer in asked) == 3
+
+
+def test_a_peer_that_went_silent_is_not_asked():
+    exchange = exchange_of([3, 3, 3])
+    exchange.keep_only({PEERS[1]})
+    assert exchange.choose(0, 100) == PEERS[1]
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -2,6 +2,7 @@
 
 from camphorlink.internal.core.process.members import MemberState
 from camphorlink.internal.core.process.peer_table import ListedVm, key_of
+from camphorlink.internal.core.process.zone_links import LinkChooser
 from fleet import Fleet, all_live
 
 ZONES = {'larissa': 3, 'trikala': 2, 'volos': 3}
@@ -134,3 +135,21 @@
     fleet.run(10)
     assert all_live(fleet)
     assert max(vm.sent_bytes for vm in fleet.vms.values()) / 10 < 4096
+
+
+def test_dead_link_ends_between_zones_are_replaced():
+    fleet = Fleet({f'zone-{number}': 4 for number in range(5)})
+    fleet.run(5)
+    keys = [key_of(vm.home) for vm in fleet.vms.values()]
+    for vm in fleet.zone('zone-1'):
+        chosen = LinkChooser(key_of(vm.home)).choose(keys)
+        if any(key.zone == 'zone-2' for key in chosen):
+            fleet.stop(vm)
+    survivors = fleet.zone('zone-1')
+    assert 0 < len(survivors) < 4
+    fleet.run(8)
+    survivors[0].membership.set_state(MemberState.LEAVING, fleet.now)
+    fleet.run(4)
+    assert {vm.sees(survivors[0]) for vm in fleet.zone('zone-2')} == {
+        MemberState.LEAVING,
+    }
--- /dev/null
+++ b/tests/core/test_membership_machine.py
@@ -0,0 +1,77 @@
+"""Whatever happens to a fleet, its views come together once it is over."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphorlink.internal.core.process.members import MemberState
+from fleet import Fleet, all_live
+
+#: Above the limit for links between all, so that reports are in play.
+ZONES = {'larissa': 4, 'trikala': 3, 'volos': 4}
+VM_COUNT = sum(ZONES.values())
+SETTLE_S = 12
+
+indexes = st.integers(0, VM_COUNT - 1)
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just('pause'), indexes),
+        st.tuples(st.just('resume'), indexes),
+        st.tuples(st.just('restart'), indexes),
+        st.tuples(st.just('cut'), st.tuples(indexes, indexes)),
+        st.tuples(st.just('cut_zone'), st.sampled_from(sorted(ZONES))),
+        st.tuples(st.just('heal'), st.none()),
+        st.tuples(st.just('run'), st.integers(1, 8)),
+    ),
+    max_size=12,
+)
+
+
+class Trouble:
+    def __init__(self):
+        self.fleet = Fleet(ZONES)
+        self.fleet.run(5, step_s=0.25)
+        self.replaced = []
+
+    def vm(self, index):
+        return sorted(self.fleet.vms.values(), key=lambda vm: vm.address)[index]
+
+    def pause(self, index):
+        self.fleet.pause(self.vm(index))
+
+    def resume(self, index):
+        self.fleet.resume(self.vm(index))
+
+    def restart(self, index):
+        old = self.vm(index)
+        self.fleet.stop(old)
+        self.fleet.start(old.home.zone, old.home.vm)
+        self.replaced.append(old.home)
+
+    def cut(self, pair):
+        self.fleet.cut(self.vm(pair[0]), self.vm(pair[1]))
+
+    def cut_zone(self, zone):
+        self.fleet.cut_zone(zone)
+
+    def heal(self, _nothing):
+        self.fleet.cuts.clear()
+
+    def run(self, seconds):
+        self.fleet.run(seconds, step_s=0.25)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(events=EVENTS)
+def test_views_agree_after_any_trouble(events):
+    trouble = Trouble()
+    for name, argument in events:
+        getattr(trouble, name)(argument)
+    trouble.heal(None)
+    for vm in trouble.fleet.vms.values():
+        trouble.fleet.resume(vm)
+    trouble.run(SETTLE_S)
+    assert all_live(trouble.fleet)
+    for vm in trouble.fleet.vms.values():
+        states = vm.states()
+        for home in trouble.replaced:
+            assert states.get(home, MemberState.GONE) is MemberState.GONE
