--- a/src/camphorlink/cli/ctl.py
+++ b/src/camphorlink/cli/ctl.py
@@ -165,6 +165,15 @@
     _run(site, ctl_publish.rebase_document(site, _reader(path), base))
 
 
+@main.command()
+@_file
+@click.option('--version', type=int, required=True, help='Its version.')
+@click.pass_obj
+def restore(site: Site, path: Path, version: int) -> None:
+    """Write a state anew that was lost with all records and VMs."""
+    _run(site, ctl_publish.restore_document(site, _reader(path), version))
+
+
 def _reader(path: Path) -> ReadDocument:
     return lambda: parse_json(path.read_bytes(), ManifestError)
 
--- a/src/camphorlink/cli/ctl_publish.py
+++ b/src/camphorlink/cli/ctl_publish.py
@@ -5,18 +5,22 @@
 from camphorlink.cli.ctl_report import (
     DIGEST_CHARS,
     EXIT_LOST,
+    EXIT_VMS,
     ReadDocument,
     Report,
     Site,
+    find_vms,
     open_publisher,
     pretty,
 )
 from camphorlink.internal.core.version.acceptance import Verdict
+from camphorlink.internal.core.version.config_fold import Health
 from camphorlink.internal.core.version.manifest import check_manifest
 from camphorlink.internal.core.version.merge_patch import (
     apply_patch,
     make_patch,
 )
+from camphorlink.internal.shell.process.vm_client import VmAnswer, VmClient
 from camphorlink.internal.shell.version.publishing import (
     History,
     HistoryEntry,
@@ -117,6 +121,38 @@
     return _rebase(old, document, history.state.document)
 
 
+async def restore_document(
+    site: Site,
+    read: ReadDocument,
+    version: int,
+) -> Report:
+    """Writes a state anew that no record and no VM has any more."""
+    document = read()
+    async with VmClient() as client:
+        answers = await client.ask_all(await find_vms(site), '/v1/config')
+    if not all(map(_lacks_state, answers)):
+        # Who has a state passes over the record, and would be split off.
+        line = 'a VM has a state, or does not answer; it writes a snapshot'
+        return Report({'error': 'a VM may have a state'}, [line], EXIT_VMS)
+    async with open_publisher(site) as publisher:
+        history = await publisher.read_history()
+        if history.health != Health.GAP.value:
+            line = f'the stream is {history.health}: propose and approve'
+            return Report({'health': history.health}, [line], EXIT_LOST)
+        history = await publisher.restore(version, document)
+    restored = history.state.version
+    is_restored = restored == version
+    return Report(
+        {'version': restored, 'health': history.health},
+        [f'the stream is {history.health} with version {restored}'],
+        0 if is_restored else EXIT_LOST,
+    )
+
+
+def _lacks_state(answer: VmAnswer) -> bool:
+    return answer.document is not None and answer.document['version'] == 0
+
+
 def _rebase(old: Any, ours: Any, current: Any) -> Report:
     change = make_patch(old, ours)
     clashes = _clashes(change, make_patch(old, current), '$')
--- a/src/camphorlink/internal/shell/process/audit.py
+++ b/src/camphorlink/internal/shell/process/audit.py
@@ -14,7 +14,8 @@
 from camphorlink.internal.shell.process.logs import PartLog
 
 AUDIT_STREAM = 'audit'
-#: One append each period: 144 VMs make 72 a second, of several hundred.
+#: Longest time between appends; 144 VMs make 144 a second at the most, of
+#: the several hundred that the log service takes.
 FLUSH_PERIOD_S = 2.0
 MIN_JITTER = 0.5
 MS_PER_S = 1000
--- a/src/camphorlink/internal/shell/version/publishing.py
+++ b/src/camphorlink/internal/shell/version/publishing.py
@@ -24,6 +24,8 @@
     proposal_record,
 )
 from camphorlink.internal.core.version.config_fold import ConfigFold, Folded
+from camphorlink.internal.core.version.manifest import check_manifest
+from camphorlink.internal.core.version.snapshots import snapshot_record
 from camphorlink.internal.shell.connection.log_client import LogClient
 from camphorlink.internal.shell.version.config_tail import CONFIG_STREAM
 
@@ -137,6 +139,23 @@
         """
         return await self._append(approval_record(base_version, digest))
 
+    async def restore(self, version: int, document: Any) -> History:
+        """Writes a state anew where the stream has a gap.
+
+        Raises:
+            ManifestError: The document does not pass its check.
+            LogServiceError: Nothing was appended.
+            PublishUncertainError: It can't be told what was appended.
+        """
+        page = await self._log_client.read(CONFIG_STREAM, 0)
+        state = ConfigState(
+            version=version,
+            manifest=check_manifest(document),
+            document=document,
+            next_offset=page.next_offset,
+        )
+        return await self._append(snapshot_record(state))
+
     async def _append(self, record: dict[str, Any]) -> History:
         nonce = secrets.token_hex(NONCE_BYTES)
         record = {**record, 'author': self._author, 'nonce': nonce}
--- a/tests/nocover/test_ctl.py
+++ b/tests/nocover/test_ctl.py
@@ -11,6 +11,7 @@
 from camphorlink import NotRunError
 from camphorlink.cli.ctl import main
 from camphorlink.client import Client
+from camphorlink.internal.core.version.config_fold import ConfigFold
 from camphorlink.standin.local_site import LocalSite, SiteShape
 from camphorlink.standin.log_service import Faults
 
@@ -119,6 +120,45 @@
     asyncio.run(scenario())
 
 
+def test_restore_refuses_while_a_vm_has_a_state(tmp_path):
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            path = write(tmp_path / 'm.json', site.manifest_document())
+            site.log_service._records_by_stream['config'].clear()
+            restored = await Operator(site).run('restore', path, '--version', 9)
+            assert restored[0] == 6
+
+    asyncio.run(scenario())
+
+
+def test_a_state_that_everybody_lost_is_restored(tmp_path):
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            document = with_team(site.manifest_document(), 'drones')
+            path = write(tmp_path / 'm.json', document)
+            ana = Operator(site)
+            for daemon in site.daemons:
+                # As after all VMs were replaced by new ones.
+                daemon.control.tail.fold = ConfigFold()
+                daemon.host.core.version = 0
+            assert (await ana.run('restore', path, '--version', 9))[0] == 3
+            site.log_service._records_by_stream['config'].clear()
+            code, restored = await ana.run('restore', path, '--version', 9)
+            assert (code, restored['version']) == (0, 9)
+            await await_that(
+                lambda: {vm.host.core.version for vm in site.daemons} == {9},
+            )
+            document = write(tmp_path / 'n.json', site.manifest_document())
+            code, proposed = await ana.run('propose', document)
+            code, accepted = await ana.run('approve', proposed['digest'])
+            assert (code, accepted['version']) == (0, 10)
+            await await_that(
+                lambda: {vm.host.core.version for vm in site.daemons} == {10},
+            )
+
+    asyncio.run(scenario())
+
+
 def test_faults_are_shown_with_path_and_value(tmp_path):
     async def scenario():
         async with LocalSite(SiteShape()) as site:
