--- a/Makefile
+++ b/Makefile
@@ -77,3 +77,7 @@
 .PHONY: traces
 traces: $(VENV)
 	PYTHONPATH=$(CURDIR)/src:$(CURDIR)/tests $(PYTHON) tests/traces.py traces
+
+.PHONY: measure-control
+measure-control: $(VENV)
+	$(PYTHON) -m camphorlink.bench.control
