--- a/src/camphorlink/client.py
+++ b/src/camphorlink/client.py
@@ -138,6 +138,7 @@
         self,
         key: str,
         job: Mapping[str, Any],
+        first_used_ms: int | None = None,
     ) -> dict[str, Any]:
         """Runs a job once for all who submit it under the same key.
 
@@ -145,12 +146,18 @@
             key: Yours, such as a booking number; the service of the job is
                 part of it.
             job: What to run, the same for the same key.
+            first_used_ms: When the key was first used, in ms since the epoch.
+                Entry VMs refuse a key without it: they could not tell a new
+                key from one that they have forgotten.
         """
         service = quote(str(job.get('service')), safe='')
+        path = f'/v1/keys/{service}/{quote(key, safe="")}'
+        if first_used_ms is not None:
+            path = f'{path}?issued_ms={first_used_ms}'
         delivery = Delivery(
             self._transport,
             self._patience,
-            f'/v1/keys/{service}/{quote(key, safe="")}',
+            path,
             job,
             self._entry_urls,
         )
