Callers' keys in the client and the command, refusals of keys counted

Cause: the key route asks for the time of first use; client and command had no way to give it, and refusals of keys were not counted.

--- a/src/camphorlink/cli/submit.py
+++ b/src/camphorlink/cli/submit.py
@@ -48,6 +48,7 @@
     shows_progress: bool
     submission_id: str | None
     key: str | None
+    issued_ms: int | None
 
 
 @click.command(
@@ -66,6 +67,11 @@
         ),
         click.Option(['--id', 'submission_id'], help='Identifier to use.'),
         click.Option(['--key'], help='Your own key, such as a booking number.'),
+        click.Option(
+            ['--key-issued', 'issued_ms'],
+            type=click.IntRange(min=0),
+            help='When the key was first used, ms since the epoch.',
+        ),
         click.Option(
             ['--deadline'],
             type=float,
@@ -89,7 +95,7 @@
     deadline: float | None,
     idempotent: bool | None,
     progress: bool | None,
-    **names: str | None,
+    **names: Any,
 ) -> None:
     """Run the job of JOB_FILE, or of standard input, and print its answer.
 
@@ -98,6 +104,8 @@
     """
     if names['submission_id'] and names['key']:
         raise click.UsageError('give --id or --key, not both')
+    if names['key'] and names['issued_ms'] is None:
+        raise click.UsageError('--key needs --key-issued, the same each time')
     changes = {
         'deadline_ms': None if deadline is None else deadline * MS_PER_S,
         'idempotent': idempotent,
@@ -143,7 +151,8 @@
 
 async def _submit(client: Client, order: _Order) -> dict[str, Any]:
     if order.key is not None:
-        return await client.submit_key(order.key, order.job)
+        issued_ms = order.issued_ms or 0
+        return await client.submit_key(order.key, issued_ms, order.job)
     if order.submission_id is None and not order.shows_progress:
         return await client.submit(order.job)
     submission_id = order.submission_id or await client.issue_id()
--- a/src/camphorlink/client.py
+++ b/src/camphorlink/client.py
@@ -39,6 +39,8 @@
         'connect-failed',
     ),
 )
+#: Tells when a key was first used, in ms since the epoch.
+KEY_ISSUED_HEADER = 'Key-Issued-Ms'
 
 
 class _Issued(NamedTuple):
@@ -137,6 +139,7 @@
     async def submit_key(
         self,
         key: str,
+        issued_ms: int,
         job: Mapping[str, Any],
     ) -> dict[str, Any]:
         """Runs a job once for all who submit it under the same key.
@@ -144,6 +147,9 @@
         Args:
             key: Yours, such as a booking number; the service of the job is
                 part of it.
+            issued_ms: When the key was first used, ms since the epoch.  Give
+                the same time with every repeat: a key older than what the
+                platform remembers is refused, instead of being run again.
             job: What to run, the same for the same key.
         """
         service = quote(str(job.get('service')), safe='')
@@ -153,6 +159,7 @@
             f'/v1/keys/{service}/{quote(key, safe="")}',
             job,
             self._entry_urls,
+            headers={KEY_ISSUED_HEADER: str(issued_ms)},
         )
         return await delivery.run(now_s() + read_deadline_s(job))
 
--- a/src/camphorlink/internal/client/delivery.py
+++ b/src/camphorlink/internal/client/delivery.py
@@ -18,7 +18,7 @@
 )
 from camphorlink.internal.client.replies import read_results
 from camphorlink.internal.client.retries import Patience
-from camphorlink.internal.client.transport import Transport
+from camphorlink.internal.client.transport import NO_HEADERS, Transport
 
 MS_PER_S = 1000
 #: Time on top of a job's deadline in which its refusal may arrive, seconds.
@@ -44,6 +44,7 @@
         job: Mapping[str, Any],
         urls: Sequence[str],
         is_first: bool = False,
+        headers: Mapping[str, str] = NO_HEADERS,
     ) -> None:
         """Prepares to send; ``run`` does it.
 
@@ -54,6 +55,7 @@
             job: What to run.
             urls: Base URLs to try in turn.
             is_first: Whether nobody can have sent this name before.
+            headers: Sent with every try.
 
         Raises:
             JobError: The job lacks what its delivery needs.
@@ -62,6 +64,7 @@
         self._patience = patience
         self._path = path
         self._job = job
+        self._headers = headers
         self._task_ids = read_task_ids(job)
         self._urls = list(urls)
         self._may_have_arrived = not is_first
@@ -101,6 +104,7 @@
             url + self._path,
             body,
             left_s + ANSWER_MARGIN_S,
+            self._headers,
         )
         return read_results(reply, self._task_ids)
 
--- a/src/camphorlink/internal/client/transport.py
+++ b/src/camphorlink/internal/client/transport.py
@@ -1,6 +1,7 @@
 """Sends single requests, each once, with typed errors."""
 
-from types import TracebackType
+from collections.abc import Mapping
+from types import MappingProxyType, TracebackType
 
 import aiohttp
 
@@ -8,6 +9,7 @@
 from camphorlink.internal.client.replies import RawReply
 
 CONNECT_TIMEOUT_S = 1.0
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 _HEADERS = {'Content-Type': 'application/json'}
 
 
@@ -40,6 +42,7 @@
         url: str,
         body: bytes | None = None,
         timeout_s: float = CONNECT_TIMEOUT_S,
+        headers: Mapping[str, str] = NO_HEADERS,
     ) -> RawReply:
         """Sends one request and reads the whole response.
 
@@ -47,7 +50,7 @@
             NoAnswerError: It says whether the request may have arrived.
         """
         try:
-            return await self._request(method, url, body, timeout_s)
+            return await self._request(method, url, body, timeout_s, headers)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             raise NoAnswerError(f'no connection to {url}', False) from None
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
@@ -59,12 +62,13 @@
         url: str,
         body: bytes | None,
         timeout_s: float,
+        headers: Mapping[str, str],
     ) -> RawReply:
         request = self._session.request(
             method,
             url,
             data=body,
-            headers=_HEADERS,
+            headers={**_HEADERS, **headers},
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(
                 total=timeout_s,
--- a/src/camphorlink/internal/shell/request/callers_api.py
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -83,8 +83,7 @@
         try:
             submission_id = parse_submission_id(request.match_info['id'])
         except IdentifierError as exc:
-            self._host.count_refusal(Reason.BAD_IDENTIFIER)
-            return problem_response(not_run(Reason.BAD_IDENTIFIER, str(exc)))
+            return self._refuse(Reason.BAD_IDENTIFIER, str(exc))
         return await self._run(request, submission_id)
 
     async def submit_key(self, request: web.Request) -> web.Response:
@@ -93,14 +92,14 @@
         issued_ms = request.headers.get(KEY_ISSUED_HEADER, '')
         fault = _key_fault(name, issued_ms)
         if fault:
-            return problem_response(not_run(Reason.BAD_IDENTIFIER, fault))
+            return self._refuse(Reason.BAD_IDENTIFIER, fault)
         try:
             job = await self._read_job(request)
         except JobError as exc:
             return self._refuse_faults(exc, {})
         if job.service != service:
             detail = f'the key is of {service!r}, the job of {job.service!r}'
-            return problem_response(not_run(Reason.BAD_JOB, detail))
+            return self._refuse(Reason.BAD_JOB, detail)
         delivery = await self._host.submit_key(
             CallerKey(service, name),
             int(issued_ms),
@@ -135,7 +134,7 @@
         try:
             parse_submission_id(text)
         except IdentifierError as exc:
-            return problem_response(not_run(Reason.BAD_IDENTIFIER, str(exc)))
+            return self._refuse(Reason.BAD_IDENTIFIER, str(exc))
         self._host.post(messages.Cancel(text))
         return json_response({'cancelled': True}, HTTPStatus.ACCEPTED)
 
@@ -157,6 +156,10 @@
             return self._refuse_faults(exc, headers)
         return answer_response(key, await self._host.submit(submission_id, job))
 
+    def _refuse(self, reason: Reason, detail: str) -> web.Response:
+        self._host.count_refusal(reason)
+        return problem_response(not_run(reason, detail))
+
     def _refuse_faults(
         self,
         exc: JobError,
--- a/tests/nocover/test_client.py
+++ b/tests/nocover/test_client.py
@@ -175,7 +175,7 @@
 
 def test_a_key_keeps_its_name_and_service():
     entry = FakeEntry('a', CLOSE, COMPLETE)
-    with_client([entry], lambda client: client.submit_key('B 7/9', JOB))
+    with_client([entry], lambda client: client.submit_key('B 7/9', 5, JOB))
     assert set(entry.puts) == {'caster/B 7/9'}
 
 
--- a/tests/nocover/test_submit_command.py
+++ b/tests/nocover/test_submit_command.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -58,6 +59,17 @@
     assert site.starts_by_reference()[f'{issued}/a'] == 1
 
 
+def test_a_key_typed_twice_is_run_once(site):
+    before = len(site.starts_by_reference())
+    issued = str(int(time.time() * 1000))
+    arguments = ('--key', 'booking 7/9', '--key-issued', issued)
+    first = run_submit(site, *arguments)
+    second = run_submit(site, *arguments)
+    assert first.returncode == second.returncode == 0, first.stderr
+    assert first.stdout == second.stdout
+    assert len(site.starts_by_reference()) == before + 1
+
+
 def test_progress_goes_to_standard_error(site):
     slow = {**JOB, 'tasks': [{'id': 'a', 'payload': {'work_ms': 1000}}]}
     ended = run_submit(site, '--progress', job=slow)
@@ -108,6 +120,7 @@
     ('arguments', 'job', 'told'),
     [
         (['--id', 'x', '--key', 'y'], JOB, b'not both'),
+        (['--key', 'y'], JOB, b'--key-issued'),
         (['--colour'], JOB, b'No such option'),
         (['no-such-file.json'], JOB, b'No such file'),
         ([], b'{', b'$: found 1 bytes that are no JSON'),
