An overdue timer no longer breaks requests under uvloop

Cause: make measure ended with status 500: uvloop answers call_at for a time that has passed with a handle that has no time, and the core host asked it. Change: the host remembers the time itself; a test arms an overdue timer. Conclusion: a busy daemon answered 500 (unknown) where it should have run on; the job itself ran on.

--- a/src/camphorlink/internal/shell/process/core_host.py
+++ b/src/camphorlink/internal/shell/process/core_host.py
@@ -47,6 +47,7 @@
         ] = {}
         self._sends: set[asyncio.Task[None]] = set()
         self._wake: asyncio.TimerHandle | None = None
+        self._wake_s: float | None = None
         # Looking a single-dispatch method up builds a function every time.
         self._dispatch = self._carry_out
         _add_gauges(self, metrics)
@@ -191,10 +192,12 @@
     def _arm_timer(self) -> None:
         due_s = self.core.timers.next_due_s()
         if self._wake is not None:
-            if not self._wake.cancelled() and self._wake.when() == due_s:
+            if self._wake_s == due_s:
                 return
             self._wake.cancel()
             self._wake = None
+        # uvloop's handle does not know its time when that has passed.
+        self._wake_s = due_s
         if due_s is not None:
             self._wake = self._loop.call_at(due_s, self._tick)
 
