--- a/src/camphorlink/internal/shell/process/daemon.py
+++ b/src/camphorlink/internal/shell/process/daemon.py
@@ -54,6 +54,7 @@
                 backend_client,
                 log_client,
                 metrics,
+                settings.trace_file,
             ),
         )
         self.host.links = await self._stack.enter_async_context(
