--- a/src/camphorlink/internal/core/connection/slot_lending.py
+++ b/src/camphorlink/internal/core/connection/slot_lending.py
@@ -26,11 +26,11 @@
 #: Seconds for which a want stands at a peer.
 WANT_TERM_S = 0.5
 #: A want is repeated after this time, in seconds, if tasks still wait.
-WANT_GAP_S = 0.1
+WANT_GAP_S = 0.25
 #: Seconds in which a borrower may start tasks on a slot.
 LOAN_TERM_S = 0.05
 #: Loans and returns are collected for this time, in seconds.
-BATCH_S = 0.004
+BATCH_S = 0.02
 #: The lender waits this long for a slot to come back, in seconds; longer
 #: than a task may run.
 LOST_AFTER_S = 30.0
--- a/src/camphorlink/internal/core/request/placement.py
+++ b/src/camphorlink/internal/core/request/placement.py
@@ -7,6 +7,7 @@
 when a busy slot promises an earlier end than any free one, the task waits.
 """
 
+import math
 from bisect import bisect_left
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -17,6 +18,9 @@
 #: How much later than needed a task may end, as a share of its job's time.
 SLACK_SHARE = 0.05
 MIN_RUN_S = 1e-6
+#: A task is not placed where it is expected to take more than this share of
+#: the time after which it counts as lost.
+SAFE_RUN_SHARE = 0.8
 
 
 class Choice(NamedTuple):
@@ -45,9 +49,21 @@
         speed: Their speed in all.
     """
 
-    def __init__(self, loads: Iterable[BackendLoad], now: float) -> None:
-        """Reads the loads once."""
+    def __init__(
+        self,
+        loads: Iterable[BackendLoad],
+        now: float,
+        max_run_s: float = math.inf,
+    ) -> None:
+        """Reads the loads once.
+
+        Args:
+            loads: The back ends that serve the service.
+            now: Core time in seconds.
+            max_run_s: Run time after which a task counts as lost.
+        """
         self.now = now
+        self._max_run_s = max_run_s * SAFE_RUN_SHARE
         self.speed = 0.0
         self.free = 0
         self.held = 0
@@ -77,10 +93,14 @@
         fastest = self._free_loads[-1]
         finish_s = now + task.work_s / fastest.speed
         best = Choice(fastest, finish_s, must_wait=False, why='soonest')
+        if finish_s - now > self._max_run_s:
+            # It would be lost there: waits for a faster one, if any is busy.
+            late = best._replace(finish_s=math.inf)
+            return self._sooner(task, late, above=fastest.speed) or best
         need_s = max(job.finish_s, now + job.work_s / self.speed)
         if need_s < finish_s:
             # The job waits for this task, so a busy slot may be better.
-            best = self._sooner(task, best)
+            best = self._sooner(task, best) or best
             need_s = max(need_s, best.finish_s)
         limit_s = need_s + SLACK_SHARE * (need_s - now)
         return self._slowest_fitting(task, limit_s) or best
@@ -102,8 +122,19 @@
         load = choice.load
         self._ready_by_load[load] += work_s / load.speed / max(load.held, 1)
 
-    def _sooner(self, task: WaitingTask, best: Choice) -> Choice:
-        """Returns the busy slot that ends a task soonest, if sooner."""
+    def _sooner(
+        self,
+        task: WaitingTask,
+        best: Choice,
+        above: float = 0,
+    ) -> Choice | None:
+        """Returns the busy slot that ends a task soonest, if sooner.
+
+        Args:
+            task: What is to be placed.
+            best: What it has to beat.
+            above: Speed that the back end must exceed.
+        """
         work_s = task.work_s
         while self._busy:
             load = self._busy.pop()
@@ -112,11 +143,11 @@
         finish_s = best.finish_s
         for busy, ready_s in self._ready_by_load.items():
             end_s = ready_s + work_s / busy.speed
-            if end_s < finish_s:
+            if end_s < finish_s and busy.speed > above:
                 soonest = busy
                 finish_s = end_s
         if soonest is None:
-            return best
+            return None
         return Choice(soonest, finish_s, must_wait=True, why='waits')
 
     def _slowest_fitting(
@@ -124,7 +155,8 @@
         task: WaitingTask,
         limit_s: float,
     ) -> Choice | None:
-        least_speed = task.work_s / max(limit_s - self.now, MIN_RUN_S)
+        run_s = min(limit_s - self.now, self._max_run_s)
+        least_speed = task.work_s / max(run_s, MIN_RUN_S)
         index = bisect_left(self._free_speeds, least_speed)
         if index == len(self._free_loads):
             return None
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,103 @@
+"""Which back end a task goes to, and when it waits for a better one."""
+
+import pytest
+
+from camphorlink.internal.core.connection.backend_load import BackendLoad
+from camphorlink.internal.core.request.job import Job
+from camphorlink.internal.core.request.job_run import JobRun
+from camphorlink.internal.core.request.placement import Slots
+from camphorlink.internal.core.request.queues import QueuedJob, WaitingTask
+from camphorlink.internal.core.request.run_times import RunTimes, TaskSpec
+from camphorlink.internal.core.version.manifest import Backend
+
+
+def load_of(speed, busy_until=()):
+    backend = Backend(
+        f'b{speed}', '', 'z', 1, 64, frozenset(('s',)), leaving=False
+    )
+    load = BackendLoad(backend, speed)
+    for number, finish_s in enumerate(busy_until):
+        load.note_start(number, 0, finish_s * speed)
+    return load
+
+
+def job_of(*works_s):
+    tasks = [WaitingTask(work_s, n, 1) for n, work_s in enumerate(works_s)]
+    run = JobRun('id', Job('s', 't', (), 99, idempotent=False, digest=''), 1)
+    return QueuedJob(run, 1, tasks)
+
+
+def choose(loads, job, task=None, max_run_s=100):
+    slots = Slots(loads, 0, max_run_s)
+    choice = slots.choose(job, task or job.tasks[-1])
+    return choice.load.speed, choice.must_wait
+
+
+def test_the_longest_task_takes_the_fastest_slot():
+    assert choose([load_of(1), load_of(4)], job_of(1)) == (4, False)
+
+
+def test_it_waits_for_a_fast_slot_that_is_free_soon():
+    loads = [load_of(1), load_of(4, busy_until=[0.1])]
+    assert choose(loads, job_of(1)) == (4, True)
+    loads = [load_of(1), load_of(4, busy_until=[2])]
+    assert choose(loads, job_of(1)) == (1, False)
+
+
+def test_the_others_leave_the_fast_slots_alone():
+    job = job_of(0.2, 1)
+    job.finish_s = 0.25
+    assert choose([load_of(1), load_of(4)], job, job.tasks[0]) == (1, False)
+
+
+def test_no_task_is_placed_where_it_would_be_lost():
+    job = job_of(5)
+    job.finish_s = 50
+    slow, fast = load_of(0.4), load_of(1.6, busy_until=[9])
+    assert choose([slow, fast], job, max_run_s=10) == (1.6, True)
+    assert choose([slow, load_of(1.6)], job, max_run_s=10) == (1.6, False)
+    # With nothing faster it is tried all the same.
+    assert choose([slow], job, max_run_s=10) == (0.4, False)
+
+
+@pytest.mark.parametrize('factor', [0.1, 10])
+def test_declared_sizes_may_be_off_by_a_constant_factor(factor):
+    times = RunTimes()
+    for number in range(200):
+        work_s = 0.05 + (number % 20) / 20
+        task = TaskSpec('t', None, 'c', work_s * 1000 * factor)
+        times.learn('s', task, work_s)
+    asked = TaskSpec('t', None, 'c', 500 * factor)
+    assert times.estimate('s', asked) == pytest.approx(0.5, rel=0.05)
+
+
+def test_useless_declared_sizes_are_not_believed():
+    times = RunTimes()
+    for number in range(400):
+        declared_ms = 10 ** (number % 7)
+        times.learn('s', TaskSpec('t', None, 'c', declared_ms), 0.4)
+    asked = TaskSpec('t', None, 'c', 1_000_000)
+    assert times.estimate('s', asked) == pytest.approx(0.4, rel=0.05)
+
+
+def test_a_change_of_regime_is_followed():
+    times = RunTimes()
+    for _ in range(500):
+        times.learn('s', TaskSpec('t', None, 'c'), 0.1)
+    for _ in range(150):
+        times.learn('s', TaskSpec('t', None, 'c'), 1.0)
+    assert times.estimate('s', TaskSpec('t', None, 'c')) > 0.9
+
+
+def test_a_slower_back_end_is_found_out_from_one_doubted_run():
+    load = load_of(1)
+    for number in range(50):
+        load.note_start(number, 0, 0.1)
+        load.note_end(number, 0.1)
+        load.learn(0.1, 0.1)
+    load.note_start(99, 0, 0.1)
+    load.check_overruns(0.9)
+    assert load.speed < 0.5
+    load.note_end(99, 1)
+    load.learn(1, 0.1)
+    assert load.speed < 0.5
