--- a/Makefile
+++ b/Makefile
@@ -72,3 +72,8 @@
 .PHONY: measure-control
 measure-control: $(VENV)
 	$(PYTHON) -m camphorlink.bench.control
+
+# Writes the traces of the brief's incidents anew.
+.PHONY: traces
+traces: $(VENV)
+	PYTHONPATH=$(CURDIR)/src:$(CURDIR)/tests $(PYTHON) tests/traces.py traces
--- a/src/camphorlink/cli/ctl_fleet.py
+++ b/src/camphorlink/cli/ctl_fleet.py
@@ -102,7 +102,7 @@
 def _unique(records: list[Any]) -> list[Any]:
     """Drops the copies of a record: an append may have been repeated."""
     by_identity = {
-        (record.get('home'), record.get('sequence')): record
+        (record.get('home'), record.get('sequence', repr(record))): record
         for record in records
     }
     return sorted(by_identity.values(), key=_by_time)
--- a/tests/nocover/test_member_view.py
+++ b/tests/nocover/test_member_view.py
@@ -42,3 +42,30 @@
             )
 
     asyncio.run(scenario())
+
+
+def test_links_to_those_who_are_gone_are_closed():
+    async def scenario():
+        async with LocalSite(SiteShape(entries_per_zone=2)) as site:
+            leaver, *others = site.daemons
+            address = leaver.host.links.address
+
+            def linked():
+                return [
+                    address in entry.host.links._sender_by_address
+                    for entry in others
+                ]
+
+            await await_that(lambda: all(linked()))
+            site.log_service.vms.put(
+                {
+                    'zone': leaver.settings.zone,
+                    'vm': leaver.settings.vm,
+                    'state': 'gone',
+                },
+                0,
+            )
+            await leaver.__aexit__(None, None, None)
+            await await_that(lambda: not any(linked()))
+
+    asyncio.run(scenario())
