--- a/src/camphorlink/internal/core/connection/backend_pool.py
+++ b/src/camphorlink/internal/core/connection/backend_pool.py
@@ -24,6 +24,8 @@
         load_by_backend: All back ends that were ever named; tasks may still
             run on one that the manifest has dropped.
         loads_by_service: Those that serve a service now.
+        service_by_name: All services that were ever named, as they were last;
+            tasks admitted before one was removed still run.
     """
 
     def __init__(self, zone: str) -> None:
@@ -31,11 +33,18 @@
         self.manifest = EMPTY_MANIFEST
         self.load_by_backend: dict[str, BackendLoad] = {}
         self.loads_by_service: dict[str, list[BackendLoad]] = {}
+        self.service_by_name: dict[str, Service] = {}
         self._zone = zone
 
     def install(self, manifest: Manifest) -> None:
         """Takes over the back ends of a new version."""
         is_first = not self.manifest.digest
+        removed = {
+            name: self.loads_by_service[name]
+            for name in self.loads_by_service
+            if name not in manifest.services_by_name
+        }
+        self.service_by_name.update(manifest.services_by_name)
         self.manifest = manifest
         for name, backend in manifest.backends_by_name.items():
             if backend.zone != self._zone:
@@ -52,6 +61,14 @@
             service_name: self._find_serving(service)
             for service_name, service in manifest.services_by_name.items()
         }
+        # What was admitted before a service was removed still runs, on those
+        # back ends that the new version has.
+        for removed_name, loads in removed.items():
+            self.loads_by_service[removed_name] = [
+                load
+                for load in loads
+                if load.backend.name in manifest.backends_by_name
+            ]
 
     def serving(self, service: str) -> list[BackendLoad]:
         """Lists the back ends that serve a service."""
--- a/src/camphorlink/internal/core/version/manifest_documents.py
+++ b/src/camphorlink/internal/core/version/manifest_documents.py
@@ -55,6 +55,7 @@
     max_running: NotRequired[_Count]
     max_starts_per_s: NotRequired[_Count]
     idempotent: NotRequired[bool]
+    task_lookup: NotRequired[bool]
     needs: NotRequired[list[_Name]]
     task_classes: NotRequired[dict[_Name, TaskClassDocument]]
 
--- a/tests/nocover/test_configuration.py
+++ b/tests/nocover/test_configuration.py
@@ -151,3 +151,35 @@
             return outcomes()
 
     assert asyncio.run(scenario()) == ['unknown-service']
+
+
+def test_removing_a_service_refuses_new_work_and_ends_what_runs():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site, Client(urls_of(site)) as cli:
+            tasks = [
+                {'id': f't{number}', 'payload': {'work_ms': 600}}
+                for number in range(60)
+            ]
+            running = asyncio.create_task(
+                cli.submit(job_of(1, tasks=tasks, deadline_ms=9000)),
+            )
+            table = site.daemons[0].host.core.table
+            await await_that(table.open_runs)
+            version = await publish(
+                site,
+                services={'other': {}},
+                backends={
+                    name: {**entry, 'services': ['other']}
+                    for name, entry in site.manifest_document()[
+                        'backends'
+                    ].items()
+                },
+            )
+            await await_version(site, version)
+            assert not running.done()
+            with pytest.raises(NotRunError) as caught:
+                await cli.submit(job_of(1))
+            assert caught.value.reason == 'unknown-service'
+            return await running
+
+    assert len(asyncio.run(scenario())) == 60
