Log client: 500, 502 and 504 leave an append uncertain; tests of drain

Cause: a service or gateway can answer so after the write took effect, and the client called it certainly not appended. A refusal was recorded twice in the audit since the scheduler explains it too. Change: those statuses raise AppendUncertainError; 'refused' is left to the record of the outcome; a test for ctl drain.

--- a/src/camphorlink/internal/shell/connection/log_client.py
+++ b/src/camphorlink/internal/shell/connection/log_client.py
@@ -1,5 +1,6 @@
 """Client of the platform's log service: append records, read from offsets."""
 
+from http import HTTPStatus
 from types import TracebackType
 from typing import Any, NamedTuple
 
@@ -12,6 +13,15 @@
 REQUEST_TIMEOUT_S = 5.0
 MS_PER_S = 1000
 
+#: A service, or a gateway before it, may say so after the write took effect.
+_UNCERTAIN_STATUSES = frozenset(
+    (
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        HTTPStatus.BAD_GATEWAY,
+        HTTPStatus.GATEWAY_TIMEOUT,
+    ),
+)
+
 
 class PlatformVm(NamedTuple):
     """An entry VM on the platform's list.
@@ -73,7 +83,9 @@
             raise LogServiceError(f'log service out of reach: {exc}') from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise AppendUncertainError(f'append unanswered: {exc}') from exc
-        if status != aiohttp.http.HTTPStatus.OK:
+        if status in _UNCERTAIN_STATUSES:
+            raise AppendUncertainError(f'append ended with status {status}')
+        if status != HTTPStatus.OK:
             raise LogServiceError(f'append refused with status {status}')
         return int(orjson.loads(answer)['first_offset'])
 
--- a/src/camphorlink/internal/shell/process/audit.py
+++ b/src/camphorlink/internal/shell/process/audit.py
@@ -22,6 +22,8 @@
 #: What happens to every submission stays in the process's own memory, and
 #: follows to the stream when the outcome is other than plain success.
 _ROUTINE = frozenset(('queued', 'placed', 'retried'))
+#: The record of the outcome says as much.
+_SAID_BY_OUTCOME = frozenset(('refused',))
 
 
 class Audit:
@@ -76,6 +78,8 @@
             'facts': dict(effect.facts),
         }
         now_ms = int(time.time() * MS_PER_S)
+        if effect.event in _SAID_BY_OUTCOME:
+            return
         if effect.event in _ROUTINE:
             self.batch.keep(effect.event, now_ms, facts)
         else:
--- a/tests/nocover/test_ctl.py
+++ b/tests/nocover/test_ctl.py
@@ -179,6 +179,20 @@
     asyncio.run(scenario())
 
 
+def test_drain_takes_the_named_vm_out_of_service():
+    async def scenario():
+        async with LocalSite(SiteShape()) as site:
+            ana = Operator(site)
+            code, drained = await ana.run('drain', 'volos.volos-entry-0')
+            assert (code, drained['vm']) == (0, 'volos.volos-entry-0')
+            first, second = site.daemons
+            await await_that(lambda: second.host.core.is_draining)
+            assert not first.host.core.is_draining
+            assert (await ana.run('drain', 'volos.nobody'))[0] == 6
+
+    asyncio.run(scenario())
+
+
 def test_an_absent_platform_has_an_exit_code_of_its_own(tmp_path):
     async def scenario():
         async with LocalSite(SiteShape()) as site:
--- /dev/null
+++ b/tests/nocover/test_log_client.py
@@ -0,0 +1,43 @@
+"""What an append that went wrong says about the record."""
+
+import asyncio
+import contextlib
+
+import pytest
+from aiohttp import web
+
+from camphorlink.errors import AppendUncertainError, LogServiceError
+from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.standin.servers import LocalServer
+
+
+def append_answered_with(status):
+    async def answer(request):
+        return web.Response(status=status)
+
+    async def scenario():
+        app = web.Application()
+        app.router.add_post('/v1/streams/{stream}/records', answer)
+        async with contextlib.AsyncExitStack() as stack:
+            server = await stack.enter_async_context(
+                LocalServer(app, '127.0.0.1', 0),
+            )
+            client = await stack.enter_async_context(
+                LogClient(f'http://{server.address}'),
+            )
+            await client.append('audit', [{}])
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('status', [500, 502, 504])
+def test_a_late_fault_leaves_the_append_uncertain(status):
+    with pytest.raises(AppendUncertainError):
+        append_answered_with(status)
+
+
+@pytest.mark.parametrize('status', [400, 413, 429, 503])
+def test_a_refusal_is_certain(status):
+    with pytest.raises(LogServiceError) as caught:
+        append_answered_with(status)
+    assert not isinstance(caught.value, AppendUncertainError)
