--- a/src/camphorlink/internal/core/process/audit_batch.py
+++ b/src/camphorlink/internal/core/process/audit_batch.py
@@ -9,11 +9,15 @@
 from collections.abc import Mapping
 from typing import Any
 
+#: An audit record: plain JSON values by name.
+Record = dict[str, Any]
+
 DROPPED = 'dropped'
 MAX_BUFFERED = 5000
 MAX_BATCH = 250
-#: The newest records that ``find`` can show, sent or not.
+#: Submissions whose newest records ``find`` can show, sent or not.
 MAX_RECENT = 5000
+MAX_RECENT_EACH = 20
 
 
 class AuditBatch:
@@ -25,10 +29,8 @@
         self.dropped = 0
         self._home = home
         self._unreported_drops = 0
-        self._waiting: collections.deque[dict[str, Any]] = collections.deque()
-        self._recent: collections.deque[dict[str, Any]] = collections.deque(
-            maxlen=MAX_RECENT,
-        )
+        self._waiting: collections.deque[Record] = collections.deque()
+        self._recent_by_id: dict[str, list[Record]] = {}
 
     def record(
         self,
@@ -44,11 +46,29 @@
             facts: Plain JSON values by name.
         """
         entry = self._number({**facts, 'kind': kind, 'at_ms': wall_ms})
-        self._recent.append(entry)
+        self._remember(entry)
         self._waiting.append(entry)
         self._drop_surplus()
 
-    def take_batch(self, wall_ms: int) -> list[dict[str, Any]]:
+    def keep(self, kind: str, wall_ms: int, facts: Mapping[str, Any]) -> None:
+        """Keeps a routine record here, in case its submission goes wrong.
+
+        Args:
+            kind: What it is about, such as ``queued``.
+            wall_ms: Time in ms since the epoch.
+            facts: Plain JSON values by name.
+        """
+        entry = {**facts, 'kind': kind, 'at_ms': wall_ms}
+        self._remember({**entry, 'home': self._home})
+
+    def send_kept(self, submission_id: str) -> None:
+        """Adds what was kept about a submission, since it went wrong."""
+        for entry in self._recent_by_id.get(submission_id, []):
+            if 'sequence' not in entry:
+                self._waiting.append(self._number(entry))
+        self._drop_surplus()
+
+    def take_batch(self, wall_ms: int) -> list[Record]:
         """Takes the oldest records out, at most one batch of them."""
         batch = []
         if self._unreported_drops:
@@ -60,7 +80,7 @@
             batch.append(self._waiting.popleft())
         return batch
 
-    def give_back(self, batch: list[dict[str, Any]]) -> None:
+    def give_back(self, batch: list[Record]) -> None:
         """Puts back a batch that was not appended for certain.
 
         If it was after all, readers know its records by home and sequence.
@@ -68,15 +88,21 @@
         self._waiting.extendleft(reversed(batch))
         self._drop_surplus()
 
-    def find(self, submission_id: str) -> list[dict[str, Any]]:
+    def find(self, submission_id: str) -> list[Record]:
         """Lists the recent records about a submission."""
-        return [
-            entry
-            for entry in self._recent
-            if entry.get('submission_id') == submission_id
-        ]
+        return list(self._recent_by_id.get(submission_id, []))
+
+    def _remember(self, entry: Record) -> None:
+        submission_id = entry.get('submission_id')
+        if not isinstance(submission_id, str):
+            return
+        recent = self._recent_by_id.setdefault(submission_id, [])
+        if len(recent) < MAX_RECENT_EACH:
+            recent.append(entry)
+        if len(self._recent_by_id) > MAX_RECENT:
+            self._recent_by_id.pop(next(iter(self._recent_by_id)))
 
-    def _number(self, entry: dict[str, Any]) -> dict[str, Any]:
+    def _number(self, entry: Record) -> Record:
         self.recorded += 1
         entry['home'] = self._home
         entry['sequence'] = self.recorded
--- a/src/camphorlink/internal/core/request/scheduler.py
+++ b/src/camphorlink/internal/core/request/scheduler.py
@@ -320,7 +320,7 @@
             task.attempt,
             load.backend.name,
         )
-        service = self._pool.manifest.services_by_name[job.run.job.service]
+        service = self._pool.service_by_name[job.run.job.service]
         number = next(self._numbers)
         is_long = task.work_s > self._run_times.long_work_s
         self._long_in_flight += is_long
--- a/src/camphorlink/internal/shell/process/audit.py
+++ b/src/camphorlink/internal/shell/process/audit.py
@@ -19,8 +19,11 @@
 FLUSH_PERIOD_S = 2.0
 MIN_JITTER = 0.5
 MS_PER_S = 1000
-#: Every task is placed, so placements stay in the process's own memory.
-_KEPT_LOCAL = frozenset(('placed',))
+#: What happens to every submission stays in the process's own memory, and
+#: follows to the stream when the outcome is other than plain success.
+_ROUTINE = frozenset(('queued', 'placed', 'retried'))
+#: The record of the outcome says as much.
+_SAID_BY_OUTCOME = frozenset(('refused',))
 
 
 class Audit:
@@ -56,6 +59,7 @@
         answer = effect.answer
         if answer.outcome is Outcome.COMPLETE:
             return
+        self.batch.send_kept(effect.submission_id)
         self.record(
             'outcome',
             submission_id=effect.submission_id,
@@ -69,12 +73,17 @@
 
     def note_decision(self, effect: messages.Explain) -> None:
         """Records a decision, such as the ejection of a backend server."""
-        if effect.event not in _KEPT_LOCAL:
-            self.record(
-                effect.event,
-                submission_id=effect.submission_id,
-                facts=dict(effect.facts),
-            )
+        facts = {
+            'submission_id': effect.submission_id,
+            'facts': dict(effect.facts),
+        }
+        now_ms = int(time.time() * MS_PER_S)
+        if effect.event in _SAID_BY_OUTCOME:
+            return
+        if effect.event in _ROUTINE:
+            self.batch.keep(effect.event, now_ms, facts)
+        else:
+            self.batch.record(effect.event, now_ms, facts)
 
     def record(self, kind: str, **facts: object) -> None:
         """Adds one record; never waits."""
--- a/tests/core/test_audit_batch.py
+++ b/tests/core/test_audit_batch.py
@@ -3,6 +3,8 @@
 from camphorlink.internal.core.process.audit_batch import (
     MAX_BATCH,
     MAX_BUFFERED,
+    MAX_RECENT,
+    MAX_RECENT_EACH,
     AuditBatch,
 )
 
@@ -54,3 +56,24 @@
     audit.record('outcome', 2, {'submission_id': 'b'})
     drain(audit)
     assert [entry['reason'] for entry in audit.find('a')] == ['x']
+
+
+def test_routine_records_follow_only_when_their_submission_goes_wrong():
+    audit = AuditBatch('home')
+    audit.keep('queued', 1, {'submission_id': 'good'})
+    audit.keep('queued', 2, {'submission_id': 'bad'})
+    audit.keep('retried', 3, {'submission_id': 'bad'})
+    assert drain(audit) == []
+    audit.send_kept('bad')
+    audit.send_kept('bad')
+    assert [entry['kind'] for entry in drain(audit)] == ['queued', 'retried']
+    assert [entry['kind'] for entry in audit.find('good')] == ['queued']
+
+
+def test_what_is_remembered_is_bounded():
+    audit = AuditBatch('home')
+    for number in range(MAX_RECENT + 10):
+        for _again in range(MAX_RECENT_EACH + 5):
+            audit.keep('queued', 0, {'submission_id': f's{number}'})
+    assert audit.find('s0') == []
+    assert len(audit.find(f's{MAX_RECENT}')) == MAX_RECENT_EACH
