--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,15 @@
 measure-broadcast: $(VENV)
 	$(PYTHON) -m camphorlink.bench.broadcast
 
+.PHONY: measure-submissions
+measure-submissions: $(VENV)
+	$(PYTHON) -m camphorlink.bench.submission_costs
+
 # Writes the traces of the brief's incidents anew.
 .PHONY: traces
 traces: $(VENV)
 	PYTHONPATH=$(CURDIR)/src:$(CURDIR)/tests $(PYTHON) tests/traces.py traces
+
+.PHONY: measure-control
+measure-control: $(VENV)
+	$(PYTHON) -m camphorlink.bench.control
--- a/src/camphorlink/internal/core/connection/backend_load.py
+++ b/src/camphorlink/internal/core/connection/backend_load.py
@@ -12,10 +12,14 @@
 QUICK_DISTANCE = 1.0
 #: Running tasks may overrun their estimates by this factor unnoticed.
 OVERRUN_FACTOR = 3.0
-#: Running tasks that must overrun before the speed is doubted.
+#: Running tasks that must overrun before the speed is doubted; one is
+#: enough where fewer than ``FEW_TASKS`` run.
 OVERRUN_TASKS = 2
+FEW_TASKS = 4
 #: Back ends without any end for this long and all tasks overrun are stalled.
 STALL_S = 1.0
+#: The same for the run that ends after the speed was doubted.
+DOUBTED_WEIGHT = 0.5
 #: How far one run may move the speed, on the logarithmic scale.
 MAX_STEP = 1.5
 #: A task that overran its estimate is expected to take this share longer.
@@ -50,8 +54,11 @@
         self._log_speed = math.log(speed)
         self._quick_speed = math.log(speed)
         self._last_end_s = 0.0
+        self._is_doubted = False
         self._runs = 0
         self._finish_by_try: dict[int, tuple[float, float]] = {}
+        #: Start and finish of who is expected to end first, when known.
+        self._first: tuple[float, float] | None = None
 
     @property
     def free(self) -> int:
@@ -79,12 +86,11 @@
 
     def next_free_s(self, now: float) -> float:
         """Estimates when a slot becomes free, as core time in seconds."""
-        if not self._finish_by_try:
-            return math.inf
-        start_s, finish_s = min(
-            self._finish_by_try.values(),
-            key=_finish_of,
-        )
+        if self._first is None:
+            if not self._finish_by_try:
+                return math.inf
+            self._first = min(self._finish_by_try.values(), key=_finish_of)
+        start_s, finish_s = self._first
         if finish_s > now:
             return finish_s
         return now + OVERRUN_SHARE * (now - start_s)
@@ -98,12 +104,15 @@
         self.in_flight += 1
         finish_s = now + work_s / self.speed
         self._finish_by_try[number] = (now, finish_s)
+        if self._first is not None and finish_s < self._first[1]:
+            self._first = (now, finish_s)
         return finish_s
 
     def note_end(self, number: int, now: float) -> None:
         """Counts one task less."""
         self.is_stalled = False
         self._last_end_s = now
+        self._first = None
         if self._finish_by_try.pop(number, None) is not None:
             self.in_flight -= 1
 
@@ -111,6 +120,9 @@
         """Learns the speed from a run of known work, both in seconds."""
         self._runs += 1
         weight = max(1 / (self._runs + 1), MIN_WEIGHT)
+        if self._is_doubted:
+            weight = DOUBTED_WEIGHT
+            self._is_doubted = False
         seen = math.log(max(work_s, MIN_RUN_S) / max(run_s, MIN_RUN_S))
         step = max(-MAX_STEP, min(MAX_STEP, seen - self._log_speed))
         self._log_speed += weight * step
@@ -125,10 +137,12 @@
             (now - start_s) / max(finish_s - start_s, MIN_RUN_S)
             for start_s, finish_s in self._finish_by_try.values()
         )
-        if len(factors) < OVERRUN_TASKS:
+        if not factors:
             return
-        doubt = factors[-OVERRUN_TASKS] / OVERRUN_FACTOR
+        needed = min(OVERRUN_TASKS, 1 + len(factors) // FEW_TASKS)
+        doubt = factors[-needed] / OVERRUN_FACTOR
         if doubt > 1:
+            self._is_doubted = True
             self.speed = math.exp(self._log_speed) / doubt
         silent_s = now - max(
             self._last_end_s,
