--- a/tests/cover/test_core_host.py
+++ b/tests/cover/test_core_host.py
@@ -1,17 +1,8 @@
-<<<<<<< HEAD
-"""The loop of the daemons, uvloop, drives a core's timers."""
-=======
 """The host's timer on the loop that the daemons use."""
->>>>>>> main
 
 import asyncio
 import os
 
-<<<<<<< HEAD
-os.environ['UV_USE_IO_URING'] = '0'
-
-=======
->>>>>>> main
 import uvloop
 
 from camphorlink.internal.core.process import messages
@@ -20,17 +11,6 @@
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.metrics import Metrics
 
-<<<<<<< HEAD
-
-def test_a_timer_that_is_overdue_leaves_the_host_usable():
-    async def scenario():
-        loop = asyncio.get_running_loop()
-        core = EntryCore(Home('larissa', 'entry-0', '0' * 16), 0.0, 100)
-        called = []
-        with CoreHost(core, None, None, Metrics()) as host:
-            core.timers.call_at(loop.time() - 1, called.append)
-            # uvloop arms a time that has passed as a call without a time.
-=======
 # See internal/shell/process/programs.py.
 os.environ['UV_USE_IO_URING'] = '0'
 
@@ -44,16 +24,10 @@
         with CoreHost(core, None, None, Metrics()) as host:
             past_s = asyncio.get_running_loop().time() - 1
             core.timers.call_at(past_s, called.append)
->>>>>>> main
             host.post(messages.Drain())
             host.post(messages.Drain())
             await asyncio.sleep(0.01)
         return called
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-<<<<<<< HEAD
-        called = runner.run(scenario())
-    assert len(called) == 1
-=======
         assert len(runner.run(scenario())) == 1
->>>>>>> main
