--- a/src/camphorlink/internal/core/process/entry_core.py
+++ b/src/camphorlink/internal/core/process/entry_core.py
@@ -6,9 +6,16 @@
 from camphorlink.internal.core.connection.slot_messages import SlotMessage
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.members import MemberView
-from camphorlink.internal.core.process.submissions import Submissions
+from camphorlink.internal.core.process.submissions import (
+    Admission,
+    SubmissionLimits,
+    Submissions,
+)
 from camphorlink.internal.core.process.timers import Timers
 from camphorlink.internal.core.request.admission import refuse_job
+from camphorlink.internal.core.request.claim_writer import (
+    DEFAULT_APPENDS_PER_S,
+)
 from camphorlink.internal.core.request.home_table import (
     DEFAULT_ANSWER_BYTES,
     FULL_RETRY_S,
@@ -22,15 +29,11 @@
 from camphorlink.internal.core.request.job_run import JobRun
 from camphorlink.internal.core.request.reasons import Reason
 from camphorlink.internal.core.request.scheduler import (
-    DEFAULT_POLICY,
-    PlacementPolicy,
     Scheduler,
     Try,
 )
 from camphorlink.internal.core.version.manifest import EMPTY_MANIFEST, Manifest
 
-MAX_ATTEMPTS = 5
-
 
 class EntryCore:
     """Everything an entry VM decides, as a function of messages and time."""
@@ -41,7 +44,7 @@
         wall_offset_s: float,
         max_entries: int,
         answer_bytes: int = DEFAULT_ANSWER_BYTES,
-        policy: PlacementPolicy = DEFAULT_POLICY,
+        claim_appends_per_s: float = DEFAULT_APPENDS_PER_S,
     ) -> None:
         """Starts without a manifest.
 
@@ -51,7 +54,8 @@
             max_entries: Submissions that the table may remember with their
                 answers.
             answer_bytes: Memory of the answers that are held, in bytes.
-            policy: How tasks are placed.
+            claim_appends_per_s: Appends that this process may make for
+                callers' keys.
         """
         self.home = home
         self.timers = Timers()
@@ -59,8 +63,11 @@
             home,
             self.timers,
             wall_offset_s,
-            TableLimits(max_entries, answer_bytes),
-            self._admit,
+            SubmissionLimits(
+                TableLimits(max_entries, answer_bytes),
+                claim_appends_per_s,
+            ),
+            Admission(self._admit, self._refuse_job),
         )
         self.tables = self._submissions.tables
         self.table = self.tables.own
@@ -69,9 +76,11 @@
         self.manifest: Manifest = EMPTY_MANIFEST
         self.is_draining = False
         self._wall_offset_s = wall_offset_s
-        self._scheduler = Scheduler(home, self.timers, policy)
+        self._scheduler = Scheduler(home, self.timers)
         self._desk = self._submissions.desk
         self._now = 0.0
+        # Looking a single-dispatch method up builds a function every time.
+        self._dispatch = self._apply
 
     def handle(
         self,
@@ -80,13 +89,9 @@
     ) -> Sequence[messages.Effect]:
         """Takes one message at core time ``now`` and returns what to do."""
         self._now = now
-        self._apply(message)
+        self._dispatch(message)
         starts = self._scheduler.start_tasks(now)
-        return [
-            *self._desk.take_effects(),
-            *starts,
-            *self.post.take_effects(),
-        ]
+        return [*starts, *self._submissions.take_effects()]
 
     def wall_s(self, now: float) -> float:
         """Returns wall-clock time in seconds since the epoch.
@@ -147,11 +152,10 @@
         run.mark_not_started(ticket.position)
         if not run.is_open:
             return
-        if ticket.attempt >= MAX_ATTEMPTS:
+        if self._scheduler.retry_task(ended, message, self._now):
+            self._desk.count_retry(message.reason)
+        else:
             self._desk.deliver(run, run.close(message.reason))
-            return
-        self._desk.count_retry(message.reason)
-        self._scheduler.retry_task(ended)
 
     @_apply.register
     def _lost(self, message: messages.TaskLost) -> None:
@@ -167,7 +171,7 @@
             return
         self.version = message.version
         self.manifest = message.manifest
-        self._scheduler.install(message.manifest)
+        self._scheduler.install(message.manifest, self._now)
 
     @_apply.register
     def _members_changed(self, message: messages.MembersChanged) -> None:
@@ -204,7 +208,8 @@
             return not_run(Reason.DRAINING)
         if self.table.is_full:
             return not_run(Reason.TABLE_FULL, retry_after_s=FULL_RETRY_S)
-        return refuse_job(job, self.manifest, self._now)
+        refusal = refuse_job(job, self.manifest, self._now)
+        return refusal or self._scheduler.refuse(job, self._now)
 
     def _end(
         self,
--- a/src/camphorlink/internal/shell/process/replay.py
+++ b/src/camphorlink/internal/shell/process/replay.py
@@ -7,14 +7,16 @@
 
 from camphorlink.internal.core.process.entry_core import EntryCore
 from camphorlink.internal.shell.process.trace_codec import (
+    list_outcomes,
+    read_message,
+)
+from camphorlink.internal.shell.process.trace_lines import (
     Event,
     Header,
-    TraceError,
-    list_outcomes,
     read_event,
     read_header,
-    read_message,
 )
+from camphorlink.internal.shell.process.trace_values import TraceError
 
 
 class Difference(NamedTuple):
--- a/tests/traces.py
+++ b/tests/traces.py
@@ -12,11 +12,11 @@
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.request.job import Outcome
 from camphorlink.internal.core.request.reasons import Reason
-from camphorlink.internal.shell.process.trace_codec import (
+from camphorlink.internal.shell.process.trace_codec import build_event
+from camphorlink.internal.shell.process.trace_lines import (
     FORMAT,
     CoreHeader,
     Header,
-    build_event,
     write_line,
 )
 from cores import MANIFEST, WALL_S, Cores, job_of
