State machine for callers' own keys; trace of a write whose answer was lost

Cause: claims have landed in the core; only single cases drove them.

Change: a Hypothesis machine with two keys, three entry VMs, views that differ, restarts, and a log that is down, refuses, loses appends or their answers, lands them late, and drops records after the retention.

--- /dev/null
+++ b/tests/core/test_machine_caller_keys.py
@@ -0,0 +1,125 @@
+"""Callers' own keys: started once, whatever the log does with the claims."""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.members import Member, build_view
+from camphorlink.internal.core.request.claim_index import RETENTION_S
+from cores import WALL_S, job_of
+from faulty_cores import FATES, FaultyCores, Net, check_keys
+
+VMS = ('a', 'b', 'c')
+KEYS = ('booking-1', 'booking-2')
+APPENDS = ('ok', 'ok', 'refused', 'lost', 'unanswered', 'late')
+vms = st.sampled_from(VMS)
+
+
+class CallerKeysMachine(RuleBasedStateMachine):
+    """Two keys, three entry VMs, and a log service with every fault."""
+
+    @initialize(seed=st.integers(0, 2**16))
+    def start(self, seed):
+        self.cores = FaultyCores(*VMS, seed=seed)
+        self.cores.show_members()
+        self.issued_s_by_key = {}
+
+    @rule(via=vms, key=st.sampled_from(KEYS), wait_s=st.sampled_from((0.05, 4)))
+    def submit(self, via, key, wait_s):
+        now = self.cores.now
+        issued_s = self.issued_s_by_key.setdefault(key, now)
+        job = job_of(2, now + wait_s, digest=key, payload=key)
+        self.cores.submit_key(via, key, job, issued_s)
+
+    @rule(key=st.sampled_from(KEYS), seconds=st.sampled_from((0, 0.003, 1)))
+    def submit_everywhere(self, key, seconds):
+        for via in VMS:
+            self.submit(via, key, 4)
+            self.cores.run(seconds)
+
+    @rule(fate=st.sampled_from(APPENDS))
+    def change_appends(self, fate):
+        self.cores.log.on_append = lambda _effect: fate
+
+    @rule()
+    def land_late_appends(self):
+        self.cores.log.land()
+
+    @rule(is_down=st.booleans())
+    def change_log(self, is_down):
+        self.cores.log.is_down = is_down
+
+    @rule(seconds=st.sampled_from((0, 1800, RETENTION_S)))
+    def expire(self, seconds):
+        """The log keeps records for the retention, and no longer."""
+        self.cores.now += seconds
+        self.cores.run(0.01)
+        log = self.cores.log
+        oldest_ms = int((WALL_S + self.cores.now - RETENTION_S) * 1000)
+        for stream, records in log.records_by_stream.items():
+            gone = sum(one.appended_ms <= oldest_ms for one in records)
+            log.earliest_by_stream[stream] = gone
+
+    @rule(fate=st.sampled_from(FATES))
+    def change_backends(self, fate):
+        self.cores.fate = fate
+
+    @rule(loss=st.sampled_from((0.0, 0.3)), delay_s=st.sampled_from((0.001, 1)))
+    def change_net(self, loss, delay_s):
+        self.cores.net = Net(loss, 0.2, delay_s)
+
+    @rule(one=vms, other=vms)
+    def cut(self, one, other):
+        self.cores.cut.add(frozenset((one, other)))
+
+    @rule()
+    def heal(self):
+        self.cores.cut.clear()
+
+    @rule(vm=vms)
+    def see_alone(self, vm):
+        """A VM that knows of no other claims every key itself."""
+        home = self.cores.core_by_vm[vm].home
+        view = build_view([Member(home, vm)])
+        self.cores.post(vm, messages.MembersChanged(view))
+
+    @rule(key=st.sampled_from(KEYS))
+    def race(self, key):
+        """Every VM claims the key itself, all at once."""
+        for vm in VMS:
+            self.see_alone(vm)
+        self.submit_everywhere(key, 0)
+        self.cores.run(0.1)
+
+    @rule()
+    def see_all(self):
+        self.cores.show_members()
+
+    @rule(vm=vms)
+    def start_again(self, vm):
+        self.cores.start(vm)
+        self.cores.show_members()
+
+    @rule(seconds=st.sampled_from((0.004, 0.1, 2.0, 10.0)))
+    def wait(self, seconds):
+        self.cores.run(seconds)
+
+    @invariant()
+    def keeps_the_promises(self):
+        if hasattr(self, 'cores'):
+            check_keys(self.cores)
+
+
+CallerKeysMachine.TestCase.settings = settings(
+    max_examples=200,
+    stateful_step_count=30,
+    derandomize=True,
+    deadline=None,
+)
+TestCallerKeys = CallerKeysMachine.TestCase
--- a/tests/faulty_cores.py
+++ b/tests/faulty_cores.py
@@ -13,7 +13,7 @@
 from camphorlink.internal.core.request.identifiers import Home
 from camphorlink.internal.core.request.job import Outcome
 from camphorlink.internal.core.request.reasons import Reason
-from cores import LINK_S, MANIFEST, RUN_S, WALL_S, Cores
+from cores import APPEND_S, LINK_S, MANIFEST, RUN_S, WALL_S, Cores
 
 FATES = ('runs', 'slow', 'fails', 'refused', 'lost-before', 'lost-after')
 SLOW_S = 3.0
@@ -44,6 +44,7 @@
         self.fate = 'runs'
         self.asked_by_caller = {}
         self.told = []
+        self.key_by_caller = {}
         self.started = collections.Counter()
         self.finished = collections.Counter()
         self._chance = random.Random(seed)
@@ -99,9 +100,18 @@
             self._run_task(vm, effect)
         elif isinstance(effect, messages.Deliver):
             self.told.append(effect)
+        elif isinstance(effect, messages.AppendClaims):
+            self.later(vm, APPEND_S, self.log.append(effect, self.now))
+        elif isinstance(effect, messages.ReadClaims):
+            self.later(vm, LINK_S, self.log.read(effect))
         elif isinstance(effect, messages.SendPeer):
             self._send(core.home, effect)
 
+    def submit_key(self, vm, name, job, issued_s=None):
+        caller = super().submit_key(vm, name, job, issued_s)
+        self.key_by_caller[caller] = Asked(name, job)
+        return caller
+
     def _run_task(self, vm, effect):
         ticket, fate = effect.ticket, self.fate
         task = (ticket.submission_id, effect.payload, effect.task_id)
@@ -141,6 +151,26 @@
             _check_answer(cores, said)
 
 
+def check_keys(cores):
+    """Holds the answers under callers' keys against the back ends."""
+    started = collections.Counter()
+    for (_submission, key, task), count in cores.started.items():
+        started[key, task] += count
+    assert set(started.values()) <= {0, 1}, 'no_task_starts_twice'
+    for said in cores.told:
+        asked = cores.key_by_caller.get(said.caller)
+        if asked is None:
+            continue
+        tasks = {one.task_id for one in asked.job.tasks}
+        ran = [task for task in tasks if started[asked.submission_id, task]]
+        results = said.answer.results_by_task
+        if said.answer.outcome is Outcome.COMPLETE:
+            assert set(results) == tasks, 'answer_complete_or_failed'
+            assert {one[1] for one in results.values()} == {asked.submission_id}
+        elif said.answer.outcome is Outcome.NOT_RUN:
+            assert not ran, 'not_run_is_true'
+
+
 def _check_answer(cores, said):
     asked = cores.asked_by_caller[said.caller]
     answer, job = said.answer, asked.job
--- a/tests/traces.py
+++ b/tests/traces.py
@@ -153,7 +153,26 @@
     return cores
 
 
+def write_whose_answer_was_lost():
+    """A claim lands in the log, its answer is lost, and two callers race."""
+    cores = RecordedCores('a', 'b')
+    fates = ['unanswered']
+    cores.log.on_append = lambda _effect: fates.pop() if fates else 'ok'
+    callers = [
+        cores.submit_key(vm, 'booking-1', job_of(), issued_s=0.0)
+        for vm in ('a', 'b')
+    ]
+    cores.run(4)
+    callers.append(cores.submit_key('b', 'booking-1', job_of(), issued_s=0.0))
+    cores.run(2)
+    assert not fates
+    assert cores.outcomes_of(*callers) == [Outcome.COMPLETE] * 3
+    assert list(cores.starts.values()) == [1]
+    return cores
+
+
 INCIDENTS = (
+    write_whose_answer_was_lost,
     batch_received_twice,
     lost_window_check,
     crossed_and_late_answers,
