--- a/src/camphorlink/cli/replay.py
+++ b/src/camphorlink/cli/replay.py
@@ -7,7 +7,7 @@
 import orjson
 
 from camphorlink.internal.shell.process.replay import Difference, replay
-from camphorlink.internal.shell.process.trace_codec import TraceError
+from camphorlink.internal.shell.process.trace_values import TraceError
 
 EXIT_DIFFERENT = 1
 EXIT_UNREADABLE = 2
--- a/src/camphorlink/internal/shell/process/trace.py
+++ b/src/camphorlink/internal/shell/process/trace.py
@@ -8,11 +8,11 @@
 
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.process.entry_core import EntryCore
-from camphorlink.internal.shell.process.trace_codec import (
+from camphorlink.internal.shell.process.trace_codec import build_event
+from camphorlink.internal.shell.process.trace_lines import (
     FORMAT,
     CoreHeader,
     Header,
-    build_event,
     write_line,
 )
 
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/trace_manifest.py
@@ -0,0 +1,54 @@
+"""Manifests in traces: written as documents, so that they outlive releases."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from camphorlink.errors import ManifestError
+from camphorlink.internal.core.version.manifest import (
+    SCHEMA_VERSION,
+    Backend,
+    Manifest,
+    Service,
+    Team,
+    check_manifest,
+)
+from camphorlink.internal.shell.process.trace_values import (
+    TraceError,
+    plain_value,
+)
+
+
+def manifest_document(manifest: Manifest) -> dict[str, Any]:
+    """Writes a checked manifest as a document that comes to the same."""
+    sections: dict[str, Mapping[str, Service | Backend | Team]] = {
+        'services': manifest.services_by_name,
+        'backends': manifest.backends_by_name,
+        'teams': manifest.teams_by_name,
+    }
+    document: dict[str, Any] = {'schema': SCHEMA_VERSION}
+    for section, entry_by_name in sections.items():
+        document[section] = {
+            name: _entry_document(entry)
+            for name, entry in entry_by_name.items()
+        }
+    return document
+
+
+def _entry_document(entry: Service | Backend | Team) -> dict[str, Any]:
+    plain = plain_value(entry)
+    plain.pop('name')
+    if 'classes_by_name' in plain:
+        plain['task_classes'] = plain.pop('classes_by_name')
+    return {key: found for key, found in plain.items() if found is not None}
+
+
+def read_manifest(document: Any) -> Manifest:
+    """Reads a manifest back.
+
+    Raises:
+        TraceError: It does not pass its check.
+    """
+    try:
+        return check_manifest(document)
+    except ManifestError as exc:
+        raise TraceError(f'no manifest: {exc}') from exc
