--- a/src/camphorlink/client.py
+++ b/src/camphorlink/client.py
@@ -39,6 +39,8 @@
         'connect-failed',
     ),
 )
+#: Tells when a key was first used, in ms since the epoch.
+KEY_ISSUED_HEADER = 'Key-Issued-Ms'
 
 
 class _Issued(NamedTuple):
@@ -137,6 +139,7 @@
     async def submit_key(
         self,
         key: str,
+        issued_ms: int,
         job: Mapping[str, Any],
         first_used_ms: int | None = None,
     ) -> dict[str, Any]:
@@ -145,6 +148,9 @@
         Args:
             key: Yours, such as a booking number; the service of the job is
                 part of it.
+            issued_ms: When the key was first used, ms since the epoch.  Give
+                the same time with every repeat: a key older than what the
+                platform remembers is refused, instead of being run again.
             job: What to run, the same for the same key.
             first_used_ms: When the key was first used, in ms since the epoch.
                 Entry VMs refuse a key without it: they could not tell a new
@@ -160,6 +166,7 @@
             path,
             job,
             self._entry_urls,
+            headers={KEY_ISSUED_HEADER: str(issued_ms)},
         )
         return await delivery.run(now_s() + read_deadline_s(job))
 
--- a/src/camphorlink/internal/shell/process/member_watch.py
+++ b/src/camphorlink/internal/shell/process/member_watch.py
@@ -119,12 +119,30 @@
             if self._host.links is not None:
                 self._host.links.send(effect.address, effect.message)
         if self.membership.view != self._host.core.view:
+            self._forget_gone()
             self._host.post(messages.MembersChanged(self.membership.view))
         if self._wake is None:
             due_s = self._timers.next_due_s()
             if due_s is not None:
                 self._wake = self._loop.call_at(due_s, self._tick)
 
+    def _forget_gone(self) -> None:
+        """Closes links to addresses at which nobody is left."""
+        members = self.membership.view.members
+        gone = {
+            member.address
+            for member in members
+            if member.state is MemberState.GONE
+        }
+        in_use = {
+            member.address
+            for member in members
+            if member.state is not MemberState.GONE
+        }
+        if self._host.links is not None:
+            for address in gone - in_use:
+                self._host.links.forget(address)
+
     def _tick(self) -> None:
         self._wake = None
         self._timers.advance(self._loop.time())
