--- a/src/camphorlink/client.py
+++ b/src/camphorlink/client.py
@@ -141,7 +141,6 @@
         key: str,
         issued_ms: int,
         job: Mapping[str, Any],
-        first_used_ms: int | None = None,
     ) -> dict[str, Any]:
         """Runs a job once for all who submit it under the same key.
 
@@ -152,18 +151,12 @@
                 the same time with every repeat: a key older than what the
                 platform remembers is refused, instead of being run again.
             job: What to run, the same for the same key.
-            first_used_ms: When the key was first used, in ms since the epoch.
-                Entry VMs refuse a key without it: they could not tell a new
-                key from one that they have forgotten.
         """
         service = quote(str(job.get('service')), safe='')
-        path = f'/v1/keys/{service}/{quote(key, safe="")}'
-        if first_used_ms is not None:
-            path = f'{path}?issued_ms={first_used_ms}'
         delivery = Delivery(
             self._transport,
             self._patience,
-            path,
+            f'/v1/keys/{service}/{quote(key, safe="")}',
             job,
             self._entry_urls,
             headers={KEY_ISSUED_HEADER: str(issued_ms)},
--- a/src/camphorlink/internal/shell/request/callers_api.py
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -32,8 +32,6 @@
 MAX_MS_DIGITS = 14
 #: Header that tells when a caller's key was first used, in epoch ms.
 KEY_ISSUED_HEADER = 'Key-Issued-Ms'
-#: The same as a parameter of the query.
-KEY_ISSUED_QUERY = 'issued_ms'
 JSON_TYPE = 'application/json'
 
 
@@ -91,10 +89,7 @@
     async def submit_key(self, request: web.Request) -> web.Response:
         """Runs a job under the caller's own key, or joins its run."""
         service, name = request.match_info['service'], request.match_info['key']
-        issued_ms = request.headers.get(
-            KEY_ISSUED_HEADER,
-            request.query.get(KEY_ISSUED_QUERY, ''),
-        )
+        issued_ms = request.headers.get(KEY_ISSUED_HEADER, '')
         fault = _key_fault(name, issued_ms)
         if fault:
             return self._refuse(Reason.BAD_IDENTIFIER, fault)
