--- a/src/camphorlink/internal/core/request/scheduler.py
+++ b/src/camphorlink/internal/core/request/scheduler.py
@@ -277,7 +277,7 @@
     ) -> ServicePass:
         loads = self._pool.serving(service)
         guard = LongGuard(self._run_times.long_work_s, self._long_in_flight)
-        known = self._pool.manifest.services_by_name.get(service)
+        known = self._pool.service_by_name.get(service)
         if known is None:
             return ServicePass(queue, Slots((), now), guard, self._quotas)
         slots = Slots(loads, now, known.max_task_ms / MS_PER_S)
