--- a/Makefile
+++ b/Makefile
@@ -65,11 +65,19 @@
 counterexamples: $(VENV)
 	$(PYTHON) -m camphorlink.spec.programs write docs/design/proof.md
 
+.PHONY: measure-broadcast
+measure-broadcast: $(VENV)
+	$(PYTHON) -m camphorlink.bench.broadcast
+
+.PHONY: measure-submissions
+measure-submissions: $(VENV)
+	$(PYTHON) -m camphorlink.bench.submission_costs
+
 # Writes the traces of the brief's incidents anew.
 .PHONY: traces
 traces: $(VENV)
 	PYTHONPATH=$(CURDIR)/src:$(CURDIR)/tests $(PYTHON) tests/traces.py traces
 
-.PHONY: measure-broadcast
-measure-broadcast: $(VENV)
-	$(PYTHON) -m camphorlink.bench.broadcast
+.PHONY: measure-control
+measure-control: $(VENV)
+	$(PYTHON) -m camphorlink.bench.control
--- a/src/camphorlink/internal/core/version/manifest.py
+++ b/src/camphorlink/internal/core/version/manifest.py
@@ -56,6 +56,7 @@
         max_task_ms: Longest time that one task may take, in ms.
         max_queued: Tasks that may wait at one entry VM.
         idempotent: Whether its tasks may run more than once.
+        task_lookup: Whether its backend servers tell what became of a task.
         max_running: Tasks that may run at once over all VMs, or ``None``.
         max_starts_per_s: Starts a second over all VMs, or ``None``.
         needs: Capabilities that its backend servers must have.
@@ -70,6 +71,7 @@
     max_starts_per_s: int | None = None
     needs: frozenset[str] = frozenset()
     classes_by_name: Mapping[str, TaskClass] = MappingProxyType({})
+    task_lookup: bool = False
 
 
 class Backend(NamedTuple):
@@ -188,6 +190,7 @@
         max_task_ms=entry.get('max_task_ms', DEFAULT_MAX_TASK_MS),
         max_queued=entry.get('max_queued', DEFAULT_MAX_QUEUED),
         idempotent=entry.get('idempotent', False),
+        task_lookup=entry.get('task_lookup', False),
         max_running=entry.get('max_running'),
         max_starts_per_s=entry.get('max_starts_per_s'),
         needs=frozenset(entry.get('needs', ())),
