--- /dev/null
+++ b/src/camphorlink/bench/slope_config.py
@@ -0,0 +1,110 @@
+"""Manifests and configuration changes of a known size, for the slopes."""
+
+import functools
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from camphorlink.internal.core.version.acceptance import (
+    ConfigState,
+    approval_record,
+    fold_record,
+    patch_record,
+    proposal_record,
+)
+from camphorlink.internal.core.version.manifest import (
+    canonical_bytes,
+    check_manifest,
+)
+
+ALL_BACKENDS = 1900
+ALL_TEAMS = 150
+MANY_TEAMS = 1500
+CHANGES = 20
+
+#: Does a known number of units of work and returns that number.
+Load = Callable[[], int]
+
+
+class Built(NamedTuple):
+    """State that was built, and how many units it has."""
+
+    state: Any
+    units: int
+
+
+#: Builds state of a known number of units.
+Build = Callable[[], Built]
+
+
+def manifest_document(backends: int, teams: int) -> dict[str, Any]:
+    """Writes a manifest of a given size, all in one zone."""
+    return {
+        'schema': 1,
+        'services': {'caster': {}},
+        'backends': {
+            f'runner-{number:04d}': {
+                'address': f'10.0.{number // 250}.{number % 250}:9000',
+                'zone': 'larissa',
+                'slots': 8,
+                'connections': 64,
+                'services': ['caster'],
+            }
+            for number in range(backends)
+        },
+        'teams': {f'team-{number}': {} for number in range(teams)},
+    }
+
+
+def build_backends() -> Built:
+    """Checks a manifest that is nearly all backend servers."""
+    document = manifest_document(ALL_BACKENDS, 1)
+    return Built((document, check_manifest(document)), ALL_BACKENDS)
+
+
+def build_teams() -> Built:
+    """Checks a manifest that is nearly all teams."""
+    document = manifest_document(1, MANY_TEAMS)
+    return Built((document, check_manifest(document)), MANY_TEAMS)
+
+
+def fold_changes() -> int:
+    """Folds changes of one backend server each into a large manifest."""
+    state = _full_state()
+    records = _change_records()
+    for record in records:
+        state = fold_record(state, state.next_offset, record).state
+    return len(records) // 2
+
+
+@functools.cache
+def _change_records() -> list[dict[str, Any]]:
+    state = _full_state()
+    records: list[dict[str, Any]] = []
+    for number in range(CHANGES):
+        patch = patch_record(state, _changed(state.document, number))
+        approval = approval_record(state.version, patch['digest'])
+        for record in (patch, approval):
+            state = fold_record(state, state.next_offset, record).state
+            records.append(record)
+    return records
+
+
+def change_bytes() -> int:
+    """Bytes of the two records that change one backend server."""
+    state = _full_state()
+    patch = patch_record(state, _changed(state.document, 1))
+    approval = approval_record(state.version, patch['digest'])
+    return len(canonical_bytes(patch)) + len(canonical_bytes(approval))
+
+
+def _full_state() -> ConfigState:
+    document = manifest_document(ALL_BACKENDS, ALL_TEAMS)
+    proposal = proposal_record(0, document)
+    state = fold_record(ConfigState(), 0, proposal).state
+    return fold_record(state, 1, approval_record(0, proposal['digest'])).state
+
+
+def _changed(document: Any, number: int) -> dict[str, Any]:
+    name = f'runner-{number:04d}'
+    entry = {**document['backends'][name], 'leaving': True}
+    return {**document, 'backends': {**document['backends'], name: entry}}
--- /dev/null
+++ b/src/camphorlink/bench/slope_protocols.py
@@ -0,0 +1,173 @@
+"""Loads that need more than one entry core: relays, claims, lending, audit."""
+
+import random
+from collections.abc import Iterable
+
+from camphorlink.bench.claim_trial import ClaimTrial
+from camphorlink.bench.slope_config import Built, manifest_document
+from camphorlink.bench.slope_loads import SEED, CoreDriver
+from camphorlink.internal.core.connection.slot_messages import (
+    DemandReport,
+    LimitDemand,
+    SlotLoan,
+)
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.audit_batch import AuditBatch
+from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.core.process.members import Member, build_view
+from camphorlink.internal.core.request.identifiers import (
+    mint_submission_id,
+    new_home,
+)
+from camphorlink.internal.core.request.job import Job, TaskSpec
+from camphorlink.internal.core.version.manifest import (
+    canonical_bytes,
+    check_manifest,
+)
+from camphorlink.internal.shell.connection.peer_codec import (
+    decode_message,
+    encode_message,
+)
+
+RELAYED_JOBS = 1000
+CLAIM_VMS = 8
+CLAIM_RATE = 500
+CLAIM_S = 5.0
+AUDIT_RECORDS = 2000
+LIMITED_TEAMS = 150
+DEADLINE_S = 1000.0
+STEP_S = 0.001
+PER_THOUSAND = 1000
+
+
+class RelayPair:
+    """Two entry VMs: one that callers ask, and the home of what they ask."""
+
+    def __init__(self) -> None:
+        """Starts both with a manifest and a view of each other."""
+        self.wire_bytes = 0
+        self.now = 1.0
+        self._rng = random.Random(SEED)
+        self.home = self._build('entry-0')
+        self.relay = self._build('entry-1')
+        view = build_view(
+            [
+                Member(self.home.home, 'home'),
+                Member(self.relay.home, 'relay'),
+            ]
+        )
+        manifest = check_manifest(manifest_document(8, 1))
+        for core in (self.home, self.relay):
+            core.handle(messages.MembersChanged(view), self.now)
+            core.handle(messages.VersionInForce(1, manifest), self.now)
+
+    def submit(self) -> int:
+        """Relays one job of one task; returns the answers given."""
+        self.now += STEP_S
+        submission_id = mint_submission_id(
+            self.home.home,
+            self.now,
+            self._rng,
+        )
+        job = Job(
+            service='caster',
+            team='team-0',
+            tasks=(TaskSpec('t0', {'work_ms': 50}),),
+            deadline_s=self.now + DEADLINE_S,
+            idempotent=False,
+            digest='0' * 64,
+        )
+        message = messages.Submit(submission_id, job, 1)
+        return self._run(self.relay.handle(message, self.now))
+
+    def _run(self, effects: Iterable[messages.Effect]) -> int:
+        answers = 0
+        waiting = list(effects)
+        while waiting:
+            effect = waiting.pop()
+            answers += isinstance(effect, messages.Deliver)
+            waiting.extend(self._carry_out(effect))
+        return answers
+
+    def _carry_out(self, effect: messages.Effect) -> Iterable[messages.Effect]:
+        if isinstance(effect, messages.StartTask):
+            done = messages.TaskFinished(effect.ticket, {'done': True})
+            return self.home.handle(done, self.now)
+        if not isinstance(effect, messages.SendPeer):
+            return ()
+        frame = encode_message(effect.message)
+        self.wire_bytes += len(frame)
+        is_home = effect.address == 'home'
+        source = self.relay if is_home else self.home
+        target = self.home if is_home else self.relay
+        said = messages.PeerSaid(source.home, decode_message(frame))
+        return target.handle(said, self.now)
+
+    def _build(self, vm: str) -> EntryCore:
+        home = new_home('larissa', vm, self._rng)
+        return EntryCore(home, wall_offset_s=0.0, max_entries=RELAYED_JOBS * 2)
+
+
+def relay_jobs() -> int:
+    """Relays jobs of one task from one entry VM to another."""
+    pair = RelayPair()
+    return sum(pair.submit() for _ in range(RELAYED_JOBS))
+
+
+def relay_bytes() -> float:
+    """Bytes of all messages for each relayed job of one small task."""
+    pair = RelayPair()
+    answered = sum(pair.submit() for _ in range(RELAYED_JOBS))
+    return pair.wire_bytes / answered
+
+
+def single_jobs() -> int:
+    """Runs the jobs of ``relay_jobs`` at their home."""
+    driver = CoreDriver()
+    return sum(driver.finish(driver.submit(1)[1]) for _ in range(RELAYED_JOBS))
+
+
+def appends_for_claims() -> float:
+    """Appends for each 1,000 claims of 8 VMs at 500 keys a second."""
+    trial = ClaimTrial(CLAIM_VMS)
+    trial.run(CLAIM_RATE, CLAIM_S)
+    return trial.appends * PER_THOUSAND / len(trial.waits_s)
+
+
+def buffer_audit() -> Built:
+    """Fills the buffer of audit records."""
+    batch = AuditBatch('larissa.entry-0.0000000000000000')
+    for number in range(AUDIT_RECORDS):
+        batch.record('outcome', number, _audit_facts(number))
+    return Built(batch, AUDIT_RECORDS)
+
+
+def audit_record_bytes() -> float:
+    """Bytes of one audit record in the stream."""
+    batch = AuditBatch('larissa.entry-0.0000000000000000')
+    batch.record('outcome', 0, _audit_facts(0))
+    return float(len(canonical_bytes(batch.take_batch(0)[0])))
+
+
+def loan_bytes() -> float:
+    """Bytes of a loan of slots at three back ends."""
+    slots_by_backend = {f'runner-{number:04d}': 2 for number in range(3)}
+    return float(len(encode_message(SlotLoan(slots_by_backend, 0.05))))
+
+
+def demand_report_bytes() -> float:
+    """Bytes of one report of the demand of 150 teams."""
+    rows = tuple(
+        LimitDemand('team', f'team-{number}', 100)
+        for number in range(LIMITED_TEAMS)
+    )
+    return float(len(encode_message(DemandReport(rows))))
+
+
+def _audit_facts(number: int) -> dict[str, object]:
+    return {
+        'submission_id': f'larissa.entry-0.0000000000000000.{number:032x}',
+        'outcome': 'failed',
+        'reason': 'task-failed',
+        'fates': {'t0': 'failed'},
+    }
--- a/src/camphorlink/internal/core/version/manifest_documents.py
+++ b/src/camphorlink/internal/core/version/manifest_documents.py
@@ -5,6 +5,7 @@
 a set of rules is released its shapes are frozen; see ``acceptance``.
 """
 
+import functools
 import ipaddress
 from typing import Annotated, Literal, NotRequired
 
@@ -14,10 +15,13 @@
 
 MAX_PORT = 65_535
 MAX_RANK = 9
+MAX_CACHED_ADDRESSES = 8192
 
 _STRICT = ConfigDict(extra='forbid', strict=True)
 
 
+# Versions repeat nearly all addresses of the one before them.
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def _check_address(text: str) -> str:
     ip, _colon, port = text.partition(':')
     try:
