--- a/src/camphorlink/internal/core/connection/want_budget.py
+++ b/src/camphorlink/internal/core/connection/want_budget.py
@@ -8,8 +8,8 @@
 
 from collections.abc import Collection
 
-#: Wants a second of one VM, times the number of its peers.
-WANTS_PER_S = 4.0
+#: Wants a second of one VM, times the square of the number of its peers.
+WANTS_PER_S = 8.0
 #: Wants that may follow each other without a pause.
 BURST = 6.0
 #: Peers that one want goes to, in turn.
@@ -34,7 +34,7 @@
         """
         if not addresses:
             return ()
-        refill = (now - self._filled_s) * WANTS_PER_S / len(addresses)
+        refill = (now - self._filled_s) * WANTS_PER_S / len(addresses) ** 2
         self._tokens = min(BURST, self._tokens + refill)
         self._filled_s = now
         if self._tokens < 1:
--- a/tests/core/test_want_budget.py
+++ b/tests/core/test_want_budget.py
@@ -19,7 +19,7 @@
     drawn = [
         budget.draw(addresses, step / 100) for step in range(SECONDS * 100)
     ]
-    allowed = BURST + SECONDS * WANTS_PER_S / peers
+    allowed = BURST + SECONDS * WANTS_PER_S / peers**2
     assert sum(map(bool, drawn)) <= allowed
     assert sum(map(bool, drawn)) >= allowed - 2
 
