Capacity page from slopes, failure table, embedding, plots; cancel load mended

Writing them showed that the measured load of cancellations had become void: without a back end every job is refused at admission, so it timed cancels of nothing (18 to 21 us). Change: the page is rendered from slopes and checked by a test; a table of failures with the tests that make them; an example that embeds the parts, run by a test; plots from committed data. The wave has a back end and raises an error unless all its jobs are open.

--- a/Makefile
+++ b/Makefile
@@ -81,3 +81,8 @@
 .PHONY: measure-control
 measure-control: $(VENV)
 	$(PYTHON) -m camphorlink.bench.control
+
+# Needs the packages of requirements-plots.txt besides.
+.PHONY: plots
+plots: $(VENV)
+	$(PYTHON) -m camphorlink.bench.plots
--- /dev/null
+++ b/src/camphorlink/bench/cancel_waves.py
@@ -0,0 +1,81 @@
+"""Waves of cancellations: what one costs, by the size of the wave."""
+
+import random
+import statistics
+import time
+from collections.abc import Iterator
+
+from camphorlink.bench.claim_trial import HOME, WALL_S
+from camphorlink.errors import CamphorlinkError
+from camphorlink.internal.core.process import messages
+from camphorlink.internal.core.process.entry_core import EntryCore
+from camphorlink.internal.core.request.identifiers import (
+    SubmissionId,
+    mint_submission_id,
+)
+from camphorlink.internal.core.request.job import Job, TaskSpec
+from camphorlink.internal.core.version.manifest import check_manifest
+
+SEED = 4
+ROUNDS = 3
+US_PER_S = 1_000_000
+WAVE_DEADLINE_S = 1e9
+WAVE_TASKS = 10
+WAVES = (1000, 2000, 4000, 8000)
+
+_WAVE_BACKEND = {
+    'address': '127.0.0.1:9000',
+    'zone': HOME.zone,
+    'slots': 1,
+    'connections': 1,
+    'services': ['caster'],
+}
+
+
+class BenchError(CamphorlinkError):
+    """A load did not become what was to be measured."""
+
+
+def measure_waves() -> Iterator[tuple[int, float]]:
+    """Yields the size of each wave and its microseconds for each job."""
+    for size in WAVES:
+        rounds = [_time_wave(size) for _ in range(ROUNDS)]
+        yield size, statistics.median(rounds)
+
+
+def _time_wave(size: int) -> float:
+    core = _build_core(size)
+    rng = random.Random(SEED)
+    names = [mint_submission_id(HOME, WALL_S, rng) for _ in range(size)]
+    _submit_all(core, names)
+    started_s = time.perf_counter()
+    for name in names:
+        core.handle(messages.Cancel(str(name)), 0)
+    spent_s = time.perf_counter() - started_s
+    return spent_s * US_PER_S / size
+
+
+def _build_core(size: int) -> EntryCore:
+    core = EntryCore(HOME, WALL_S, size)
+    manifest = check_manifest(
+        {
+            'schema': 1,
+            'services': {'caster': {'max_queued': 100_000}},
+            'backends': {'runner-0': _WAVE_BACKEND},
+            'teams': {'surveyors': {}},
+        },
+    )
+    core.handle(messages.VersionInForce(1, manifest), 0)
+    return core
+
+
+def _submit_all(core: EntryCore, names: list[SubmissionId]) -> None:
+    tasks = tuple(TaskSpec(f't{number}', None) for number in range(WAVE_TASKS))
+    job = Job('caster', 'surveyors', tasks, WAVE_DEADLINE_S, False, 'd')
+    for caller, name in enumerate(names):
+        core.handle(messages.Submit(name, job, caller), 0)
+    if core.table.open_count != len(names):
+        raise BenchError(
+            f'only {core.table.open_count} of {len(names)} jobs are open; '
+            'the wave must be admitted, so see why the core refuses it',
+        )
--- a/src/camphorlink/bench/capacity.py
+++ b/src/camphorlink/bench/capacity.py
@@ -18,17 +18,22 @@
 EXIT_STALE = 1
 
 
-def render_page(template: str, slopes: dict[str, Any]) -> str:
+def render_page(
+    template: str,
+    slopes: dict[str, Any],
+    control: list[dict[str, float]],
+) -> str:
     """Returns the page.
 
     Args:
         template: Text with ``$name`` or ``${name}`` for each figure.
         slopes: Measured slopes by name, as ``make slopes`` writes them.
+        control: Rows that ``make measure-control`` printed.
 
     Raises:
         KeyError: The template names a figure that is not worked out.
     """
-    return string.Template(template).substitute(work_out(slopes))
+    return string.Template(template).substitute(work_out(slopes, control))
 
 
 @click.command()
@@ -50,7 +55,9 @@
     """Write the capacity page from its template and the slopes."""
     template = (data_dir / 'capacity.md.template').read_text()
     slopes = orjson.loads((data_dir / 'slopes.json').read_bytes())
-    text = render_page(template, slopes)
+    lines = (data_dir / 'control.jsonl').read_bytes().splitlines()
+    control = [orjson.loads(line) for line in lines]
+    text = render_page(template, slopes, control)
     if not check:
         page.write_text(text)
     elif page.read_text() != text:
--- a/src/camphorlink/bench/experiment.py
+++ b/src/camphorlink/bench/experiment.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple
 
 import click
+import orjson
 
 from camphorlink.bench import experiment_cases as cases
 from camphorlink.bench.experiment_baselines import (
@@ -374,23 +375,28 @@
 )
 @click.option('--seconds', default=40.0, help='Virtual time of arrivals.')
 @click.option('--seed', default=1)
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON lines.')
 def main(
     names: tuple[str, ...],
     policies: tuple[str, ...],
     seconds: float,
     seed: int,
+    as_json: bool,
 ) -> None:
     """Prints one line for each case and policy."""
     for name in names or CASES:
         for policy in policies or POLICIES:
             summary = summarize(run_case(name, policy, seconds, seed))
-            click.echo(
-                '{case:13} {policy:18} jobs {jobs:5} median {median:6} '
-                'p99 {p99:7} on-time {on_time:6} short-p99 {short_p99_s:6} '
-                'unfair {unfair:6} over {over} {per_1000} {not_complete}'.format(
-                    **summary
-                ),
-            )
+            click.echo(orjson.dumps(summary) if as_json else write(summary))
+
+
+def write(summary: dict[str, Any]) -> str:
+    """Writes a summary as a line for people."""
+    return (
+        '{case:13} {policy:18} jobs {jobs:5} median {median:6} '
+        'p99 {p99:7} on-time {on_time:6} short-p99 {short_p99_s:6} '
+        'unfair {unfair:6} over {over} {per_1000} {not_complete}'
+    ).format(**summary)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/src/camphorlink/bench/plots.py
@@ -0,0 +1,95 @@
+"""Draws the plots of the documents from committed data: ``make plots``.
+
+Needs the packages of ``requirements-plots.txt``.  The same data gives the
+same SVG file, byte for byte.
+"""
+
+from pathlib import Path
+from typing import Any
+
+import click
+import matplotlib as mpl
+import orjson
+from matplotlib import pyplot as plt
+from matplotlib.axes import Axes
+
+WIDTH_IN = 7.0
+HEIGHT_IN = 4.0
+CONTROL_LIMIT_BYTES = 4000
+STEADY = ('steady-50', 'steady-70', 'steady-85', 'steady-95')
+
+mpl.use('svg')
+mpl.rcParams['svg.hashsalt'] = 'camphorlink'
+mpl.rcParams['svg.fonttype'] = 'none'
+
+
+def read_rows(path: Path) -> list[dict[str, Any]]:
+    """Reads JSON lines."""
+    return [orjson.loads(line) for line in path.read_bytes().splitlines()]
+
+
+def draw_stretch(axes: Axes, rows: list[dict[str, Any]]) -> None:
+    """Response time over the ideal, by load and policy."""
+    policies = sorted({row['policy'] for row in rows})
+    for policy in policies:
+        by_case = {row['case']: row for row in rows if row['policy'] == policy}
+        for measure, style in (('median', '-'), ('p99', '--')):
+            # No figure where some job did not end.
+            heights = [
+                by_case[case][measure] or float('nan') for case in STEADY
+            ]
+            label = f'{policy}, {measure}'
+            axes.plot(STEADY, heights, style, marker='o', label=label)
+    axes.set_yscale('log')
+    axes.set_ylabel('response time / ideal')
+    axes.legend(fontsize='small')
+
+
+def draw_control(axes: Axes, rows: list[dict[str, Any]]) -> None:
+    """Bytes of control a second, by the number of peers."""
+    peers = [row['peers'] for row in rows]
+    sent = [row['bytes_a_second'] for row in rows]
+    pings = [row['ping_bytes_a_second'] for row in rows]
+    total = [sum(pair) for pair in zip(sent, pings, strict=True)]
+    axes.plot(peers, sent, marker='o', label='heartbeats and reports')
+    axes.plot(peers, total, marker='o', label='with pings')
+    axes.axhline(CONTROL_LIMIT_BYTES, linestyle=':', label='limit')
+    axes.set_xlabel('peers of an entry VM')
+    axes.set_ylabel('bytes a second')
+    axes.legend()
+
+
+PLOTS = (
+    ('experiment.jsonl', 'stretch.svg', draw_stretch),
+    ('control.jsonl', 'control.svg', draw_control),
+)
+
+
+@click.command()
+@click.option(
+    '--data',
+    'data_dir',
+    type=click.Path(path_type=Path),
+    default=Path('docs/data'),
+    show_default=True,
+)
+@click.option(
+    '--out',
+    'out_dir',
+    type=click.Path(path_type=Path),
+    default=Path('docs/plots'),
+    show_default=True,
+)
+def main(data_dir: Path, out_dir: Path) -> None:
+    """Draw all plots."""
+    out_dir.mkdir(exist_ok=True)
+    for source, target, draw in PLOTS:
+        figure, axes = plt.subplots(figsize=(WIDTH_IN, HEIGHT_IN))
+        draw(axes, read_rows(data_dir / source))
+        figure.tight_layout()
+        figure.savefig(out_dir / target, metadata={'Date': None})
+        plt.close(figure)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/camphorlink/bench/submission_costs.py
+++ b/src/camphorlink/bench/submission_costs.py
@@ -19,12 +19,11 @@
 import click
 import orjson
 
+from camphorlink.bench.cancel_waves import WAVE_TASKS, measure_waves
 from camphorlink.bench.claim_trial import APPEND_S, HOME, WALL_S, ClaimTrial
 from camphorlink.internal.core.connection.submission_messages import (
     SUBMISSION_MESSAGE_BY_KIND,
 )
-from camphorlink.internal.core.process import messages
-from camphorlink.internal.core.process.entry_core import EntryCore
 from camphorlink.internal.core.request.claim_index import ClaimIndex
 from camphorlink.internal.core.request.claim_records import (
     PARTITIONS,
@@ -39,7 +38,6 @@
 from camphorlink.internal.core.request.identifiers import mint_submission_id
 from camphorlink.internal.core.request.job import Job, Outcome, TaskSpec
 from camphorlink.internal.core.request.reasons import Reason
-from camphorlink.internal.core.version.manifest import check_manifest
 from camphorlink.standin.local_site import LocalSite, SiteShape
 
 SEED = 4
@@ -53,8 +51,6 @@
 LINKED_S = 0.05
 LINK_TRIES = 200
 REMEMBERED = 20_000
-WAVES = (1000, 2000, 4000, 8000)
-WAVE_TASKS = 10
 JSON = {'Content-Type': 'application/json'}
 LOOPBACK_JOB: dict[str, Any] = {
     'service': 'caster',
@@ -70,7 +66,10 @@
     asyncio.run(_measure_paths())
     _measure_claims()
     _measure_memory()
-    _measure_waves()
+    click.echo(f'\ncancellations in waves, jobs of {WAVE_TASKS} tasks')
+    _say('open jobs', 'us for each cancellation (median of rounds)')
+    for size, cost_us in measure_waves():
+        _say(size, f'{cost_us:.1f}')
 
 
 def _say(*cells: object) -> None:
@@ -218,38 +217,5 @@
     return Job('caster', 'surveyors', tasks, CLAIMS_S, False, digest)
 
 
-def _measure_waves() -> None:
-    click.echo(f'\ncancellations in waves, jobs of {WAVE_TASKS} tasks')
-    _say('open jobs', 'us for each cancellation (median of rounds)')
-    for size in WAVES:
-        rounds = [_time_wave(size) for _ in range(ROUNDS)]
-        _say(size, f'{statistics.median(rounds):.1f}')
-
-
-def _time_wave(size: int) -> float:
-    core = EntryCore(HOME, WALL_S, size)
-    manifest = check_manifest(
-        {
-            'schema': 1,
-            'services': {'caster': {'max_queued': 100_000}},
-            'backends': {},
-            'teams': {'surveyors': {}},
-        },
-    )
-    core.handle(messages.VersionInForce(1, manifest), 0)
-    rng = random.Random(SEED)
-    names = [mint_submission_id(HOME, WALL_S, rng) for _ in range(size)]
-    for caller, name in enumerate(names):
-        submit = messages.Submit(name, _job_of(WAVE_TASKS, 'd'), caller)
-        core.handle(submit, 0)
-    if core.table.open_count != size:
-        click.echo(f'only {core.table.open_count} of {size} jobs were open')
-    started_s = time.perf_counter()
-    for name in names:
-        core.handle(messages.Cancel(str(name)), 0)
-    spent_s = time.perf_counter() - started_s
-    return spent_s * US_PER_S / size
-
-
 if __name__ == '__main__':
     main()
--- /dev/null
+++ b/tests/cover/test_examples.py
@@ -0,0 +1,15 @@
+"""The shipped example of embedding does what its page says."""
+
+import asyncio
+import runpy
+from pathlib import Path
+
+EMBED = Path(__file__).parents[2] / 'examples' / 'embed.py'
+
+
+def test_the_embedded_parts_start_nothing_twice_and_eject_the_bad_worker():
+    program = runpy.run_path(str(EMBED))
+    pool = asyncio.run(program['main']())
+    assert pool.starts == program['TICKS']
+    assert pool.ejected == ['bad']
+    assert pool.state.version == 1
