Admission sums the speed of all slots only when work waits

Cause: a job of one task took 212 us of core time, part of it four sums over all back ends to divide no waiting work by. Change: without waiting work the quotient is 0 and the sum is left out.

--- a/src/camphorlink/internal/core/request/job_intake.py
+++ b/src/camphorlink/internal/core/request/job_intake.py
@@ -110,7 +110,7 @@
             queue.waiting_tasks,
             team_waiting,
             len(queue.waiting_by_team) + (not team_waiting),
-            queue.work_s / self._pool.own_speed(),
+            self._drain_s(queue.work_s),
         )
         return refuse_for_queue(job, backlog)
 
@@ -130,9 +130,13 @@
         estimate = self._estimate(job)
         due_s = self._due_s(estimate, now)
         work_s = self.queue_of(job.service).work_before(due_s)
-        ahead_s = work_s / self._pool.own_speed()
+        ahead_s = self._drain_s(work_s)
         return refuse_for_time(job, estimate.ideal_s, ahead_s, now)
 
+    def _drain_s(self, work_s: float) -> float:
+        # The speed is a sum over all back ends; without work it is not asked.
+        return work_s / self._pool.own_speed() if work_s else 0.0
+
     def _estimate(self, job: Job) -> JobEstimate:
         # Admission and queueing follow each other with the same job.
         last = self._last
@@ -151,7 +155,7 @@
         job = estimate.job
         team = self._pool.manifest.teams_by_name[job.team]
         queue = self.queue_of(job.service)
-        drain_s = queue.work_s / self._pool.own_speed()
+        drain_s = self._drain_s(queue.work_s)
         longest_s = max(task.work_s for task in estimate.tasks)
         return self._due_times.due_s(
             job,
