One owner of HTTP sessions for the small clients

Cause: the clients of the log service and of entry VMs opened and closed their pools with the same lines. Change: both take them from HttpOwner; behaviour is the same. Conclusion: one twin less.

--- a/src/camphorlink/internal/shell/connection/log_client.py
+++ b/src/camphorlink/internal/shell/connection/log_client.py
@@ -1,7 +1,6 @@
 """Client of the platform's log service: append records, read from offsets."""
 
 from http import HTTPStatus
-from types import TracebackType
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -9,6 +8,7 @@
 
 from camphorlink.errors import AppendUncertainError, LogServiceError
 from camphorlink.internal.core.connection.log_records import Page, StoredRecord
+from camphorlink.internal.shell.connection.http_owner import HttpOwner
 
 REQUEST_TIMEOUT_S = 5.0
 MS_PER_S = 1000
@@ -41,29 +41,15 @@
     is_leaving: bool
 
 
-class LogClient:
+class LogClient(HttpOwner):
     """Appends to streams and reads them, over HTTP."""
 
+    timeout_s = REQUEST_TIMEOUT_S
+
     def __init__(self, base_url: str) -> None:
         """Names the service, such as ``http://127.0.0.1:9300``."""
         self._base_url = base_url
 
-    async def __aenter__(self) -> 'LogClient':
-        """Opens the pool of connections."""
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S),
-        )
-        return self
-
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Closes all connections."""
-        await self._session.close()
-
     async def append(self, stream: str, records: list[Any]) -> int:
         """Appends records next to each other.
 
--- a/src/camphorlink/internal/shell/process/vm_client.py
+++ b/src/camphorlink/internal/shell/process/vm_client.py
@@ -1,13 +1,13 @@
 """Client of the operators' interface of entry VMs."""
 
 import asyncio
-from types import TracebackType
 from typing import Any, NamedTuple
 
 import aiohttp
 import orjson
 
 from camphorlink.errors import CamphorlinkError
+from camphorlink.internal.shell.connection.http_owner import HttpOwner
 
 ANSWER_TIMEOUT_S = 5.0
 
@@ -42,24 +42,10 @@
     fault: str = ''
 
 
-class VmClient:
+class VmClient(HttpOwner):
     """Asks entry VMs, one or all at once."""
 
-    async def __aenter__(self) -> 'VmClient':
-        """Opens the pool of connections."""
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S),
-        )
-        return self
-
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Closes all connections."""
-        await self._session.close()
+    timeout_s = ANSWER_TIMEOUT_S
 
     async def ask(self, vm: VmAddress, path: str, method: str = 'GET') -> Any:
         """Asks one VM.
