Four pieces of code that nothing calls are gone

Cause: a read of the whole change found definitions without a caller: may_free, versions_by_home, keys_remembered and JobQueue.purge. Change: removed; behaviour is the same. Conclusion: purge was dead, so jobs that ended while deep in a queue stay counted until they come up; that is left as it was and noted.

--- a/src/camphorlink/internal/core/connection/backend_load.py
+++ b/src/camphorlink/internal/core/connection/backend_load.py
@@ -79,11 +79,6 @@
         is_out = self.backend.leaving or self.is_stalled
         return self.limit > 0 and not is_out
 
-    @property
-    def may_free(self) -> bool:
-        """Whether it is worth waiting for one of its slots."""
-        return self.held > 0 and self.is_usable
-
     def next_free_s(self, now: float) -> float:
         """Estimates when a slot becomes free, as core time in seconds."""
         if self._first is None:
--- a/src/camphorlink/internal/core/process/membership.py
+++ b/src/camphorlink/internal/core/process/membership.py
@@ -109,10 +109,6 @@
         if not is_same or not isinstance(message, Heartbeat):
             self._refresh(now)
 
-    def versions_by_home(self) -> dict[Home, int]:
-        """Tells which configuration version each peer said it has."""
-        return {peer.home: peer.version for peer in self._peers.by_key.values()}
-
     @singledispatchmethod
     def _take(
         self,
--- a/src/camphorlink/internal/core/request/claim_writer.py
+++ b/src/camphorlink/internal/core/request/claim_writer.py
@@ -69,12 +69,6 @@
         self._wake: TimerKey | None = None
         self._now = 0.0
 
-    @property
-    def keys_remembered(self) -> int:
-        """First claims that are remembered."""
-        streams = self._stream_by_name.values()
-        return sum(len(stream.index) for stream in streams)
-
     def take_effects(self) -> list[messages.Effect]:
         """Hands over the reads and appends collected since the last call."""
         effects = self._effects
--- a/src/camphorlink/internal/core/request/queues.py
+++ b/src/camphorlink/internal/core/request/queues.py
@@ -149,21 +149,6 @@
                 self._entries.pop(index)
         return found
 
-    def purge(self) -> None:
-        """Drops all jobs that have ended, so that they are not counted."""
-        kept = [
-            entry
-            for entry in self._entries
-            if entry.job.run.is_open and entry.job.tasks
-        ]
-        self._entries = kept
-        self.waiting_tasks = 0
-        self.work_s = 0.0
-        self.waiting_by_team.clear()
-        for entry in kept:
-            job = entry.job
-            self._count(job, len(job.tasks), job.work_s)
-
     def _count(self, job: QueuedJob, tasks: int, work_s: float) -> None:
         self.waiting_tasks += tasks
         self.work_s = max(self.work_s + work_s, 0)
