--- /dev/null
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -0,0 +1,80 @@
+"""Where a waiting task of a durable job starts.
+
+Load that it answers: tasks that take about half of a small back end, on back
+ends that differ by more than twice in speed.  Of the back ends with room the
+one that ends the task soonest is taken; among equals the one with the least
+room left over, which keeps room for tasks that need more.
+"""
+
+from collections.abc import Iterable
+
+from camphorlink.internal.core.connection.backend_runs import BackendRuns
+from camphorlink.internal.core.connection.run_speeds import RunSpeeds
+from camphorlink.internal.core.request.durable_job import DurableJob, Step
+from camphorlink.internal.core.request.waiting_tasks import WaitingTask
+
+MS_PER_S = 1000
+
+
+def kind_of(runs: BackendRuns) -> str:
+    """Returns the kind that a back end names as its first label."""
+    return runs.listed.labels[0] if runs.listed.labels else ''
+
+
+def goal_s(job: DurableJob, speeds: RunSpeeds) -> float:
+    """Returns the time within which a job should end, in seconds."""
+    end_s_by_step: list[float] = []
+    for step in job.steps:
+        start_s = max((end_s_by_step[prior] for prior in step.after), default=0)
+        work_s = speeds.work_s(job.queue, step.estimate_ms / MS_PER_S)
+        end_s_by_step.append(start_s + work_s)
+    longest_s = max(end_s_by_step, default=0)
+    return job.slack_factor * longest_s + job.target_ms / MS_PER_S
+
+
+def due_s_of(job: DurableJob, speeds: RunSpeeds) -> float:
+    """Returns when a job should have ended, by the wall clock."""
+    return job.accepted_ms / MS_PER_S + goal_s(job, speeds)
+
+
+def choose_backend(
+    entry: WaitingTask,
+    usable: Iterable[BackendRuns],
+    speeds: RunSpeeds,
+    now: float,
+) -> BackendRuns | None:
+    """Chooses a back end with room for a task, or none."""
+    step = entry.step
+    best: BackendRuns | None = None
+    best_rank = (0.0, 0)
+    for runs in usable:
+        if not step.needs.fits_in(runs.free) or not _is_allowed(entry, runs):
+            continue
+        speed = speeds.speed_of(kind_of(runs), runs.listed.backend_id)
+        if step.rack and step.rack not in runs.listed.labels:
+            speed /= REMOTE_FACTOR
+        rank = (round(speed, 1), -runs.free.cpu_milli)
+        if best is None or rank > best_rank:
+            best = runs
+            best_rank = rank
+    return best
+
+
+#: Times that a task takes away from its data: the larger of the stated ones.
+REMOTE_FACTOR = 2.0
+
+
+def _is_allowed(entry: WaitingTask, runs: BackendRuns) -> bool:
+    step: Step = entry.step
+    if runs.listed.service != entry.job.service:
+        return False
+    if step.label and step.label not in runs.listed.labels:
+        return False
+    if not step.max_per_backend:
+        return True
+    here = sum(
+        1
+        for task in runs.run_by_task
+        if task.job_id == entry.task.job_id and task.step == entry.task.step
+    )
+    return here < step.max_per_backend
--- /dev/null
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -0,0 +1,169 @@
+"""One-way messages between entry VMs: websockets with CBOR.
+
+Each VM opens a channel to every other that it knows of and sends heartbeats
+on it.  Messages are news, never questions: one that is lost is made good by
+the next, or by reading the store.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, NamedTuple, Self
+
+import cbor2
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from camphorlink.internal.shell.process.logs import PartLog
+
+#: Messages that wait for a slow peer; the rest is dropped, since peers read
+#: the store for what they miss.
+OUTBOX_MESSAGES = 500
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+#: A channel that carries nothing back for this long is opened anew: finds
+#: channels that went silent for good, in seconds.
+PING_INTERVAL_S = 1.0
+PING_TIMEOUT_S = 1.0
+OPEN_TIMEOUT_S = 1.0
+#: Pause before a channel is opened again, in seconds.
+RETRY_S = 0.3
+
+OnMessage = Callable[[list[Any]], None]
+
+
+class Address(NamedTuple):
+    """Where a VM listens for its peers."""
+
+    ip: str
+    port: int
+
+
+class Mesh:
+    """Channels to all other entry VMs."""
+
+    def __init__(
+        self,
+        listen: Address,
+        on_message: OnMessage,
+        log: PartLog,
+    ) -> None:
+        """Takes the address to listen on and who gets the messages."""
+        self._listen = listen
+        self._on_message = on_message
+        self._log = log
+        self._server: Server | None = None
+        self._sender_by_address: dict[Address, _Sender] = {}
+
+    async def __aenter__(self) -> Self:
+        """Starts to listen."""
+        self._server = await serve(
+            self._receive,
+            self._listen.ip,
+            self._listen.port,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            ping_interval=None,
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes all channels."""
+        for sender in self._sender_by_address.values():
+            sender.close()
+        if self._server is not None:
+            self._server.close()
+
+    @property
+    def port(self) -> int:
+        """TCP port that is listened on."""
+        if self._server is None:
+            return self._listen.port
+        return int(next(iter(self._server.sockets)).getsockname()[1])
+
+    def set_peers(self, addresses: set[Address]) -> None:
+        """Opens channels to new peers and closes those to former ones."""
+        for address in set(self._sender_by_address) - addresses:
+            self._sender_by_address.pop(address).close()
+        for address in addresses - set(self._sender_by_address):
+            self._sender_by_address[address] = _Sender(address, self._log)
+
+    def broadcast(self, message: list[Any]) -> None:
+        """Sends a message to all peers that can be reached."""
+        if not self._sender_by_address:
+            return
+        frame = cbor2.dumps(message)
+        for sender in self._sender_by_address.values():
+            sender.put(frame)
+
+    async def _receive(self, connection: ServerConnection) -> None:
+        with contextlib.suppress(WebSocketException, OSError):
+            async for frame in connection:
+                self._take(frame)
+
+    def _take(self, frame: str | bytes) -> None:
+        try:
+            message = cbor2.loads(frame)  # type: ignore[arg-type]
+        except (cbor2.CBORError, TypeError, ValueError) as exc:
+            self._log.warning('unreadable frame', extra={'error': repr(exc)})
+            return
+        self._on_message(message)
+
+
+class _Sender:
+    """The channel to one peer, opened again whenever it breaks."""
+
+    def __init__(self, address: Address, log: PartLog) -> None:
+        self._address = address
+        self._log = log
+        self._outbox: asyncio.Queue[bytes] = asyncio.Queue(OUTBOX_MESSAGES)
+        self._is_open = False
+        loop = asyncio.get_running_loop()
+        self._task = loop.create_task(self._run())
+
+    def put(self, frame: bytes) -> None:
+        """Queues a frame, or drops it when the channel is not open."""
+        if self._is_open and not self._outbox.full():
+            self._outbox.put_nowait(frame)
+
+    def close(self) -> None:
+        """Ends the channel."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._send_all()
+            except (OSError, WebSocketException, TimeoutError) as exc:
+                self._note_closed(exc)
+            await asyncio.sleep(RETRY_S)
+
+    async def _send_all(self) -> None:
+        async with connect(
+            f'ws://{self._address.ip}:{self._address.port}',
+            compression=None,
+            proxy=None,
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=OPEN_TIMEOUT_S,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+        ) as connection:
+            self._is_open = True
+            while True:
+                await connection.send(await self._outbox.get())
+
+    def _note_closed(self, exc: Exception) -> None:
+        if self._is_open:
+            self._log.info(
+                'channel to peer lost',
+                extra={'peer': self._address.ip, 'error': repr(exc)},
+            )
+        self._is_open = False
+        while not self._outbox.empty():
+            self._outbox.get_nowait()
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -0,0 +1,169 @@
+"""Runs one cell on the event loop while this VM owns it."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Mapping
+from functools import singledispatchmethod
+from types import TracebackType
+from typing import Any, Self
+
+from camphorlink.internal.core.connection.backend_orders import (
+    Hold,
+    ListedBackend,
+    StartRun,
+    StopRun,
+)
+from camphorlink.internal.core.process.cell import Cell
+from camphorlink.internal.core.process.cell_effects import (
+    CellEffect,
+    CheckOwnership,
+    Count,
+    Note,
+    Store,
+)
+from camphorlink.internal.core.process.job_table import Change
+from camphorlink.internal.core.process.predecessor import CONFIRMED_FOR_S
+from camphorlink.internal.shell.ports import BackendPort
+from camphorlink.internal.shell.process.job_log import JobLog
+from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.steady_clock import now_s
+
+#: Period of what is due by time alone, in seconds: a fifteenth of a hold.
+TICK_S = 0.02
+
+OnCount = Callable[[str, str], None]
+
+
+class CellHost:
+    """Carries out what a cell decides, and tells it what came of it."""
+
+    def __init__(
+        self,
+        cell: Cell,
+        job_log: JobLog,
+        backends: BackendPort,
+        on_count: OnCount,
+    ) -> None:
+        """Takes the cell and what it works with."""
+        self.cell = cell
+        self._job_log = job_log
+        self._backends = backends
+        self._on_count = on_count
+        self._log = PartLog('cell', cell.name)
+        self._calls: set[asyncio.Task[None]] = set()
+        self._ticker: asyncio.Task[None] | None = None
+        self._is_open = False
+        # Looking a single-dispatch method up builds a function every time.
+        self._dispatch = self._carry_out
+
+    def __enter__(self) -> Self:
+        """Starts the ticks."""
+        self._is_open = True
+        self._ticker = asyncio.get_running_loop().create_task(self._tick())
+        self._log.info('cell taken over', extra={'term': self.cell.term})
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops all calls; back ends keep what runs until it lapses."""
+        self._is_open = False
+        if self._ticker is not None:
+            self._ticker.cancel()
+        for call in self._calls:
+            call.cancel()
+        self._log.info('cell given up', extra={'term': self.cell.term})
+
+    @property
+    def may_renew(self) -> bool:
+        """Whether the store confirmed the ownership lately enough."""
+        return now_s() - self._job_log.confirmed_s < CONFIRMED_FOR_S
+
+    def note_change(self, change: Change) -> None:
+        """Takes a change of the job table."""
+        self.cell.note_change(change, now_s())
+        self._place()
+
+    def note_listing(self, listed_by_id: Mapping[str, ListedBackend]) -> None:
+        """Takes the platform's list of back ends, of all zones."""
+        ours = {
+            backend_id: backend
+            for backend_id, backend in listed_by_id.items()
+            if backend.zone == self.cell.name
+        }
+        self.cell.note_listing(ours, now_s())
+        self._flush()
+
+    async def _tick(self) -> None:
+        while True:
+            self.cell.tick(now_s(), self.may_renew)
+            self._flush()
+            await asyncio.sleep(TICK_S)
+
+    def _place(self) -> None:
+        if self.may_renew:
+            self.cell.place(now_s())
+        self._flush()
+
+    def _flush(self) -> None:
+        for effect in self.cell.take_effects():
+            self._dispatch(effect)
+
+    @singledispatchmethod
+    def _carry_out(self, effect: CellEffect) -> None:
+        raise TypeError(effect)
+
+    @_carry_out.register
+    def _start(self, effect: StartRun) -> None:
+        self._call(self._await_start(effect))
+
+    @_carry_out.register
+    def _stop(self, effect: StopRun) -> None:
+        self._call(self._await_stop(effect))
+
+    @_carry_out.register
+    def _hold(self, effect: Hold) -> None:
+        self._call(self._await_hold(effect))
+
+    @_carry_out.register
+    def _store(self, effect: Store) -> None:
+        self._job_log.append(effect.record)
+
+    @_carry_out.register
+    def _check(self, effect: CheckOwnership) -> None:
+        self._call(self._await_check())
+
+    @_carry_out.register
+    def _count(self, effect: Count) -> None:
+        self._on_count(effect.family, effect.reason)
+
+    @_carry_out.register
+    def _note(self, effect: Note) -> None:
+        self._log.info(effect.event, extra=effect.facts)
+
+    def _call(self, work: Coroutine[Any, Any, None]) -> None:
+        call = asyncio.get_running_loop().create_task(work)
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+
+    async def _await_start(self, order: StartRun) -> None:
+        sent_s = now_s()
+        answer = await self._backends.start(order)
+        self.cell.note_start(order, answer, sent_s, now_s())
+        self._place()
+
+    async def _await_stop(self, order: StopRun) -> None:
+        sent_s = now_s()
+        is_answered = await self._backends.stop(order)
+        self.cell.note_stop(order, is_answered, sent_s, now_s())
+        self._flush()
+
+    async def _await_hold(self, order: Hold) -> None:
+        answer = await self._backends.hold(order)
+        self.cell.note_hold(order, answer, now_s())
+        self._place()
+
+    async def _await_check(self) -> None:
+        await self._job_log.catch_up()
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/published.py
@@ -0,0 +1,174 @@
+"""What the platform and the operators publish, followed by every VM."""
+
+import asyncio
+from collections.abc import Callable
+from types import TracebackType
+from typing import Self
+
+from camphorlink.errors import StoreError
+from camphorlink.internal.core.connection.backend_orders import ListedBackend
+from camphorlink.internal.shell.ports import (
+    DirectoryPort,
+    JobConfig,
+    LogPort,
+)
+from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.steady_clock import now_s
+
+#: Longest wait of one read of the configuration, in seconds: within it a
+#: silent connection is found, which the bound on a new version asks for.
+CONFIG_WAIT_S = 0.8
+#: Period of reading the list of back ends, in seconds: half of what the
+#: bound on a draining back end leaves.
+BACKENDS_PERIOD_S = 0.5
+READ_TIMEOUT_S = 1.0
+RETRY_S = 0.2
+#: Time that an entry which lapsed around an outage of the store is kept, in
+#: seconds: entries of live back ends are back 2 s after its return.
+LAPSED_KEPT_S = 2.5
+#: Gap between two answers of the store that counts as an outage, in seconds.
+OUTAGE_S = 1.5
+
+
+class Published:
+    """The newest configuration and the list of back ends.
+
+    Attributes:
+        config: The newest configuration, or ``None`` before the first.
+        listed_by_id: The back ends.
+    """
+
+    def __init__(
+        self,
+        log: LogPort,
+        directory: DirectoryPort,
+        on_listing: Callable[[], None],
+    ) -> None:
+        """Takes the store and the decoder of what is published there."""
+        self.config: JobConfig | None = None
+        self.listed_by_id: dict[str, ListedBackend] = {}
+        self._log = log
+        self._directory = directory
+        self._on_listing = on_listing
+        self._lapsed_s_by_id: dict[str, float] = {}
+        self._parts = PartLog('published')
+        self._answered_s = now_s()
+        self._returned_s = now_s()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> Self:
+        """Starts to follow both."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._follow_config()),
+            loop.create_task(self._follow_backends()),
+        ]
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops to follow."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _follow_config(self) -> None:
+        topic = self._directory.config_topic
+        offset: int | None = None
+        while True:
+            try:
+                if offset is None:
+                    items, offset = await self._log.newest(
+                        topic,
+                        READ_TIMEOUT_S,
+                    )
+                    records = [
+                        self._log.keyed(entry.key, entry.content)
+                        for entry in items
+                    ]
+                else:
+                    page = await self._log.read(
+                        topic,
+                        offset,
+                        READ_TIMEOUT_S + CONFIG_WAIT_S,
+                        CONFIG_WAIT_S,
+                    )
+                    records = list(page.records)
+                    offset += len(records)
+            except StoreError as exc:
+                self._parts.debug('no config read', extra={'error': str(exc)})
+                offset = None
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._take_config(records)
+
+    def _take_config(self, records: list[bytes]) -> None:
+        config = self._directory.config_of(records)
+        if config is None:
+            return
+        if self.config is None or config.version > self.config.version:
+            self.config = config
+            self._parts.info(
+                'configuration in force',
+                extra={
+                    'version': config.version,
+                    'queues': len(config.queues),
+                },
+            )
+
+    async def _follow_backends(self) -> None:
+        offset: int | None = None
+        while True:
+            started_s = now_s()
+            try:
+                offset = await self._read_backends(offset)
+            except StoreError as exc:
+                self._parts.debug('no list read', extra={'error': str(exc)})
+                offset = None
+                await asyncio.sleep(RETRY_S)
+                continue
+            self._note_answer(started_s)
+            self._drop_lapsed()
+            self._on_listing()
+            await asyncio.sleep(BACKENDS_PERIOD_S)
+
+    async def _read_backends(self, offset: int | None) -> int:
+        topic = self._directory.backends_topic
+        if offset is None:
+            items, end = await self._log.newest(topic, READ_TIMEOUT_S)
+            records = [
+                self._log.keyed(entry.key, entry.content) for entry in items
+            ]
+            found = self._directory.backends_of(records)
+            for backend_id in self.listed_by_id:
+                if found.get(backend_id) is None:
+                    self._lapse(backend_id)
+        else:
+            page = await self._log.read(topic, offset, READ_TIMEOUT_S)
+            end = offset + len(page.records)
+            found = self._directory.backends_of(page.records)
+        for backend_id, backend in found.items():
+            if backend is None:
+                self._lapse(backend_id)
+            else:
+                self._lapsed_s_by_id.pop(backend_id, None)
+                self.listed_by_id[backend_id] = backend
+        return end
+
+    def _lapse(self, backend_id: str) -> None:
+        self._lapsed_s_by_id.setdefault(backend_id, now_s())
+
+    def _note_answer(self, started_s: float) -> None:
+        if started_s - self._answered_s > OUTAGE_S:
+            self._returned_s = now_s()
+        self._answered_s = now_s()
+
+    def _drop_lapsed(self) -> None:
+        if now_s() - self._returned_s < LAPSED_KEPT_S:
+            return
+        for backend_id in self._lapsed_s_by_id:
+            self.listed_by_id.pop(backend_id, None)
+        self._lapsed_s_by_id.clear()
--- /dev/null
+++ b/src/camphorlink/internal/shell/request/job_desk.py
@@ -0,0 +1,140 @@
+"""What callers may ask about durable jobs, whatever the protocol."""
+
+import asyncio
+import enum
+from typing import NamedTuple
+
+from camphorlink.errors import JobNotStoredError
+from camphorlink.internal.core.process.job_table import JobState
+from camphorlink.internal.core.request.durable_job import DurableJob
+from camphorlink.internal.core.request.job_records import Accepted, Cancelled
+from camphorlink.internal.shell.process.job_node import JobNode
+from camphorlink.internal.shell.process.steady_clock import now_s
+
+#: Age of the last full read of the log within which "no such job" is said
+#: without asking the store, in seconds: under the bound for a job's visibility.
+FRESH_S = 0.05
+#: Retry-After while the store or the log is away, in seconds: its outages
+#: last for seconds.
+STORE_AWAY_RETRY_S = 2.0
+
+
+class Verdict(enum.Enum):
+    """Answer to a caller."""
+
+    DONE = 'done'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+    NO_SUCH_JOB = 'no-such-job'
+
+
+class DeskAnswer(NamedTuple):
+    """Answer to a caller.
+
+    Attributes:
+        verdict: What was done.
+        state: State of the job, where it was asked for.
+        reason: Why it was refused.
+        retry_after_s: When to come back after a refusal, in seconds.
+    """
+
+    verdict: Verdict
+    state: JobState | None = None
+    reason: str = ''
+    retry_after_s: float = 0
+
+
+DONE = DeskAnswer(Verdict.DONE)
+STORE_AWAY = DeskAnswer(
+    Verdict.REFUSED,
+    reason='store-away',
+    retry_after_s=STORE_AWAY_RETRY_S,
+)
+
+
+class JobDesk:
+    """Submits, reads and cancels durable jobs on one VM."""
+
+    def __init__(self, node: JobNode) -> None:
+        """Serves with one VM's log and cells."""
+        self._node = node
+
+    async def submit(self, job: DurableJob, wait_s: float) -> DeskAnswer:
+        """Accepts a job once it is stored, or says that it never runs.
+
+        Args:
+            job: The job.
+            wait_s: How long the caller waits.
+        """
+        if self._is_known(job.job_id):
+            return DONE
+        if not self._is_up():
+            return self._refuse(STORE_AWAY)
+        cell = self._node.choose_cell(job)
+        stored = self._node.job_log.append(
+            Accepted(job, cell),
+            is_durable=False,
+        )
+        try:
+            await asyncio.wait_for(asyncio.shield(stored), wait_s)
+        except JobNotStoredError:
+            return self._refuse(STORE_AWAY)
+        except TimeoutError:
+            return DeskAnswer(Verdict.UNKNOWN, reason='store-unanswered')
+        return DONE
+
+    async def read(self, job_id: str) -> DeskAnswer:
+        """Tells the state of a job."""
+        if not await self._is_sure_of(job_id):
+            return self._refuse(STORE_AWAY)
+        state = self._state_of(job_id)
+        if state is None:
+            return DeskAnswer(Verdict.NO_SUCH_JOB)
+        return DeskAnswer(Verdict.DONE, state)
+
+    async def cancel(self, job_id: str, wait_s: float) -> DeskAnswer:
+        """Cancels a job; one that has ended stays as it is."""
+        if not await self._is_sure_of(job_id):
+            return self._refuse(STORE_AWAY)
+        table = self._node.table
+        if job_id in table.ended_by_id:
+            return DONE
+        if job_id not in table.live_by_id:
+            return DeskAnswer(Verdict.NO_SUCH_JOB)
+        stored = self._node.job_log.append(Cancelled(job_id))
+        try:
+            await asyncio.wait_for(asyncio.shield(stored), wait_s)
+        except TimeoutError:
+            return DeskAnswer(Verdict.UNKNOWN, reason='store-unanswered')
+        return DONE
+
+    def _is_known(self, job_id: str) -> bool:
+        table = self._node.table
+        return job_id in table.live_by_id or job_id in table.ended_by_id
+
+    def _is_up(self) -> bool:
+        job_log = self._node.job_log
+        return job_log.is_caught_up and not job_log.is_stalled
+
+    async def _is_sure_of(self, job_id: str) -> bool:
+        """Makes sure of a job that is not known by reading the log's end."""
+        job_log = self._node.job_log
+        if self._is_known(job_id):
+            return True
+        if now_s() - job_log.confirmed_s < FRESH_S:
+            return True
+        return await job_log.catch_up()
+
+    def _state_of(self, job_id: str) -> JobState | None:
+        table = self._node.table
+        ended = table.ended_by_id.get(job_id)
+        if ended is not None:
+            return ended.state
+        live = table.live_by_id.get(job_id)
+        if live is None:
+            return None
+        return JobState.IN_PROGRESS if live.has_begun else JobState.QUEUED
+
+    def _refuse(self, answer: DeskAnswer) -> DeskAnswer:
+        self._node.counts['refusals', answer.reason] += 1
+        return answer
--- /dev/null
+++ b/src/camphorlink/platform/backends.py
@@ -0,0 +1,200 @@
+"""Orders to the platform's runners, which are our back ends."""
+
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+import orjson
+
+from camphorlink.internal.core.connection.backend_orders import (
+    ActiveRun,
+    FinishedRun,
+    Hold,
+    HoldAnswer,
+    HoldVerdict,
+    ListedBackend,
+    RunEnd,
+    StartAnswer,
+    StartRun,
+    StartVerdict,
+    StopRun,
+)
+from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.shell.connection.http_owner import HttpOwner
+from camphorlink.internal.shell.process.logs import PartLog
+
+#: Time for the answer to an order, in seconds: they take a few ms.
+ORDER_TIMEOUT_S = 0.25
+#: The same for a look at the runs, besides the time that it is to wait.
+HOLD_TIMEOUT_S = 0.35
+#: Any longer call would outlast a lease.
+CALL_TIMEOUT_S = 2.0
+#: Occurrence of a job that has none.
+ONLY_OCCURRENCE = 0
+_INSTANCE_HEADER = 'Camphorlink-Expect-Instance'
+_BROKEN = (aiohttp.ClientError, OSError, TimeoutError)
+_VERDICT_BY_STATUS = {
+    HTTPStatus.OK: StartVerdict.STARTED,
+    HTTPStatus.TOO_MANY_REQUESTS: StartVerdict.UNHEALTHY,
+    HTTPStatus.SERVICE_UNAVAILABLE: StartVerdict.UNHEALTHY,
+    HTTPStatus.MISDIRECTED_REQUEST: StartVerdict.OTHER_LIFETIME,
+    HTTPStatus.BAD_REQUEST: StartVerdict.INVALID,
+}
+_VERDICT_BY_REASON = {
+    'fence': StartVerdict.FENCED,
+    'old': StartVerdict.RUN_TOO_LOW,
+    'late': StartVerdict.TOO_LATE,
+    'room': StartVerdict.NO_ROOM,
+}
+
+
+class RunnerClient(HttpOwner):
+    """Calls of runners; implements ``BackendPort``."""
+
+    timeout_s = CALL_TIMEOUT_S
+
+    def __init__(self) -> None:
+        """Opens nothing before its context does."""
+        self._log = PartLog('runners')
+
+    async def start(self, order: StartRun) -> StartAnswer:
+        """Orders to start a run."""
+        body = {
+            'task': _task_name(order.task),
+            'run_id': order.run,
+            'spec': order.spec,
+            'deadline_ms': order.lease_until_clock_ms,
+            'fencing_token': order.term,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        answered = await self._post(
+            order.backend,
+            'run-start',
+            body,
+            ORDER_TIMEOUT_S,
+        )
+        if answered is None:
+            return StartAnswer(StartVerdict.UNANSWERED)
+        status, document = answered
+        clock_ms = document.get('clock_ms')
+        if status == HTTPStatus.CONFLICT:
+            verdict = _VERDICT_BY_REASON.get(
+                document.get('reason', ''),
+                StartVerdict.INVALID,
+            )
+        else:
+            # Another status does not tell whether the run was started.
+            verdict = _VERDICT_BY_STATUS.get(
+                HTTPStatus(status),
+                StartVerdict.UNANSWERED,
+            )
+        return StartAnswer(verdict, _whole(clock_ms))
+
+    async def stop(self, order: StopRun) -> bool:
+        """Orders to stop a run; tells whether that was acknowledged."""
+        body = {
+            'task': _task_name(order.task),
+            'run_id': order.run,
+            'fencing_token': order.term,
+        }
+        answered = await self._post(
+            order.backend,
+            'run-stop',
+            body,
+            ORDER_TIMEOUT_S,
+        )
+        return answered is not None and answered[0] == HTTPStatus.OK
+
+    async def hold(self, order: Hold) -> HoldAnswer:
+        """Renews the lease and lists the runs."""
+        body: dict[str, int] = {
+            'fencing_token': order.term,
+            'acknowledged': order.acknowledged,
+        }
+        if order.lease_until_clock_ms is not None:
+            body['deadline_ms'] = order.lease_until_clock_ms
+        if order.wait_ms:
+            body['wait_ms'] = order.wait_ms
+        answered = await self._post(
+            order.backend,
+            'hold',
+            body,
+            HOLD_TIMEOUT_S + order.wait_ms / 1000,
+        )
+        if answered is None:
+            return HoldAnswer(HoldVerdict.UNANSWERED)
+        status, document = answered
+        if status == HTTPStatus.MISDIRECTED_REQUEST:
+            return HoldAnswer(HoldVerdict.OTHER_LIFETIME)
+        if status == HTTPStatus.CONFLICT:
+            return HoldAnswer(HoldVerdict.FENCED)
+        if status != HTTPStatus.OK:
+            return HoldAnswer(HoldVerdict.UNANSWERED)
+        try:
+            return _read_lists(document)
+        except (LookupError, TypeError, ValueError) as exc:
+            self._log.error('unreadable list', extra={'error': repr(exc)})
+            return HoldAnswer(HoldVerdict.UNANSWERED)
+
+    async def _post(
+        self,
+        backend: ListedBackend,
+        call: str,
+        body: dict[str, Any],
+        timeout_s: float,
+    ) -> tuple[int, dict[str, Any]] | None:
+        try:
+            async with self._session.post(
+                f'http://{backend.address}/v1/{call}',
+                data=orjson.dumps(body),
+                headers={
+                    'Content-Type': 'application/json',
+                    _INSTANCE_HEADER: backend.backend_id,
+                },
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                content = await response.read()
+                document = orjson.loads(content) if content else {}
+        except (*_BROKEN, orjson.JSONDecodeError) as exc:
+            self._log.debug('no answer', extra={'error': repr(exc)})
+            return None
+        if not isinstance(document, dict):
+            return response.status, {}
+        return response.status, document
+
+
+def _read_lists(document: dict[str, Any]) -> HoldAnswer:
+    return HoldAnswer(
+        verdict=HoldVerdict.LISTED,
+        clock_ms=int(document['clock_ms']),
+        born_ms=int(document.get('born', 0)),
+        # A fifth entry, a rough load figure, is not used.
+        active=tuple(
+            ActiveRun(_task_key(entry[0]), int(entry[1]), str(entry[2]))
+            for entry in document['active']
+        ),
+        finished=tuple(
+            FinishedRun(
+                int(number),
+                _task_key(task),
+                int(run),
+                RunEnd(how),
+                str(saved),
+            )
+            for number, task, run, how, saved in document['finished']
+        ),
+    )
+
+
+def _task_name(task: TaskKey) -> str:
+    return f'{task.job_id}.{ONLY_OCCURRENCE}.{task.step}.{task.index}'
+
+
+def _task_key(name: str) -> TaskKey:
+    job_id, _, step, index = name.split('.')
+    return TaskKey(job_id, int(step), int(index))
+
+
+def _whole(found: Any) -> int | None:
+    return found if isinstance(found, int) else None
--- /dev/null
+++ b/src/camphorlink/platform/ingress.py
@@ -0,0 +1,208 @@
+"""The users' job interface over HTTP: decodes requests, encodes answers."""
+
+import math
+import re
+from http import HTTPStatus
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from camphorlink.internal.core.request.durable_job import (
+    DurableJob,
+    Resources,
+    Step,
+)
+from camphorlink.internal.shell.ports import JobConfig, Queue
+from camphorlink.internal.shell.process.job_node import JobNode
+from camphorlink.internal.shell.process.steady_clock import wall_ms
+from camphorlink.internal.shell.request.job_desk import (
+    DeskAnswer,
+    JobDesk,
+    Verdict,
+)
+
+_DEADLINE_HEADER = 'Camphorlink-Deadline-Ms'
+#: Time that callers wait when they don't say so, in ms.
+DEFAULT_DEADLINE_MS = 1500
+#: Part of the caller's time that is left for the answer's way, in ms.
+ANSWER_MARGIN_MS = 60
+MAX_SPEC_BYTES = 4000
+_JOB_ID = re.compile('[0-9a-f]{16}')
+_RETRY_WITHOUT_CONFIG_S = 1.0
+_STATUS_BY_VERDICT = {
+    Verdict.DONE: HTTPStatus.OK,
+    Verdict.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Verdict.UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+    Verdict.NO_SUCH_JOB: HTTPStatus.GONE,
+}
+
+
+class Ingress:
+    """Handlers of the clients' port and of the readiness port."""
+
+    def __init__(self, node: JobNode, desk: JobDesk) -> None:
+        """Serves with one VM."""
+        self._node = node
+        self._desk = desk
+
+    def build_app(self) -> web.Application:
+        """Returns the application for clients."""
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_route('*', '/{path:.*}', self.serve)
+        return app
+
+    def build_readiness_app(self) -> web.Application:
+        """Returns the application for the balancer's question."""
+        app = web.Application()
+        app.router.add_get('/v1/readyz', self.tell_ready)
+        return app
+
+    async def tell_ready(self, request: web.Request) -> web.Response:
+        """Answers 200 while new channels are welcome."""
+        ready = self._node.is_ready
+        return web.Response(status=200 if ready else 503)
+
+    async def serve(self, request: web.Request) -> web.Response:
+        """Answers one request of a client."""
+        config = self._node.published.config
+        if config is None:
+            return _problem(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'no-config',
+                _RETRY_WITHOUT_CONFIG_S,
+            )
+        queue = find_queue(config, request.host, request.path)
+        if queue is None:
+            return _problem(HTTPStatus.NOT_FOUND, 'unknown-queue')
+        job_id = request.path[len(queue.prefix) :]
+        if not job_id and request.method == 'GET':
+            pending = self._node.pending_jobs(queue.name)
+            return _json(HTTPStatus.OK, {'pending': pending})
+        if _JOB_ID.fullmatch(job_id) is None:
+            return _problem(HTTPStatus.BAD_REQUEST, 'bad-identifier')
+        if request.method == 'POST':
+            return await self._submit(request, queue, job_id)
+        if request.method == 'GET':
+            return _answer(await self._desk.read(job_id))
+        if request.method == 'DELETE':
+            wait_s = _wait_s(request)
+            return _answer(await self._desk.cancel(job_id, wait_s))
+        return _problem(HTTPStatus.METHOD_NOT_ALLOWED, 'wrong-method')
+
+    async def _submit(
+        self,
+        request: web.Request,
+        queue: Queue,
+        job_id: str,
+    ) -> web.Response:
+        wait_s = _wait_s(request)
+        try:
+            document = orjson.loads(await request.read())
+            job = read_job(document, queue, job_id)
+        except (LookupError, TypeError, ValueError) as exc:
+            return _problem(HTTPStatus.BAD_REQUEST, 'bad-job', 0, str(exc))
+        return _answer(await self._desk.submit(job, wait_s))
+
+
+#: Bound on a body before the configuration's own is known, in bytes.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+def find_queue(config: JobConfig, host: str, path: str) -> Queue | None:
+    """Returns the queue with the longest prefix of a path, or ``None``."""
+    name = host.rpartition(':')[0] if ':' in host else host
+    matching = [
+        queue
+        for queue in config.queues
+        if queue.host in {'', name} and path.startswith(queue.prefix)
+    ]
+    return max(matching, key=lambda queue: len(queue.prefix), default=None)
+
+
+def read_job(document: Any, queue: Queue, job_id: str) -> DurableJob:
+    """Checks a submitted job.
+
+    Raises:
+        LookupError: If a field is missing.
+        TypeError: If a field is of another type.
+        ValueError: If a value is out of range.
+    """
+    spec = document['spec']
+    if not isinstance(spec, str) or len(spec) > MAX_SPEC_BYTES:
+        raise ValueError('spec')
+    steps = tuple(
+        _read_step(entry, number)
+        for number, entry in enumerate(document['steps'])
+    )
+    if not steps:
+        raise ValueError('no steps')
+    return DurableJob(
+        job_id=job_id,
+        queue=queue.name,
+        service=queue.service,
+        spec=spec,
+        steps=steps,
+        priority=queue.priority,
+        max_attempts=queue.max_attempts,
+        slack_factor=queue.slack_factor,
+        target_ms=queue.target_ms,
+        accepted_ms=wall_ms(),
+    )
+
+
+def _read_step(entry: dict[str, Any], number: int) -> Step:
+    after = tuple(int(prior) for prior in entry.get('after', ()))
+    if any(not 0 <= prior < number for prior in after):
+        raise ValueError('after')
+    step = Step(
+        count=int(entry['count']),
+        needs=Resources(
+            int(entry.get('cpu', 0)),
+            int(entry.get('mem_mb', 0)),
+            int(entry.get('gpu', 0)),
+        ),
+        estimate_ms=int(entry.get('estimate_ms', 0)),
+        after=after,
+        label=str(entry.get('constraints', '')),
+        rack=str(entry.get('affinity', '')),
+        max_per_backend=int(entry.get('anti_affinity', 0)),
+        checkpoints=bool(entry.get('checkpointing', False)),
+    )
+    if step.count < 1 or min(step.needs) < 0:
+        raise ValueError('count or needs')
+    return step
+
+
+def _wait_s(request: web.Request) -> float:
+    text = request.headers.get(_DEADLINE_HEADER, '')
+    deadline_ms = int(text) if text.isdigit() else DEFAULT_DEADLINE_MS
+    return max(deadline_ms - ANSWER_MARGIN_MS, ANSWER_MARGIN_MS) / 1000
+
+
+def _answer(answer: DeskAnswer) -> web.Response:
+    status = _STATUS_BY_VERDICT[answer.verdict]
+    if status == HTTPStatus.OK:
+        body = {} if answer.state is None else {'state': answer.state.value}
+        return _json(status, body)
+    return _problem(status, answer.reason, answer.retry_after_s)
+
+
+def _problem(
+    status: int,
+    reason: str,
+    retry_after_s: float = 0,
+    detail: str = '',
+) -> web.Response:
+    response = _json(status, {'error': reason, 'detail': detail})
+    if retry_after_s:
+        response.headers['Retry-After'] = str(math.ceil(retry_after_s))
+    return response
+
+
+def _json(status: int, document: Any) -> web.Response:
+    return web.Response(
+        status=status,
+        body=orjson.dumps(document),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/src/camphorlink/platform/program.py
@@ -0,0 +1,104 @@
+"""``camphorlink-node``: an entry VM on the users' platform."""
+
+import contextlib
+import os
+import sys
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+import click
+from aiohttp import web
+
+from camphorlink.errors import SettingsError
+from camphorlink.internal.shell.connection.mesh import Address
+from camphorlink.internal.shell.process.job_node import JobNode, Platform
+from camphorlink.internal.shell.process.logs import start_logs
+from camphorlink.internal.shell.process.programs import run_until_stopped
+from camphorlink.internal.shell.request.job_desk import JobDesk
+from camphorlink.platform.backends import RunnerClient
+from camphorlink.platform.directory import Directory
+from camphorlink.platform.ingress import Ingress
+from camphorlink.platform.settings import (
+    SETTINGS_VARIABLE,
+    PlatformSettings,
+    read_settings,
+)
+from camphorlink.platform.store import StoreClient
+
+EXIT_BAD_SETTINGS = 2
+
+
+class PlatformNode:
+    """Everything that one entry VM runs on the users' platform."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Takes checked settings; nothing starts before the context does."""
+        self.settings = settings
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Starts all parts."""
+        enter = self._stack.enter_async_context
+        store = await enter(StoreClient(self.settings.store_address))
+        runners = await enter(RunnerClient())
+        self.node = JobNode(
+            self.settings.node,
+            Platform(store, runners, Directory()),
+        )
+        ingress = Ingress(self.node, JobDesk(self.node))
+        await self._serve(
+            ingress.build_readiness_app(),
+            self.settings.readiness,
+        )
+        await enter(self.node)
+        app = ingress.build_app()
+        app.on_response_prepare.append(self._close_while_leaving)
+        await self._serve(app, self.settings.callers)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Leaves the balancer, hands cells over, answers what is due."""
+        await self.node.leave(self.settings.grace_s)
+        await self._stack.aclose()
+
+    async def _serve(self, app: web.Application, listen: Address) -> None:
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, listen.ip, listen.port).start()
+
+    async def _close_while_leaving(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+    ) -> None:
+        if self.node.is_leaving:
+            response.force_close()
+
+
+@click.command()
+@click.option('--log-level', default='INFO', show_default=True)
+def main(log_level: str) -> None:
+    """Run an entry VM on the users' platform until SIGTERM."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    try:
+        settings = read_settings(path)
+    except SettingsError as exc:
+        for fault in exc.faults:
+            click.echo(f'{path}: {fault}', err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    start_logs(log_level)
+    run_until_stopped(
+        PlatformNode(settings),
+        stop_timeout_s=settings.grace_s,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/camphorlink/platform/settings.py
@@ -0,0 +1,76 @@
+"""Settings file of a process, as the platform writes it."""
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import orjson
+
+from camphorlink.errors import Fault, SettingsError
+from camphorlink.internal.shell.connection.mesh import Address
+from camphorlink.internal.shell.process.job_node import NodeSettings
+
+#: Variable that holds the path of the settings file.
+SETTINGS_VARIABLE = 'CAMPHORLINK_SETTINGS'
+
+
+class PlatformSettings(NamedTuple):
+    """Checked settings.
+
+    Attributes:
+        node: What the VM needs to know of itself.
+        callers: Where callers are served.
+        readiness: Where the balancer asks whether this VM is ready.
+        store_address: IP number and port of the platform's store.
+        grace_s: Time between the order to stop and the kill, in seconds.
+    """
+
+    node: NodeSettings
+    callers: Address
+    readiness: Address
+    store_address: str
+    grace_s: float
+
+
+def read_settings(path: Path) -> PlatformSettings:
+    """Reads and checks a settings file; unknown keys are ignored.
+
+    Raises:
+        SettingsError: With the first fault found.
+    """
+    try:
+        document = orjson.loads(path.read_bytes())
+    except (OSError, orjson.JSONDecodeError) as exc:
+        fault = Fault('$', str(path), f'name a readable JSON file; {exc}')
+        raise SettingsError([fault]) from exc
+    return check_settings(document)
+
+
+def check_settings(document: Any) -> PlatformSettings:
+    """Checks decoded settings.
+
+    Raises:
+        SettingsError: With the first fault found.
+    """
+    try:
+        listen = document['listen_addrs']
+        ports = document['internal_ports']
+        return PlatformSettings(
+            node=NodeSettings(
+                name=str(document['node_name']),
+                zone=str(document['zone']),
+                zones=tuple(sorted(document['zones'])),
+                mesh=Address(str(document['ip']), int(ports[0])),
+            ),
+            callers=_address(listen['frontend_addr']),
+            readiness=_address(listen['readiness_addr']),
+            store_address=str(document['platform']['address']),
+            grace_s=float(document['bounds']['grace_s']),
+        )
+    except (LookupError, TypeError, ValueError) as exc:
+        fault = Fault('$', repr(exc), 'write what the platform documents')
+        raise SettingsError([fault]) from exc
+
+
+def _address(text: str) -> Address:
+    ip, _, port = text.rpartition(':')
+    return Address(ip, int(port))
--- /dev/null
+++ b/src/camphorlink/platform/store.py
@@ -0,0 +1,205 @@
+"""Client of the platform's store: topics of records with offsets."""
+
+import base64
+import struct
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+import orjson
+
+from camphorlink.errors import (
+    StoreError,
+    StoreRefusedError,
+    StoreTrimmedError,
+    StoreUnansweredError,
+)
+from camphorlink.internal.shell.connection.http_owner import HttpOwner
+from camphorlink.internal.shell.ports import (
+    AppendStamp,
+    KeyedRecord,
+    LogPage,
+)
+
+#: Every topic is used with this partition alone.
+PARTITION = '0'
+#: Longest time for any call, in seconds; each call names a shorter one.
+CALL_TIMEOUT_S = 35.0
+_LENGTH = struct.Struct('>I')
+_BOUNDS = struct.Struct('>QQ')
+#: Answers that say that nothing was done.
+_REFUSALS = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
+)
+_BROKEN = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
+
+
+class StoreClient(HttpOwner):
+    """Calls of the store; implements ``LogPort``."""
+
+    timeout_s = CALL_TIMEOUT_S
+
+    def __init__(self, address: str) -> None:
+        """Takes IP number and port of the store."""
+        self._base = f'http://{address}'
+
+    async def append(
+        self,
+        topic: str,
+        records: Sequence[bytes],
+        timeout_s: float,
+        stamp: AppendStamp | None = None,
+    ) -> int:
+        """Appends records, all or none; returns the offset of the first."""
+        query = {'topic': topic, 'part': PARTITION}
+        if stamp is not None:
+            query['producer'] = stamp.producer
+            query['epoch'] = str(stamp.epoch)
+            query['sequence'] = str(stamp.sequence)
+        body = b''.join(
+            _LENGTH.pack(len(record)) + record for record in records
+        )
+        status, answer = await self._post('log-append', query, body, timeout_s)
+        if status == HTTPStatus.OK:
+            return int(_field(answer, 'offset'))
+        raise StoreUnansweredError(f'append: {status} {answer[:200]!r}')
+
+    async def read(
+        self,
+        topic: str,
+        offset: int,
+        timeout_s: float,
+        wait_s: float = 0,
+    ) -> LogPage:
+        """Reads from an offset; may wait for the first record."""
+        query = {'topic': topic, 'part': PARTITION, 'from': str(offset)}
+        if wait_s:
+            query['wait_ms'] = str(int(wait_s * 1000))
+        status, body = await self._get('log-read', query, timeout_s)
+        if status == HTTPStatus.GONE:
+            raise StoreTrimmedError(int(_field(body, 'first_offset')))
+        if status != HTTPStatus.OK:
+            raise StoreError(f'read: {status} {body[:200]!r}')
+        return _read_page(body)
+
+    async def newest(
+        self,
+        topic: str,
+        timeout_s: float,
+    ) -> tuple[list[KeyedRecord], int]:
+        """Reads the newest record of each key, and the end of the topic.
+
+        The end is that of the first page: what changes meanwhile is read
+        again from there.
+        """
+        items: list[KeyedRecord] = []
+        query = {'topic': topic, 'part': PARTITION}
+        end: int | None = None
+        while True:
+            status, body = await self._get('log-newest', query, timeout_s)
+            if status != HTTPStatus.OK:
+                raise StoreError(f'newest: {status} {body[:200]!r}')
+            page = _decode(body)
+            try:
+                end = int(page['end_offset']) if end is None else end
+                items.extend(
+                    KeyedRecord(
+                        entry['key'],
+                        base64.b64decode(entry['value']),
+                    )
+                    for entry in page['items']
+                )
+                if not page.get('has_more'):
+                    return items, end
+                query['after'] = items[-1].key
+            except (LookupError, TypeError, ValueError) as exc:
+                raise StoreError(f'newest: {exc!r}') from exc
+
+    def keyed(self, key: str, content: bytes) -> bytes:
+        """Writes the record that sets a key; no content drops it."""
+        encoded = key.encode()
+        return bytes((len(encoded),)) + encoded + content
+
+    async def _post(
+        self,
+        call: str,
+        query: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        try:
+            async with self._session.post(
+                f'{self._base}/v1/{call}',
+                params=query,
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                answer = await response.read()
+        except aiohttp.ClientConnectorError as exc:
+            raise StoreRefusedError(f'{call}: {exc!r}') from exc
+        except _BROKEN as exc:
+            raise StoreUnansweredError(f'{call}: {exc!r}') from exc
+        if response.status in _REFUSALS:
+            raise StoreRefusedError(f'{call}: {response.status}')
+        return response.status, answer
+
+    async def _get(
+        self,
+        call: str,
+        query: dict[str, str],
+        timeout_s: float,
+    ) -> tuple[int, bytes]:
+        try:
+            async with self._session.get(
+                f'{self._base}/v1/{call}',
+                params=query,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                return response.status, await response.read()
+        except _BROKEN as exc:
+            raise StoreUnansweredError(f'{call}: {exc!r}') from exc
+
+
+def split_keyed(record: bytes) -> KeyedRecord | None:
+    """Reads a record of a keyed topic, or ``None`` for other bytes."""
+    if not record or len(record) < 1 + record[0]:
+        return None
+    end = 1 + record[0]
+    try:
+        return KeyedRecord(record[1:end].decode(), record[end:])
+    except UnicodeDecodeError:
+        return None
+
+
+def _read_page(body: bytes) -> LogPage:
+    if len(body) < _BOUNDS.size:
+        raise StoreError(f'read: {len(body)} bytes')
+    end_offset, _ = _BOUNDS.unpack_from(body)
+    records: list[bytes] = []
+    place = _BOUNDS.size
+    while place + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, place)
+        place += _LENGTH.size
+        records.append(body[place : place + length])
+        place += length
+    if place != len(body):
+        raise StoreError('read: cut short')
+    return LogPage(tuple(records), end_offset)
+
+
+def _decode(body: bytes) -> Any:
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError as exc:
+        raise StoreUnansweredError(f'unreadable answer: {exc}') from exc
+
+
+def _field(body: bytes, name: str) -> Any:
+    document = _decode(body)
+    if not isinstance(document, dict) or not isinstance(
+        document.get(name),
+        int,
+    ):
+        raise StoreUnansweredError(f'answer without {name}: {body[:200]!r}')
+    return document[name]
--- /dev/null
+++ b/src/run_node.py
@@ -0,0 +1,5 @@
+"""Starts ``camphorlink-node`` from a checkout, without an installation."""
+
+from camphorlink.platform.program import main
+
+main()
