--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -52,11 +52,12 @@
         state: What is known of it.
         since_s: When it got into that state.
         started_s: When it was ordered.
+        is_ordered: Whether this owner ordered it, so that its start is known.
         wants_retry: Whether the task goes back to the queue when it is over.
     """
 
-    __slots__ = ('checkpoint', 'needs', 'number', 'since_s', 'started_s',
-                 'state', 'task', 'wants_retry')  # fmt: skip
+    __slots__ = ('checkpoint', 'is_ordered', 'needs', 'number', 'since_s',
+                 'started_s', 'state', 'task', 'wants_retry')  # fmt: skip
 
     def __init__(
         self,
@@ -72,6 +73,7 @@
         self.state = RunState.ORDERED
         self.since_s = now
         self.started_s = now
+        self.is_ordered = True
         self.wants_retry = True
         self.checkpoint = ''
 
@@ -128,6 +130,16 @@
         self._known_ends: set[int] = set()
         self._unanswered_s = -math.inf
 
+    def is_usable(self, now: float) -> bool:
+        """Tells whether it may get new runs now."""
+        return (
+            self.is_heard
+            and self.is_listed
+            and not self.listed.is_draining
+            and self.silent_since_s is None
+            and self.pause_until_s <= now
+        )
+
     @property
     def has_unstored_ends(self) -> bool:
         """Whether it lists ends that the log does not hold yet."""
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -1,44 +1,28 @@
-"""The decisions of a cell's owner: what starts where, and what is over.
+"""The decisions of a cell's owner: what starts where, and what has ended.
 
 A cell is the back ends of one availability zone.  Its owner alone gives them
-orders, under its term as fencing token.  A task starts again only when its
-earlier run is certainly over: the back end lists its end or answers that it
-is not there and never will be, a new lifetime has begun, or the lease has
-lapsed unrenewed.
+orders, under its term as fencing token.  Durable tasks come from the job
+table, and their ends are stored before they are acknowledged; tasks of
+transient jobs come from the VMs that coordinate these, and their ends are
+reported back.
 """
 
+from collections.abc import Sequence
 from functools import singledispatchmethod
 
 from camphorlink.internal.core.connection.backend_orders import (
-    ActiveRun,
     FinishedRun,
-    Hold,
-    HoldAnswer,
-    HoldVerdict,
     ListedBackend,
     RunEnd,
-    StartAnswer,
-    StartRun,
-    StartVerdict,
-    StopRun,
 )
 from camphorlink.internal.core.connection.backend_runs import (
-    LATE_ORDER_S,
-    LEASE_S,
     BackendRuns,
     Run,
-    RunState,
-    absent_runs,
     needs_storing,
 )
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds, RunTime
-from camphorlink.internal.core.process.cell_effects import (
-    CellEffect,
-    CheckOwnership,
-    Count,
-    Note,
-    Store,
-)
+from camphorlink.internal.core.process.cell_effects import CellEffect, Store
+from camphorlink.internal.core.process.commander import Commander, EndFate
 from camphorlink.internal.core.process.job_table import (
     Change,
     EndsStored,
@@ -49,7 +33,13 @@
     TasksDue,
 )
 from camphorlink.internal.core.process.predecessor import Predecessor
-from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.core.process.transient_work import TransientWork
+from camphorlink.internal.core.request.cell_choice import CellLoad, Room
+from camphorlink.internal.core.request.durable_job import (
+    DurableJob,
+    Resources,
+    TaskKey,
+)
 from camphorlink.internal.core.request.job_records import (
     Commanded,
     End,
@@ -58,39 +48,27 @@
 from camphorlink.internal.core.request.task_placement import (
     choose_backend,
     due_s_of,
+    kind_of,
 )
 from camphorlink.internal.core.request.waiting_tasks import (
     WaitingTask,
     WaitingTasks,
 )
 
-#: How long an answer to a hold waits for an end: with a lease of 1 s, two
-#: answers may be lost before anything lapses.
-HOLD_WAIT_MS = 300
-#: Pause between holds while ends wait to be stored, or nothing is answered.
-HOLD_PAUSE_S = 0.1
-#: Time without an answer after which a stop is sent again.
-STOP_RETRY_S = 0.25
-#: Time that a back end which rejects a start gets no other.
-REJECTION_PAUSE_S = 0.05
-#: The same for one that calls itself unhealthy.
-UNHEALTHY_PAUSE_S = 1.0
-#: A silent back end's runs are over after this long, whatever was ordered:
-#: no order is carried out later, and a lease from then on has lapsed.
-PRESUMED_OVER_S = LATE_ORDER_S + LEASE_S + 1.0
-#: Numbers of runs that a term has for each task.
-RUNS_PER_TERM = 1000
+#: Time in which coordinators send the tasks that they had given to an earlier
+#: owner, in seconds: until then runs of unknown tasks go on.
+HANDOVER_S = 0.6
 
 
 class Cell:
-    """Commands the back ends of one cell in one term.
+    """Runs tasks on the back ends of one cell in one term.
 
     Attributes:
         name: The availability zone.
         term: Fencing token.
         waiting: Tasks that wait for room.
-        runs_by_backend: What is known of each back end.
-        speeds: Learned run times.
+        transient: Transient jobs with open tasks here.
+        commander: The back ends.
     """
 
     def __init__(
@@ -105,19 +83,28 @@
         self.name = name
         self.term = term
         self.waiting = WaitingTasks()
-        self.runs_by_backend: dict[str, BackendRuns] = {}
+        self.transient = TransientWork(name)
         self.speeds = speeds
         self._table = table
         self._effects: list[CellEffect] = []
-        self._holds = 0
-        self._sent_s_by_hold: dict[int, float] = {}
-        self._last_run_by_task: dict[TaskKey, int] = {}
-        self._end_by_run: dict[tuple[TaskKey, int], tuple[str, int]] = {}
         self._predecessor = Predecessor(
             table.commanded_by_cell.get(name, {}),
             now,
         )
-        self._old_tasks = [
+        self.commander = Commander(
+            term,
+            self,
+            self._predecessor,
+            self._effects,
+        )
+        self._handover_until_s = now + HANDOVER_S
+        self._end_by_run: dict[tuple[TaskKey, int], tuple[str, int]] = {}
+        self._being_stored: set[TaskKey] = set()
+        self._unclaimed_ends: dict[TaskKey, tuple[str, FinishedRun]] = {}
+        self._commanded: dict[str, int] | None = None
+        self._old_tasks_due_s = now
+        #: Tasks that an earlier owner may have started.
+        self._old_tasks: list[tuple[LiveJob, TaskKey]] = [
             (live, task)
             for live in table.live_by_id.values()
             for task in live.due_tasks()
@@ -126,8 +113,8 @@
 
     def take_effects(self) -> list[CellEffect]:
         """Returns what is to be done, once."""
-        effects = self._effects
-        self._effects = []
+        effects = self._effects.copy()
+        self._effects.clear()
         return effects
 
     def owns(self, table: JobTable) -> bool:
@@ -142,6 +129,76 @@
             ids_by_queue.setdefault(job.queue, set()).add(job.job_id)
         return {queue: len(ids) for queue, ids in ids_by_queue.items()}
 
+    def load(self, now: float) -> CellLoad:
+        """Tells how much room there is and how long tasks wait."""
+        rooms = []
+        cpu = 0
+        for runs in self.commander.runs_by_backend.values():
+            if not runs.is_usable(now):
+                continue
+            cpu += runs.listed.capacity.cpu_milli
+            if runs.free.cpu_milli > 0:
+                speed = self.speeds.speed_of(
+                    kind_of(runs),
+                    runs.listed.backend_id,
+                )
+                rooms.append(Room(round(speed, 2), runs.free.cpu_milli))
+        work = sum(
+            entry.needs.cpu_milli * self._work_s(entry)
+            for entry in self.waiting
+        )
+        wait_s = work / cpu if cpu else 0.0
+        return CellLoad(self.name, self.term, tuple(rooms), wait_s, cpu)
+
+    def _work_s(self, entry: WaitingTask) -> float:
+        estimate_s = entry.step.estimate_ms / 1000
+        return self.speeds.work_s(entry.job.queue, estimate_s)
+
+    # Transient jobs.
+
+    def run_transient(
+        self,
+        job: DurableJob,
+        tasks: Sequence[TaskKey],
+        coordinator: str,
+        may_have_run: bool,
+        now: float,
+    ) -> None:
+        """Takes tasks of a transient job.
+
+        Args:
+            job: The job.
+            tasks: Those of its tasks that this cell is to run.
+            coordinator: Member to report to.
+            may_have_run: Whether an earlier owner may have started them.
+            now: Time in seconds.
+        """
+        known = self.transient.accept(job, tasks, coordinator)
+        for task in tasks:
+            unclaimed = self._unclaimed_ends.pop(task, None)
+            if unclaimed is not None:
+                backend_id, end = unclaimed
+                runs = self.commander.runs_by_backend[backend_id]
+                self._end_transient(runs, end, None, known.live, now)
+                runs.note_stored(end.number)
+            elif may_have_run:
+                # Until then each back end has listed its runs once more.
+                self._old_tasks_due_s = now + HANDOVER_S
+                self._old_tasks.append((known.live, task))
+            else:
+                self._enqueue(known.live, task)
+
+    def drop_transient(self, job_id: str, now: float) -> None:
+        """Stops what a coordinator does not want any more."""
+        for task in self.transient.drop(job_id):
+            self.waiting.discard(task)
+            self.commander.stop_task(task, now)
+
+    def drop_coordinator(self, member: str, now: float) -> None:
+        """Stops all that a coordinator who is gone had given to this cell."""
+        for job_id in self.transient.of_coordinator(member):
+            self.drop_transient(job_id, now)
+
     # Changes of the job table.
 
     @singledispatchmethod
@@ -153,6 +210,7 @@
     def _note_due(self, change: TasksDue, now: float) -> None:
         for task in change.tasks:
             if change.live.cell_of(task) == self.name:
+                self._being_stored.discard(task)
                 self._enqueue(change.live, task)
 
     @note_change.register
@@ -160,11 +218,12 @@
         if change.cell != self.name:
             return
         for end in change.ends:
+            self._being_stored.discard(end.task)
             listed = self._end_by_run.pop((end.task, end.run), None)
             if listed is None:
                 continue
             backend_id, number = listed
-            runs = self.runs_by_backend.get(backend_id)
+            runs = self.commander.runs_by_backend.get(backend_id)
             if runs is not None:
                 runs.note_stored(number)
                 runs.hold_due_s = now
@@ -176,18 +235,13 @@
             for index in range(entry.count):
                 task = TaskKey(job.job_id, step, index)
                 self.waiting.discard(task)
-                self._last_run_by_task.pop(task, None)
-        for runs in self.runs_by_backend.values():
-            for run in list(runs.run_by_task.values()):
-                if run.task.job_id == job.job_id:
-                    run.wants_retry = False
-                    self._stop(runs, run, now)
+                self.commander.stop_task(task, now)
 
     @note_change.register
     def _note_owner(self, change: OwnerChanged, now: float) -> None:
         """Nothing to do: the shell drops a cell that it lost."""
 
-    # The directory of back ends.
+    # Back ends.
 
     def note_listing(
         self,
@@ -195,486 +249,200 @@
         now: float,
     ) -> None:
         """Takes the back ends of this cell as the platform lists them now."""
-        for backend in listed_by_id.values():
-            known = self.runs_by_backend.get(backend.backend_id)
-            if known is None:
-                self._open(backend, now)
-            elif known.listed.born_ms < backend.born_ms:
-                self._renew(known, backend, now)
-            elif known.listed.born_ms == backend.born_ms:
-                known.listed = backend
-        for backend_id, runs in list(self.runs_by_backend.items()):
-            runs.is_listed = backend_id in listed_by_id
-            if not runs.is_listed and not runs.run_by_task:
-                self._close(backend_id, now)
+        self.commander.note_listing(listed_by_id, now)
         self._store_commanded()
 
-    def _open(self, backend: ListedBackend, now: float) -> BackendRuns:
-        runs = BackendRuns(backend, now)
-        self.runs_by_backend[backend.backend_id] = runs
-        self._look(runs, now)
-        return runs
-
-    def _renew(
-        self,
-        old: BackendRuns,
-        backend: ListedBackend,
-        now: float,
-    ) -> BackendRuns:
-        """Opens a new lifetime; runs ordered of late may belong to it."""
-        self._note('Back end has a new lifetime.', backend)
-        self.speeds.forget(backend.backend_id)
-        runs = self._open(backend, now)
-        for run in old.run_by_task.values():
-            runs.add(run)
-        return runs
-
-    def _close(self, backend_id: str, now: float) -> None:
-        runs = self.runs_by_backend[backend_id]
-        if runs.silent_since_s is None and not runs.is_heard:
-            return
-        if runs.silent_since_s is not None:
-            self.runs_by_backend.pop(backend_id)
-            self.speeds.forget(backend_id)
-            self._note('Back end is gone.', runs.listed)
-
     def _store_commanded(self) -> None:
-        lifetimes = {
+        lifetimes = self._predecessor.unheard_by_id | {
             backend_id: runs.listed.born_ms
-            for backend_id, runs in self.runs_by_backend.items()
+            for backend_id, runs in self.commander.runs_by_backend.items()
         }
-        lifetimes = self._predecessor.unheard_by_id | lifetimes
-        if lifetimes != self._commanded_sent:
-            self._commanded_sent = lifetimes
+        if lifetimes != self._commanded:
+            self._commanded = lifetimes
             rows = tuple(sorted(lifetimes.items()))
             self._effects.append(
                 Store(Commanded(self.name, self.term, rows)),
             )
 
-    _commanded_sent: dict[str, int] | None = None
+    def needs_of(self, task: TaskKey) -> Resources | None:
+        """Returns what a task takes, or ``None`` when it should not run."""
+        live = self._find(task.job_id)
+        if live is None or live.is_task_done(task):
+            return None
+        self.waiting.discard(task)
+        return live.job.steps[task.step].needs
 
-    # Answers of back ends.
+    def is_handed_over(self, now: float) -> bool:
+        """Tells whether coordinators have sent what earlier owners had."""
+        return now >= self._handover_until_s
 
-    def note_start(
-        self,
-        order: StartRun,
-        answer: StartAnswer,
-        sent_s: float,
-        now: float,
-    ) -> None:
-        """Takes the answer to an order to start."""
-        runs = self.runs_by_backend.get(order.backend.backend_id)
-        run = runs and runs.run_by_task.get(order.task)
-        if runs is None or run is None or run.number != order.run:
-            return
-        if answer.verdict is StartVerdict.UNANSWERED:
-            runs.note_silence(sent_s)
-            self._count('lost_orders', 'start')
-            if run.state is RunState.ORDERED:
-                run.turn(RunState.UNCERTAIN, now)
-                self._look(runs, now)
-            return
-        runs.note_answer(answer.clock_ms, now)
-        if answer.verdict is StartVerdict.STARTED:
-            if run.state in {RunState.ORDERED, RunState.UNCERTAIN}:
-                run.turn(RunState.RUNNING, now)
-            return
-        self._count('rejected_starts', answer.verdict.value)
-        self._note_rejection(runs, answer.verdict, now)
-        if run.state is RunState.ORDERED:
-            self._finish(runs, run)
-
-    def _note_rejection(
-        self,
-        runs: BackendRuns,
-        verdict: StartVerdict,
-        now: float,
-    ) -> None:
-        pause_s = REJECTION_PAUSE_S
-        if verdict is StartVerdict.FENCED:
-            self._effects.append(CheckOwnership())
-            pause_s = UNHEALTHY_PAUSE_S
-        elif verdict in {StartVerdict.UNHEALTHY, StartVerdict.INVALID}:
-            pause_s = UNHEALTHY_PAUSE_S
-        runs.pause_until_s = now + pause_s
-        self._note('Start was rejected.', runs.listed, verdict=verdict.value)
-
-    def note_stop(
-        self,
-        order: StopRun,
-        is_answered: bool,
-        sent_s: float,
-        now: float,
-    ) -> None:
-        """Takes the answer to an order to stop."""
-        runs = self.runs_by_backend.get(order.backend.backend_id)
-        run = runs and runs.run_by_task.get(order.task)
-        if runs is None:
-            return
-        if not is_answered:
-            runs.note_silence(sent_s)
-        elif run is not None and run.number == order.run:
-            runs.note_answer(None, now)
-            if run.state is RunState.STOPPING:
-                run.turn(RunState.STOPPED, now)
-                self._look(runs, now)
-
-    def note_hold(
-        self,
-        order: Hold,
-        answer: HoldAnswer,
-        now: float,
-    ) -> None:
-        """Takes the answer to a hold or a look."""
-        sent_s = self._sent_s_by_hold.pop(order.number)
-        runs = self.runs_by_backend.get(order.backend.backend_id)
-        if runs is None:
-            return
-        is_main = runs.hold_number == order.number
-        if is_main:
-            runs.hold_number = 0
-        if order.backend.born_ms != runs.listed.born_ms:
-            return
-        if answer.verdict is HoldVerdict.LISTED:
-            self._note_list(runs, answer, sent_s, now)
-        else:
-            self._note_no_list(runs, answer.verdict, sent_s, now)
-        if is_main:
-            paused = runs.has_unstored_ends or runs.silent_since_s is not None
-            runs.hold_due_s = now + (HOLD_PAUSE_S if paused else 0)
-
-    def _note_no_list(
-        self,
-        runs: BackendRuns,
-        verdict: HoldVerdict,
-        sent_s: float,
-        now: float,
-    ) -> None:
-        if verdict is HoldVerdict.FENCED:
-            self._effects.append(CheckOwnership())
-            runs.pause_until_s = now + UNHEALTHY_PAUSE_S
-        elif verdict is HoldVerdict.OTHER_LIFETIME:
-            self._note('Another back end has its address.', runs.listed)
-            self._predecessor.note_gone(runs.listed.backend_id)
-            self._finish_all(runs)
-            runs.note_silence(sent_s)
-        else:
-            if runs.silent_since_s is None:
-                self._note('Back end does not answer.', runs.listed)
-            runs.note_silence(sent_s)
-
-    def _note_list(
-        self,
-        runs: BackendRuns,
-        answer: HoldAnswer,
-        sent_s: float,
-        now: float,
-    ) -> None:
-        if answer.born_ms > runs.listed.born_ms:
-            newer = runs.listed._replace(born_ms=answer.born_ms)
-            self._renew(runs, newer, now)
-            self._store_commanded()
-            return
-        if runs.silent_since_s is not None:
-            self._note('Back end answers again.', runs.listed)
-        runs.note_answer(answer.clock_ms, now)
-        if answer.finished:
-            runs.skip_to(answer.finished[0].number)
-        ends = [
-            stored
-            for end in runs.new_ends(answer)
-            if (stored := self._note_end(runs, end, now))
-        ]
-        if ends:
-            record = Ended(self.name, self.term, tuple(ends))
-            self._effects.append(Store(record))
-        for entry in answer.active:
-            self._note_active(runs, entry, now)
-        for run in absent_runs(runs, answer.active):
-            self._note_absent(runs, run, sent_s, now)
-        if not runs.is_heard:
-            runs.is_heard = True
-            self._predecessor.note_heard(
-                runs.listed.backend_id,
-                runs.listed.born_ms,
-            )
+    def take_lost(self, runs: BackendRuns, run: Run) -> None:
+        """Takes a run that is over without a listed end."""
+        live = self._find(run.task.job_id)
+        if run.wants_retry and live is not None:
+            self._enqueue(live, run.task)
 
-    def _note_end(
+    def take_end(
         self,
         runs: BackendRuns,
         end: FinishedRun,
+        run: Run | None,
         now: float,
-    ) -> End | None:
-        """Takes one listed end; returns it if it has to be stored."""
-        run = runs.run_by_task.get(end.task)
-        is_ours = run is not None and run.number == end.run
-        live = self._table.live_by_id.get(end.task.job_id)
-        if live is None or live.is_task_done(end.task):
-            if is_ours:
-                runs.drop(end.task)
-            runs.note_stored(end.number)
-            return None
-        if needs_storing(end):
-            if run is not None and is_ours:
-                runs.drop(end.task)
-                self._learn(runs, run, end, live, now)
-            self.waiting.discard(end.task)
-            key = (end.task, end.run)
-            self._end_by_run[key] = (runs.listed.backend_id, end.number)
-            return End(end.task, end.run, end.how is RunEnd.DONE)
-        runs.note_stored(end.number)
-        if run is not None and is_ours:
-            run.checkpoint = end.checkpoint or run.checkpoint
-            self._finish(runs, run)
-        return None
-
-    def _note_active(
-        self,
-        runs: BackendRuns,
-        entry: ActiveRun,
-        now: float,
-    ) -> None:
-        run = runs.run_by_task.get(entry.task)
-        if run is not None and run.number == entry.run:
-            if run.state in {RunState.ORDERED, RunState.UNCERTAIN}:
-                run.turn(RunState.RUNNING, now)
-            return
-        live = self._table.live_by_id.get(entry.task.job_id)
-        step = live and live.job.steps[entry.task.step]
-        if live is None or step is None or run is not None:
-            stray = StopRun(runs.listed, self.term, entry.task, entry.run)
-            self._effects.append(stray)
-            return
-        found = Run(entry.task, entry.run, step.needs, now)
-        found.turn(RunState.RUNNING, now)
-        runs.add(found)
-        self.waiting.discard(entry.task)
-        if live.is_task_done(entry.task) or self._runs_elsewhere(runs, found):
-            found.wants_retry = False
-            self._stop(runs, found, now)
-
-    def _note_absent(
+    ) -> EndFate:
+        """Takes a listed end, of a known run or of another term's."""
+        task = end.task
+        transient = self.transient.get(task.job_id)
+        if transient is not None and task in transient.open:
+            self._end_transient(runs, end, run, transient.live, now)
+            return EndFate.ACKNOWLEDGE
+        live = self._table.live_by_id.get(task.job_id)
+        if live is None:
+            if run is None and not self.is_handed_over(now):
+                backend_id = runs.listed.backend_id
+                self._unclaimed_ends[task] = (backend_id, end)
+                return EndFate.KEEP
+            return EndFate.ACKNOWLEDGE
+        if live.is_task_done(task):
+            return EndFate.ACKNOWLEDGE
+        if not needs_storing(end):
+            if run is not None:
+                self.take_lost(runs, run)
+            return EndFate.ACKNOWLEDGE
+        self._learn(runs, run, end, live, now)
+        self.waiting.discard(task)
+        self._being_stored.add(task)
+        key = (task, end.run)
+        self._end_by_run[key] = (runs.listed.backend_id, end.number)
+        stored = End(task, end.run, end.how is RunEnd.DONE)
+        self._effects.append(Store(Ended(self.name, self.term, (stored,))))
+        return EndFate.KEEP
+
+    def _end_transient(
         self,
         runs: BackendRuns,
-        run: Run,
-        sent_s: float,
+        end: FinishedRun,
+        run: Run | None,
+        live: LiveJob,
         now: float,
     ) -> None:
-        if run.since_s > sent_s:
+        """Reports the end of a transient task, or lets it run again."""
+        task = end.task
+        is_done = end.how is RunEnd.DONE
+        if end.how is RunEnd.FAILED:
+            failed = live.failed_runs_by_task.setdefault(task, set())
+            failed.add(end.run)
+        if not is_done and not _is_used_up(live, task):
+            if run is None or run.wants_retry:
+                self._enqueue(live, task)
             return
-        if run.state is RunState.UNCERTAIN:
-            self._stop(runs, run, now)
-        elif run.state in {RunState.RUNNING, RunState.STOPPED}:
-            self._finish(runs, run)
-
-    def _runs_elsewhere(self, here: BackendRuns, run: Run) -> bool:
-        return any(
-            run.task in runs.run_by_task
-            for runs in self.runs_by_backend.values()
-            if runs is not here
-        )
+        self._learn(runs, run, end, live, now)
+        self.waiting.discard(task)
+        self._report(task, is_done)
 
-    # Time.
+    def _report(self, task: TaskKey, is_done: bool) -> None:
+        report = self.transient.end_task(task, is_done)
+        if report is not None:
+            self._effects.append(report)
+
+    # Time and placement.
 
     def tick(self, now: float, may_renew: bool) -> None:
-        """Does what is due: holds, repeated stops, lapses, starts.
+        """Does what is due.
 
         Args:
             now: Time in seconds.
             may_renew: Whether this owner was confirmed lately enough to renew
                 leases and to start tasks.
         """
-        for runs in list(self.runs_by_backend.values()):
-            self._tick_backend(runs, now, may_renew)
-        if not may_renew:
+        self.commander.tick(now, may_renew)
+        if self._unclaimed_ends and self.is_handed_over(now):
+            for backend_id, end in self._unclaimed_ends.values():
+                runs = self.commander.runs_by_backend.get(backend_id)
+                if runs is not None:
+                    runs.note_stored(end.number)
+            self._unclaimed_ends.clear()
+        if may_renew:
+            self._release_old_tasks(now)
+            self.place(now)
+
+    def _release_old_tasks(self, now: float) -> None:
+        if not self._old_tasks or now < self._old_tasks_due_s:
             return
-        if self._old_tasks and self._predecessor.is_over(now):
-            old_tasks = self._old_tasks
-            self._old_tasks = []
-            for live, task in old_tasks:
-                if live.job.job_id in self._table.live_by_id:
-                    self._enqueue(live, task)
-        self.place(now)
-
-    def _tick_backend(
-        self,
-        runs: BackendRuns,
-        now: float,
-        may_renew: bool,
-    ) -> None:
-        if runs.hold_number == 0 and runs.hold_due_s <= now:
-            self._hold(runs, now, may_renew)
-        for run in list(runs.run_by_task.values()):
-            age_s = now - run.since_s
-            if run.state is RunState.STOPPING and age_s > STOP_RETRY_S:
-                run.turn(RunState.RUNNING, now)
-                self._stop(runs, run, now)
-        if runs.silent_since_s is None:
+        if not self._predecessor.is_over(now):
             return
-        if now - runs.silent_since_s > PRESUMED_OVER_S:
-            self._finish_all(runs)
-        elif runs.has_lapsed(now):
-            for run in list(runs.run_by_task.values()):
-                if run.state is RunState.RUNNING:
-                    self._count('lapsed_runs', 'back-end-silent')
-                    self._finish(runs, run)
+        old_tasks = self._old_tasks
+        self._old_tasks = []
+        for live, task in old_tasks:
+            if self._find(live.job.job_id) is live:
+                self._enqueue(live, task)
 
     def place(self, now: float) -> None:
         """Starts waiting tasks where there is room."""
         if not self.waiting:
             return
+        commanded = self._table.commanded_by_cell.get(self.name, {})
         usable = [
             runs
-            for runs in self.runs_by_backend.values()
-            if self._is_usable(runs, now)
+            for runs in self.commander.runs_by_backend.values()
+            if runs.is_usable(now)
+            and commanded.get(runs.listed.backend_id) == runs.listed.born_ms
         ]
 
         def can_place(entry: WaitingTask) -> bool:
             runs = choose_backend(entry, usable, self.speeds, now)
-            if runs is not None:
-                self._start(runs, entry, now)
-            return runs is not None
-
-        for _ in self.waiting.pop_placeable(can_place):
-            continue
-
-    def _is_usable(self, runs: BackendRuns, now: float) -> bool:
-        commanded = self._table.commanded_by_cell.get(self.name, {})
-        listed = runs.listed
-        return (
-            runs.is_heard
-            and runs.is_listed
-            and not listed.is_draining
-            and runs.silent_since_s is None
-            and runs.pause_until_s <= now
-            and commanded.get(listed.backend_id) == listed.born_ms
-        )
-
-    def _start(
-        self,
-        runs: BackendRuns,
-        entry: WaitingTask,
-        now: float,
-    ) -> None:
-        number = self._next_run(entry.task)
-        run = Run(entry.task, number, entry.needs, now)
-        self._table.live_by_id[entry.task.job_id].has_begun = True
-        runs.add(run)
-        runs.note_lease_sent(now)
-        self._effects.append(
-            StartRun(
-                runs.listed,
-                self.term,
+            if runs is None:
+                return False
+            live = self._find(entry.task.job_id)
+            if live is not None:
+                live.has_begun = True
+            self.commander.start(
+                runs,
                 entry.task,
-                number,
+                entry.needs,
                 entry.job.spec,
-                runs.lease_clock_ms(now) or 0,
                 '',
-            ),
-        )
+                now,
+            )
+            return True
+
+        for _ in self.waiting.pop_placeable(can_place):
+            continue
 
-    def _next_run(self, task: TaskKey) -> int:
-        first = self.term * RUNS_PER_TERM
-        number = self._last_run_by_task.get(task, first) + 1
-        self._last_run_by_task[task] = number
-        return number
+    def _find(self, job_id: str) -> LiveJob | None:
+        transient = self.transient.get(job_id)
+        if transient is not None:
+            return transient.live
+        return self._table.live_by_id.get(job_id)
 
     def _enqueue(self, live: LiveJob, task: TaskKey) -> None:
-        if any(task in runs.run_by_task
-               for runs in self.runs_by_backend.values()):  # fmt: skip
+        if task in self.commander.backend_by_task:
             return
-        if live.is_task_done(task) or self._is_being_stored(task):
+        if live.is_task_done(task) or task in self._being_stored:
             return
         self.waiting.add(task, live.job, due_s_of(live.job, self.speeds))
 
-    def _is_being_stored(self, task: TaskKey) -> bool:
-        return any(key[0] == task for key in self._end_by_run)
-
-    def _finish(self, runs: BackendRuns, run: Run) -> None:
-        """Takes a run as over; its task waits again where that is wanted."""
-        runs.drop(run.task)
-        live = self._table.live_by_id.get(run.task.job_id)
-        if run.wants_retry and live is not None:
-            self._enqueue(live, run.task)
-
-    def _finish_all(self, runs: BackendRuns) -> None:
-        for run in list(runs.run_by_task.values()):
-            self._finish(runs, run)
-
-    def _stop(self, runs: BackendRuns, run: Run, now: float) -> None:
-        if run.state not in {RunState.STOPPING, RunState.STOPPED}:
-            run.turn(RunState.STOPPING, now)
-            order = StopRun(runs.listed, self.term, run.task, run.number)
-            self._effects.append(order)
-
-    def _hold(self, runs: BackendRuns, now: float, may_renew: bool) -> None:
-        renews = may_renew and runs.is_heard and runs.silent_since_s is None
-        can_wait = renews and not runs.has_unstored_ends
-        lease_ms = runs.lease_clock_ms(now) if renews else None
-        if lease_ms is not None:
-            runs.note_lease_sent(now)
-        runs.hold_number = self._send_hold(
-            runs,
-            lease_ms,
-            HOLD_WAIT_MS if can_wait else 0,
-            now,
-        )
-
-    def _look(self, runs: BackendRuns, now: float) -> None:
-        self._send_hold(runs, None, 0, now)
-
-    def _send_hold(
-        self,
-        runs: BackendRuns,
-        lease_ms: int | None,
-        wait_ms: int,
-        now: float,
-    ) -> int:
-        self._holds += 1
-        self._sent_s_by_hold[self._holds] = now
-        self._effects.append(
-            Hold(
-                runs.listed,
-                self.term,
-                runs.acknowledged,
-                lease_ms,
-                wait_ms,
-                self._holds,
-            ),
-        )
-        return self._holds
-
     def _learn(
         self,
         runs: BackendRuns,
-        run: Run,
+        run: Run | None,
         end: FinishedRun,
         live: LiveJob,
         now: float,
     ) -> None:
-        if end.how is RunEnd.DONE and run.number > self.term * RUNS_PER_TERM:
-            step = live.job.steps[end.task.step]
-            labels = runs.listed.labels
-            self.speeds.note(
-                RunTime(
-                    live.job.queue,
-                    labels[0] if labels else '',
-                    runs.listed.backend_id,
-                    step.estimate_ms / 1000,
-                    now - run.started_s,
-                ),
-            )
-
-    def _count(self, family: str, reason: str) -> None:
-        self._effects.append(Count(family, reason))
-
-    def _note(
-        self,
-        event: str,
-        backend: ListedBackend,
-        **facts: object,
-    ) -> None:
-        self._effects.append(
-            Note(event, {'backend': backend.backend_id, **facts}),
+        if end.how is not RunEnd.DONE or run is None or not run.is_ordered:
+            return
+        step = live.job.steps[end.task.step]
+        self.speeds.note(
+            RunTime(
+                live.job.queue,
+                kind_of(runs),
+                runs.listed.backend_id,
+                step.estimate_ms / 1000,
+                now - run.started_s,
+            ),
         )
 
+
+def _is_used_up(live: LiveJob, task: TaskKey) -> bool:
+    failed = live.failed_runs_by_task.get(task, ())
+    return len(failed) >= live.job.max_attempts
--- a/src/camphorlink/internal/core/process/cell_effects.py
+++ b/src/camphorlink/internal/core/process/cell_effects.py
@@ -7,6 +7,7 @@
     StartRun,
     StopRun,
 )
+from camphorlink.internal.core.process.transient_work import TaskReport
 from camphorlink.internal.core.request.job_records import Record
 
 
@@ -39,4 +40,13 @@
     facts: dict[str, object]
 
 
-CellEffect = StartRun | StopRun | Hold | Store | CheckOwnership | Count | Note
+CellEffect = (
+    StartRun
+    | StopRun
+    | Hold
+    | Store
+    | CheckOwnership
+    | Count
+    | Note
+    | TaskReport
+)
--- /dev/null
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -0,0 +1,162 @@
+"""Transient jobs as the VM sees them that answers their callers.
+
+It splits a job's tasks over the cells, counts their ends, and tells the
+caller when all are done, or one has failed for good.  Nothing is stored: when
+this VM fails, the caller's channel breaks and the caller sends the job again.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from camphorlink.internal.core.connection.run_speeds import RunSpeeds
+from camphorlink.internal.core.process.job_table import JobState, LiveJob
+from camphorlink.internal.core.request.cell_choice import CellChoice
+from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
+
+
+class GiveTasks(NamedTuple):
+    """Give tasks of a job to a cell.
+
+    Attributes:
+        cell: The cell.
+        job: The job.
+        tasks: Those that it is to run.
+        may_have_run: Whether an earlier owner of the cell may have begun.
+    """
+
+    cell: str
+    job: DurableJob
+    tasks: tuple[TaskKey, ...]
+    may_have_run: bool
+
+
+class DropJob(NamedTuple):
+    """Have a cell stop what it has of a job."""
+
+    cell: str
+    job_id: str
+
+
+class JobOver(NamedTuple):
+    """A job has ended; its caller is to be told."""
+
+    job_id: str
+    state: JobState
+
+
+TransientEffect = GiveTasks | DropJob | JobOver
+
+
+class _OpenJob:
+    """A job whose caller waits."""
+
+    def __init__(self, job: DurableJob) -> None:
+        self.live = LiveJob(job, '', -1)
+        self.cell_by_task: dict[TaskKey, str] = {}
+
+
+class TransientJobs:
+    """The transient jobs that a VM coordinates."""
+
+    def __init__(self, choice: CellChoice, speeds: RunSpeeds) -> None:
+        """Takes what is known of cells and run times."""
+        self._choice = choice
+        self._speeds = speeds
+        self._open_by_id: dict[str, _OpenJob] = {}
+
+    def __len__(self) -> int:
+        """Returns how many jobs are open."""
+        return len(self._open_by_id)
+
+    def __contains__(self, job_id: str) -> bool:
+        """Tells whether a job is open here."""
+        return job_id in self._open_by_id
+
+    def submit(
+        self,
+        job: DurableJob,
+        cells: Sequence[str],
+    ) -> list[TransientEffect]:
+        """Gives the tasks of a new job to cells.
+
+        Args:
+            job: The job.
+            cells: Cells that can be reached, one at least.
+        """
+        opened = _OpenJob(job)
+        self._open_by_id[job.job_id] = opened
+        return self._give(opened, tuple(opened.live.due_tasks()), cells)
+
+    def note_report(
+        self,
+        task: TaskKey,
+        is_done: bool,
+        cells: Sequence[str],
+    ) -> list[TransientEffect]:
+        """Takes what became of a task."""
+        opened = self._open_by_id.get(task.job_id)
+        if opened is None or task not in opened.cell_by_task:
+            return []
+        opened.cell_by_task.pop(task)
+        live = opened.live
+        if not is_done:
+            effects = self.drop(task.job_id)
+            effects.append(JobOver(task.job_id, JobState.FAILED))
+            return effects
+        live.done_by_step[task.step].add(task.index)
+        if live.is_done:
+            self._open_by_id.pop(task.job_id)
+            return [JobOver(task.job_id, JobState.COMPLETED)]
+        if live.is_step_done(task.step):
+            fresh = tuple(
+                due
+                for due in live.due_tasks()
+                if due not in opened.cell_by_task
+            )
+            return self._give(opened, fresh, cells)
+        return []
+
+    def drop(self, job_id: str) -> list[TransientEffect]:
+        """Gives a job up; its cells stop what they have of it."""
+        opened = self._open_by_id.pop(job_id, None)
+        if opened is None:
+            return []
+        cells = sorted(set(opened.cell_by_task.values()))
+        return [DropJob(cell, job_id) for cell in cells]
+
+    def note_owner(self, cell: str) -> list[TransientEffect]:
+        """Gives the open tasks of a cell to its new owner."""
+        effects: list[TransientEffect] = []
+        for opened in self._open_by_id.values():
+            tasks = tuple(
+                task
+                for task, chosen in opened.cell_by_task.items()
+                if chosen == cell
+            )
+            if tasks:
+                job = opened.live.job
+                effects.append(GiveTasks(cell, job, tasks, may_have_run=True))
+        return effects
+
+    def _give(
+        self,
+        opened: _OpenJob,
+        tasks: Sequence[TaskKey],
+        cells: Sequence[str],
+    ) -> list[TransientEffect]:
+        job = opened.live.job
+        tasks_by_cell: dict[str, list[TaskKey]] = {}
+        for task in tasks:
+            step = job.steps[task.step]
+            work_s = self._speeds.work_s(job.queue, step.estimate_ms / 1000)
+            cell = self._choice.choose(step.needs, work_s, cells)
+            if cell is None:
+                effects = self.drop(job.job_id)
+                effects.append(JobOver(job.job_id, JobState.CANCELLED))
+                return effects
+            tasks_by_cell.setdefault(cell, []).append(task)
+            opened.cell_by_task[task] = cell
+        return [
+            GiveTasks(cell, job, tuple(given), may_have_run=False)
+            for cell, given in tasks_by_cell.items()
+        ]
--- a/src/camphorlink/internal/shell/connection/mesh.py
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any, NamedTuple, Self
@@ -30,7 +31,10 @@
 #: Pause before a channel is opened again, in seconds.
 RETRY_S = 0.3
 
-OnMessage = Callable[[list[Any]], None]
+#: Gets a message and the number of the channel that it came on.
+OnMessage = Callable[[list[Any], int], None]
+#: Gets the number of a channel that was closed.
+OnClosed = Callable[[int], None]
 
 
 class Address(NamedTuple):
@@ -47,11 +51,14 @@
         self,
         listen: Address,
         on_message: OnMessage,
+        on_closed: OnClosed,
         log: PartLog,
     ) -> None:
-        """Takes the address to listen on and who gets the messages."""
+        """Takes the address to listen on and who gets the news."""
         self._listen = listen
         self._on_message = on_message
+        self._on_closed = on_closed
+        self._channels = itertools.count(1)
         self._log = log
         self._server: Server | None = None
         self._sender_by_address: dict[Address, _Sender] = {}
@@ -102,18 +109,25 @@
         for sender in self._sender_by_address.values():
             sender.put(frame)
 
+    def send(self, address: Address, message: list[Any]) -> bool:
+        """Sends a message to one peer; tells whether its channel is open."""
+        sender = self._sender_by_address.get(address)
+        return sender is not None and sender.put(cbor2.dumps(message))
+
     async def _receive(self, connection: ServerConnection) -> None:
+        channel = next(self._channels)
         with contextlib.suppress(WebSocketException, OSError):
             async for frame in connection:
-                self._take(frame)
+                self._take(frame, channel)
+        self._on_closed(channel)
 
-    def _take(self, frame: str | bytes) -> None:
+    def _take(self, frame: str | bytes, channel: int) -> None:
         try:
             message = cbor2.loads(frame)  # type: ignore[arg-type]
         except (cbor2.CBORError, TypeError, ValueError) as exc:
             self._log.warning('unreadable frame', extra={'error': repr(exc)})
             return
-        self._on_message(message)
+        self._on_message(message, channel)
 
 
 class _Sender:
@@ -127,10 +141,12 @@
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self._run())
 
-    def put(self, frame: bytes) -> None:
+    def put(self, frame: bytes) -> bool:
         """Queues a frame, or drops it when the channel is not open."""
-        if self._is_open and not self._outbox.full():
-            self._outbox.put_nowait(frame)
+        if not self._is_open or self._outbox.full():
+            return False
+        self._outbox.put_nowait(frame)
+        return True
 
     def close(self) -> None:
         """Ends the channel."""
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -22,6 +22,8 @@
 )
 from camphorlink.internal.core.process.job_table import Change
 from camphorlink.internal.core.process.predecessor import CONFIRMED_FOR_S
+from camphorlink.internal.core.process.transient_work import TaskReport
+from camphorlink.internal.core.request.transient_jobs import GiveTasks
 from camphorlink.internal.shell.ports import BackendPort
 from camphorlink.internal.shell.process.job_log import JobLog
 from camphorlink.internal.shell.process.logs import PartLog
@@ -42,12 +44,14 @@
         job_log: JobLog,
         backends: BackendPort,
         on_count: OnCount,
+        on_report: Callable[[str, TaskReport], None],
     ) -> None:
         """Takes the cell and what it works with."""
         self.cell = cell
         self._job_log = job_log
         self._backends = backends
         self._on_count = on_count
+        self._on_report = on_report
         self._log = PartLog('cell', cell.name)
         self._calls: set[asyncio.Task[None]] = set()
         self._ticker: asyncio.Task[None] | None = None
@@ -96,6 +100,27 @@
         self.cell.note_listing(ours, now_s())
         self._flush()
 
+    def run_transient(self, given: GiveTasks, coordinator: str) -> None:
+        """Takes tasks of a transient job."""
+        self.cell.run_transient(
+            given.job,
+            given.tasks,
+            coordinator,
+            given.may_have_run,
+            now_s(),
+        )
+        self._place()
+
+    def drop_transient(self, job_id: str) -> None:
+        """Stops what a coordinator does not want any more."""
+        self.cell.drop_transient(job_id, now_s())
+        self._place()
+
+    def drop_coordinator(self, member: str) -> None:
+        """Stops all that a coordinator who is gone had given."""
+        self.cell.drop_coordinator(member, now_s())
+        self._place()
+
     async def _tick(self) -> None:
         while True:
             self.cell.tick(now_s(), self.may_renew)
@@ -131,6 +156,10 @@
     def _store(self, effect: Store) -> None:
         self._job_log.append(effect.record)
 
+    @_carry_out.register
+    def _report(self, effect: TaskReport) -> None:
+        self._on_report(self.cell.name, effect)
+
     @_carry_out.register
     def _check(self, effect: CheckOwnership) -> None:
         self._call(self._await_check())
@@ -151,18 +180,18 @@
     async def _await_start(self, order: StartRun) -> None:
         sent_s = now_s()
         answer = await self._backends.start(order)
-        self.cell.note_start(order, answer, sent_s, now_s())
+        self.cell.commander.note_start(order, answer, sent_s, now_s())
         self._place()
 
     async def _await_stop(self, order: StopRun) -> None:
         sent_s = now_s()
         is_answered = await self._backends.stop(order)
-        self.cell.note_stop(order, is_answered, sent_s, now_s())
+        self.cell.commander.note_stop(order, is_answered, sent_s, now_s())
         self._flush()
 
     async def _await_hold(self, order: Hold) -> None:
         answer = await self._backends.hold(order)
-        self.cell.note_hold(order, answer, now_s())
+        self.cell.commander.note_hold(order, answer, now_s())
         self._place()
 
     async def _await_check(self) -> None:
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -0,0 +1,115 @@
+"""Transient jobs between their callers and the owners of cells."""
+
+import asyncio
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from camphorlink.internal.core.connection.run_speeds import RunSpeeds
+from camphorlink.internal.core.process.job_table import JobState
+from camphorlink.internal.core.request.cell_choice import CellChoice, read_load
+from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
+from camphorlink.internal.core.request.transient_jobs import (
+    DropJob,
+    GiveTasks,
+    JobOver,
+    TransientEffect,
+    TransientJobs,
+)
+from camphorlink.internal.shell.process.steady_clock import now_s
+
+#: Age of a cell's load after which the cell gets no more tasks, in seconds:
+#: loads are told ten times in that time.
+LOAD_FRESH_S = 0.6
+
+#: Gives an order for a cell to its owner.
+SendToCell = Callable[[str, GiveTasks | DropJob], None]
+
+
+class Coordinator:
+    """Runs transient jobs for the callers of this VM."""
+
+    def __init__(
+        self,
+        zone: str,
+        speeds: RunSpeeds,
+        send_to_cell: SendToCell,
+    ) -> None:
+        """Takes this VM's zone and the way to the owners of cells."""
+        self._choice = CellChoice(zone)
+        self._jobs = TransientJobs(self._choice, speeds)
+        self._send_to_cell = send_to_cell
+        self._heard_s_by_cell: dict[str, float] = {}
+        self._over_by_id: dict[str, asyncio.Future[JobState]] = {}
+        self._dispatch = self._carry_out
+
+    @property
+    def cells(self) -> list[str]:
+        """Cells whose owner told its load lately."""
+        now = now_s()
+        return [
+            cell
+            for cell, heard_s in self._heard_s_by_cell.items()
+            if now - heard_s < LOAD_FRESH_S
+        ]
+
+    def __contains__(self, job_id: str) -> bool:
+        """Tells whether a job is open here."""
+        return job_id in self._jobs
+
+    def note_load(self, plain: list[Any]) -> None:
+        """Takes what the owner of a cell says of its load."""
+        load = read_load(plain)
+        self._heard_s_by_cell[load.cell] = now_s()
+        self._choice.note_load(load)
+
+    def note_report(self, task: TaskKey, is_done: bool) -> None:
+        """Takes what became of a task."""
+        self._carry_all(self._jobs.note_report(task, is_done, self.cells))
+
+    def note_owner(self, cell: str) -> None:
+        """Sends the open tasks of a cell to its new owner."""
+        self._carry_all(self._jobs.note_owner(cell))
+
+    async def run(self, job: DurableJob, wait_s: float) -> JobState | None:
+        """Runs a job until it has ended.
+
+        Args:
+            job: The job.
+            wait_s: How long its caller waits.
+
+        Returns:
+            Its end, or ``None`` when that did not come in time.  A caller
+            that leaves earlier cancels the job.
+        """
+        over: asyncio.Future[JobState] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._over_by_id[job.job_id] = over
+        try:
+            self._carry_all(self._jobs.submit(job, self.cells))
+            return await asyncio.wait_for(over, wait_s)
+        except TimeoutError:
+            return None
+        finally:
+            if self._over_by_id.get(job.job_id) is over:
+                self._over_by_id.pop(job.job_id)
+                self._carry_all(self._jobs.drop(job.job_id))
+
+    def _carry_all(self, effects: list[TransientEffect]) -> None:
+        for effect in effects:
+            self._dispatch(effect)
+
+    @singledispatchmethod
+    def _carry_out(self, effect: TransientEffect) -> None:
+        raise TypeError(effect)
+
+    @_carry_out.register
+    def _send(self, effect: GiveTasks | DropJob) -> None:
+        self._send_to_cell(effect.cell, effect)
+
+    @_carry_out.register
+    def _end(self, effect: JobOver) -> None:
+        over = self._over_by_id.get(effect.job_id)
+        if over is not None and not over.done():
+            over.set_result(effect.state)
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -3,9 +3,9 @@
 import asyncio
 import collections
 import contextlib
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from types import TracebackType
-from typing import Any, NamedTuple, Self
+from typing import Any, ClassVar, NamedTuple, Self
 
 import cbor2
 
@@ -16,9 +16,25 @@
     CellClaims,
     PeerView,
 )
-from camphorlink.internal.core.process.job_table import Change, JobTable
-from camphorlink.internal.core.request.durable_job import DurableJob
-from camphorlink.internal.core.request.job_records import Claimed
+from camphorlink.internal.core.process.job_table import (
+    Change,
+    JobTable,
+    OwnerChanged,
+)
+from camphorlink.internal.core.request.durable_job import (
+    DurableJob,
+    TaskKey,
+)
+from camphorlink.internal.core.process.transient_work import TaskReport
+from camphorlink.internal.core.request.job_records import (
+    Claimed,
+    decode_job,
+    encode_job,
+)
+from camphorlink.internal.core.request.transient_jobs import (
+    DropJob,
+    GiveTasks,
+)
 from camphorlink.internal.shell.connection.mesh import Address, Mesh
 from camphorlink.internal.shell.ports import (
     BackendPort,
@@ -26,6 +42,7 @@
     LogPort,
 )
 from camphorlink.internal.shell.process.cell_host import CellHost
+from camphorlink.internal.shell.process.coordinator import Coordinator
 from camphorlink.internal.shell.process.job_log import SNAPSHOT_S, JobLog
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.published import Published
@@ -35,6 +52,12 @@
 #: Period of heartbeats to peers, in seconds: several fit into the time after
 #: which a silent peer is taken as gone.
 HEARTBEAT_S = 0.2
+#: Period of telling the load of owned cells, in seconds: about the time
+#: between two jobs of a busy installation.
+LOAD_PERIOD_S = 0.02
+#: Silence of a coordinator after which its tasks are stopped, in seconds:
+#: its callers send a job again 1.3 s after they lost it.
+COORDINATOR_SILENCE_S = 0.9
 #: Longest wait of one read of the members, in seconds.
 MEMBERS_WAIT_S = 5.0
 STORE_TIMEOUT_S = 1.5
@@ -94,7 +117,20 @@
         self._claim_by_cell: dict[str, asyncio.Future[int]] = {}
         self._waiting_by_cell: dict[str, dict[str, int]] = {}
         self._snapshot_s = now_s()
-        self.mesh = Mesh(settings.mesh, self._hear, PartLog('mesh'))
+        self._member_by_channel: dict[int, str] = {}
+        self._address_by_member: dict[str, Address] = {}
+        self._load_s = now_s()
+        self.coordinator = Coordinator(
+            settings.zone,
+            self._speeds,
+            self._send_to_cell,
+        )
+        self.mesh = Mesh(
+            settings.mesh,
+            self._hear,
+            self._note_closed,
+            PartLog('mesh'),
+        )
         self.job_log = JobLog(
             platform.log,
             self.member,
@@ -122,7 +158,11 @@
         for part in (self.mesh, self.job_log, self.published):
             await self._stack.enter_async_context(part)
         loop = asyncio.get_running_loop()
-        for work in (self._follow_members(), self._beat()):
+        for work in (
+            self._follow_members(),
+            self._beat(),
+            self._tell_loads(),
+        ):
             task = loop.create_task(work)
             self._stack.callback(task.cancel)
         return self
@@ -174,6 +214,8 @@
             else:
                 self._drop_cell(cell)
         self._take_cells()
+        if isinstance(change, OwnerChanged):
+            self.coordinator.note_owner(change.cell)
 
     def _take_cells(self) -> None:
         """Begins to command the cells that the log says are ours."""
@@ -188,6 +230,7 @@
                 self.job_log,
                 self._platform.backends,
                 self._count,
+                self._report,
             )
             self.host_by_cell[cell] = host
             host.__enter__()
@@ -212,24 +255,33 @@
 
     # Peers.
 
-    def _hear(self, message: list[Any]) -> None:
+    def _hear(self, message: list[Any], channel: int) -> None:
         try:
             kind, *fields = message
-            if kind == 'records':
-                self.job_log.hear(*fields)
-            elif kind == 'beat':
-                self._hear_beat(*fields)
-        except (TypeError, ValueError) as exc:
+            self._hear_by_kind[kind](self, channel, *fields)
+        except (LookupError, TypeError, ValueError) as exc:
             self._log.warning('message skipped', extra={'error': repr(exc)})
 
+    def _hear_records(
+        self,
+        channel: int,
+        offset: int,
+        records: list[bytes],
+    ) -> None:
+        self.job_log.hear(offset, records)
+
     def _hear_beat(
         self,
+        channel: int,
         member: str,
+        address: list[Any],
         zone: str,
         store_age_s: float,
         is_leaving: bool,
         waiting_by_cell: dict[str, dict[str, int]],
     ) -> None:
+        self._member_by_channel[channel] = member
+        self._address_by_member[member] = Address(*address)
         self._heard_s_by_member[member] = now_s()
         self._peer_by_member[member] = PeerView(
             member,
@@ -240,6 +292,121 @@
         )
         self._waiting_by_cell.update(waiting_by_cell)
 
+    def _hear_load(self, channel: int, *plain: Any) -> None:
+        self.coordinator.note_load(list(plain))
+
+    def _hear_run(
+        self,
+        channel: int,
+        coordinator: str,
+        cell: str,
+        job: list[Any],
+        tasks: list[list[Any]],
+        may_have_run: bool,
+    ) -> None:
+        host = self.host_by_cell.get(cell)
+        if host is None:
+            self._log.info('tasks for a cell not owned', extra={'cell': cell})
+            return
+        keys = tuple(TaskKey(*task) for task in tasks)
+        given = GiveTasks(cell, decode_job(job), keys, may_have_run)
+        host.run_transient(given, coordinator)
+
+    def _hear_drop(self, channel: int, cell: str, job_id: str) -> None:
+        host = self.host_by_cell.get(cell)
+        if host is not None:
+            host.drop_transient(job_id)
+
+    def _hear_ended(
+        self,
+        channel: int,
+        task: list[Any],
+        is_done: bool,
+    ) -> None:
+        self.coordinator.note_report(TaskKey(*task), is_done)
+
+    _hear_by_kind: ClassVar[dict[str, Callable[..., None]]] = {
+        'records': _hear_records,
+        'beat': _hear_beat,
+        'load': _hear_load,
+        'run': _hear_run,
+        'drop': _hear_drop,
+        'ended': _hear_ended,
+    }
+
+    def _note_closed(self, channel: int) -> None:
+        """Takes a peer as gone at once when its channel is closed."""
+        member = self._member_by_channel.pop(channel, None)
+        if member is None or member in self._member_by_channel.values():
+            return
+        self._heard_s_by_member[member] = float('-inf')
+        self._drop_silent()
+        self._claim_cells()
+
+    def _drop_silent(self) -> None:
+        now = now_s()
+        for member, heard_s in list(self._heard_s_by_member.items()):
+            if now - heard_s > COORDINATOR_SILENCE_S:
+                self._log.info('peer is silent', extra={'peer': member})
+                self._heard_s_by_member.pop(member)
+                self._peer_by_member.pop(member)
+                self._address_by_member.pop(member)
+                for host in self.host_by_cell.values():
+                    host.drop_coordinator(member)
+
+    def _send_to_cell(self, cell: str, order: GiveTasks | DropJob) -> None:
+        host = self.host_by_cell.get(cell)
+        if isinstance(order, DropJob):
+            if host is not None:
+                host.drop_transient(order.job_id)
+                return
+            message = ['drop', cell, order.job_id]
+        else:
+            if host is not None:
+                host.run_transient(order, self.member)
+                return
+            message = [
+                'run',
+                self.member,
+                cell,
+                encode_job(order.job),
+                [list(task) for task in order.tasks],
+                order.may_have_run,
+            ]
+        self._send(self.table.owner_of(cell).member, message)
+
+    def _report(self, cell: str, report: TaskReport) -> None:
+        if report.coordinator == self.member:
+            self.coordinator.note_report(report.task, report.is_done)
+            return
+        message = ['ended', list(report.task), report.is_done]
+        self._send(report.coordinator, message)
+
+    def _send(self, member: str, message: list[Any]) -> None:
+        address = self._address_by_member.get(member)
+        if address is None or not self.mesh.send(address, message):
+            self.counts['lost_messages', message[0]] += 1
+            self._log.info(
+                'message not sent',
+                extra={'peer': member, 'kind': message[0]},
+            )
+
+    async def _tell_loads(self) -> None:
+        while True:
+            now = now_s()
+            for host in self.host_by_cell.values():
+                load = host.cell.load(now)
+                plain = [
+                    load.cell,
+                    load.term,
+                    [list(room) for room in load.rooms],
+                    load.wait_s,
+                    load.cpu,
+                ]
+                self.coordinator.note_load(plain)
+                self.mesh.broadcast(['load', *plain])
+            await asyncio.sleep(LOAD_PERIOD_S)
+
     def _me(self) -> PeerView:
         return PeerView(
             self.member,
@@ -259,6 +426,7 @@
     async def _beat(self) -> None:
         while True:
             self._tell()
+            self._drop_silent()
             self._claim_cells()
             self._tidy()
             await asyncio.sleep(HEARTBEAT_S)
@@ -269,6 +437,7 @@
             [
                 'beat',
                 me.member,
+                [self.settings.mesh.ip, self.mesh.port],
                 me.zone,
                 min(me.store_age_s, REMEMBERED_S),
                 me.is_leaving,
--- a/src/camphorlink/internal/shell/request/job_desk.py
+++ b/src/camphorlink/internal/shell/request/job_desk.py
@@ -50,6 +50,12 @@
     reason='store-away',
     retry_after_s=STORE_AWAY_RETRY_S,
 )
+#: No owner of a cell is in reach: a takeover takes about a second.
+NO_CELL = DeskAnswer(
+    Verdict.REFUSED,
+    reason='no-cell',
+    retry_after_s=1.0,
+)
 
 
 class JobDesk:
@@ -83,6 +89,23 @@
             return DeskAnswer(Verdict.UNKNOWN, reason='store-unanswered')
         return DONE
 
+    async def run(self, job: DurableJob, wait_s: float) -> DeskAnswer:
+        """Runs a transient job and answers with its end.
+
+        Args:
+            job: The job.
+            wait_s: How long the caller waits.
+        """
+        coordinator = self._node.coordinator
+        if not coordinator.cells:
+            return self._refuse(NO_CELL)
+        state = await coordinator.run(job, wait_s)
+        if state is None:
+            return DeskAnswer(Verdict.UNKNOWN, reason='not-ended-in-time')
+        if state is JobState.CANCELLED:
+            return self._refuse(NO_CELL)
+        return DeskAnswer(Verdict.DONE, state)
+
     async def read(self, job_id: str) -> DeskAnswer:
         """Tells the state of a job."""
         if not await self._is_sure_of(job_id):
--- a/src/camphorlink/platform/ingress.py
+++ b/src/camphorlink/platform/ingress.py
@@ -102,6 +102,9 @@
             job = read_job(document, queue, job_id)
         except (LookupError, TypeError, ValueError) as exc:
             return _problem(HTTPStatus.BAD_REQUEST, 'bad-job', 0, str(exc))
+        if document.get('best_effort'):
+            # Need not be stored: the answer is the end of the job.
+            return _answer(await self._desk.run(job, wait_s))
         return _answer(await self._desk.submit(job, wait_s))
 
 
--- a/src/camphorlink/platform/program.py
+++ b/src/camphorlink/platform/program.py
@@ -68,7 +68,11 @@
         await self._stack.aclose()
 
     async def _serve(self, app: web.Application, listen: Address) -> None:
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+        )
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
         await web.TCPSite(runner, listen.ip, listen.port).start()
