--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -233,4 +233,3 @@
         for run in runs.run_by_task.values()
         if (run.task, run.number) not in present
     ]
-
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -277,10 +277,11 @@
             return
         runs.note_answer(None, now)
         run = runs.run_by_task.get(order.task)
-        if run is not None and run.number == order.run:
-            if run.state is RunState.STOPPING:
-                run.turn(RunState.STOPPED, now)
-                self._look(runs, now)
+        if run is None or run.number != order.run:
+            return
+        if run.state is RunState.STOPPING:
+            run.turn(RunState.STOPPED, now)
+            self._look(runs, now)
 
     def note_hold(self, order: Hold, answer: HoldAnswer, now: float) -> None:
         """Takes the answer to a hold or a look."""
--- a/src/camphorlink/internal/core/request/job_records.py
+++ b/src/camphorlink/internal/core/request/job_records.py
@@ -106,9 +106,7 @@
 def encode_job(job: DurableJob) -> list[Any]:
     """Writes a job as a plain list."""
     plain = list(job)
-    plain[4] = [
-        [step.count, list(step.needs), *step[2:]] for step in job.steps
-    ]
+    plain[4] = [[step.count, list(step.needs), *step[2:]] for step in job.steps]
     return plain
 
 
--- a/src/camphorlink/internal/shell/process/job_log.py
+++ b/src/camphorlink/internal/shell/process/job_log.py
@@ -205,8 +205,7 @@
         try:
             items, _ = await self._log.newest(SNAPSHOT_TOPIC, READ_TIMEOUT_S)
             table = read_snapshot(
-                (entry.key.rpartition('/')[0], entry.content)
-                for entry in items
+                (entry.key.rpartition('/')[0], entry.content) for entry in items
             )
         except (StoreError, JobRecordError) as exc:
             self.counts['failed-recovery'] += 1
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -21,11 +21,11 @@
     JobTable,
     OwnerChanged,
 )
+from camphorlink.internal.core.process.transient_work import TaskReport
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     TaskKey,
 )
-from camphorlink.internal.core.process.transient_work import TaskReport
 from camphorlink.internal.core.request.job_records import (
     Claimed,
     decode_job,
@@ -516,7 +516,9 @@
                 await asyncio.sleep(STORE_RETRY_S)
 
     async def _register(self) -> None:
-        entry = cbor2.dumps([self.member, self.settings.mesh.ip, self.mesh.port])
+        entry = cbor2.dumps(
+            [self.member, self.settings.mesh.ip, self.mesh.port]
+        )
         await self._platform.log.append(
             MEMBERS_TOPIC,
             [self._platform.log.keyed(self.settings.name, entry)],
--- a/src/camphorlink/platform/program.py
+++ b/src/camphorlink/platform/program.py
@@ -1,7 +1,9 @@
 """``camphorlink-node``: an entry VM on the users' platform."""
 
+import asyncio
 import contextlib
 import os
+import signal
 import sys
 from pathlib import Path
 from types import TracebackType
@@ -13,7 +15,7 @@
 from camphorlink.errors import SettingsError
 from camphorlink.internal.shell.connection.mesh import Address
 from camphorlink.internal.shell.process.job_node import JobNode, Platform
-from camphorlink.internal.shell.process.logs import start_logs
+from camphorlink.internal.shell.process.logs import PartLog, start_logs
 from camphorlink.internal.shell.process.programs import run_until_stopped
 from camphorlink.internal.shell.request.job_desk import JobDesk
 from camphorlink.platform.backends import RunnerClient
@@ -35,6 +37,7 @@
     def __init__(self, settings: PlatformSettings) -> None:
         """Takes checked settings; nothing starts before the context does."""
         self.settings = settings
+        self._log = PartLog('program', settings.node.name)
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -52,6 +55,10 @@
             self.settings.readiness,
         )
         await enter(self.node)
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGHUP,
+            self._note_settings_changed,
+        )
         app = ingress.build_app()
         app.on_response_prepare.append(self._close_while_leaving)
         await self._serve(app, self.settings.callers)
@@ -67,6 +74,16 @@
         await self.node.leave(self.settings.grace_s)
         await self._stack.aclose()
 
+    def _note_settings_changed(self) -> None:
+        """Checks the new settings file; addresses in use stay as they are."""
+        path = Path(os.environ.get(SETTINGS_VARIABLE, ''))
+        try:
+            read_settings(path)
+        except SettingsError as exc:
+            self._log.error('settings rejected', extra={'error': str(exc)})
+        else:
+            self._log.info('settings read again')
+
     async def _serve(self, app: web.Application, listen: Address) -> None:
         runner = web.AppRunner(
             app,
--- /dev/null
+++ b/tests/core/test_cell.py
@@ -0,0 +1,156 @@
+"""Promises of a cell: each task runs, never twice at once, and is reported."""
+
+from camphorlink.internal.core.process.job_table import JobState
+from camphorlink.internal.core.request.job_records import Accepted, Cancelled
+from order_takers import CellRig, OrderTaker, listed, make_job
+
+
+def make_rig(count=2, **fields):
+    takers = [OrderTaker(listed(f'i-{n}'), **fields) for n in range(count)]
+    rig = CellRig(takers)
+    rig.run_for(0.1)
+    return rig, takers
+
+
+def starts_of(takers):
+    return [start for taker in takers for start in taker.starts]
+
+
+def test_tasks_of_a_transient_job_are_done_and_reported():
+    rig, takers = make_rig()
+    rig.submit(make_job(count=4))
+    rig.run_for(0.5)
+    assert len(rig.done_tasks()) == 4
+    assert len(starts_of(takers)) == 4
+
+
+def test_what_has_no_room_waits_for_an_end():
+    rig, takers = make_rig(count=1)
+    rig.submit(make_job(count=5))
+    assert len(takers[0].starts) == 2
+    rig.run_for(1)
+    assert len(rig.done_tasks()) == 5
+
+
+def test_a_failing_task_runs_as_often_as_it_may_and_is_reported():
+    rig, takers = make_rig()
+    for taker in takers:
+        taker.fails = True
+    rig.submit(make_job(max_attempts=3))
+    rig.run_for(2)
+    assert len(starts_of(takers)) == 3
+    assert [report.is_done for report in rig.reports] == [False]
+
+
+def test_an_order_without_an_answer_is_stopped_before_it_runs_elsewhere():
+    rig, takers = make_rig()
+    takers[0].loses_answers = True
+    takers[1].loses_answers = True
+    rig.submit(make_job(count=1))
+    rig.run_for(0.2)
+    for taker in takers:
+        taker.loses_answers = False
+    for _ in range(40):
+        rig.run_for(0.05)
+        assert not rig.overlapping_runs()
+    assert len(rig.done_tasks()) == 1
+
+
+def test_a_silent_back_end_keeps_its_task_until_its_lease_has_lapsed():
+    rig, takers = make_rig(run_s=5.0)
+    rig.submit(make_job())
+    rig.run_for(0.2)
+    holder = next(taker for taker in takers if taker.active)
+    other = next(taker for taker in takers if not taker.active)
+    holder.is_silent = True
+    rig.run_for(0.6)
+    assert not other.starts
+    for _ in range(30):
+        rig.run_for(0.1)
+        assert not rig.overlapping_runs()
+    assert other.starts
+
+
+def test_a_new_owner_adopts_what_runs():
+    rig, takers = make_rig(run_s=0.6)
+    job = make_job(count=2)
+    rig.submit(job)
+    rig.run_for(0.2)
+    rig.take_over('m#2')
+    rig.run_for(0.05)
+    rig.submit(job, may_have_run=True)
+    rig.run_for(1.5)
+    assert len(rig.done_tasks()) == 2
+    assert len(starts_of(takers)) == 2
+
+
+def test_an_end_that_came_before_its_coordinator_is_reported():
+    rig, takers = make_rig(run_s=0.1)
+    job = make_job()
+    rig.submit(job)
+    rig.take_over('m#2')
+    rig.run_for(0.3)
+    rig.submit(job, may_have_run=True)
+    rig.run_for(0.5)
+    assert len(rig.done_tasks()) == 1
+    assert len(starts_of(takers)) == 1
+
+
+def test_a_dropped_job_stops():
+    rig, takers = make_rig(run_s=5.0)
+    rig.submit(make_job(count=3))
+    rig.run_for(0.1)
+    rig.cell.drop_transient('a' * 16, rig.now)
+    rig.carry_out()
+    rig.run_for(0.3)
+    assert not any(taker.active for taker in takers)
+    assert not rig.reports
+
+
+def test_a_coordinator_who_is_gone_loses_its_tasks():
+    rig, takers = make_rig(run_s=5.0)
+    rig.submit(make_job(count=3), coordinator='c#7')
+    rig.run_for(0.1)
+    rig.cell.drop_coordinator('c#7', rig.now)
+    rig.carry_out()
+    rig.run_for(0.3)
+    assert not any(taker.active for taker in takers)
+
+
+def test_no_start_without_a_confirmed_ownership():
+    rig, takers = make_rig()
+    rig.may_renew = False
+    rig.submit(make_job())
+    rig.cell.take_effects()
+    before = len(starts_of(takers))
+    rig.run_for(0.5)
+    assert len(starts_of(takers)) == before
+
+
+def test_a_durable_job_is_completed_when_its_ends_are_stored():
+    rig, takers = make_rig()
+    rig.store(Accepted(make_job(count=4), 'z'))
+    rig.run_for(0.6)
+    assert rig.table.ended_by_id['a' * 16].state is JobState.COMPLETED
+    assert len(starts_of(takers)) == 4
+    assert not any(taker.finished for taker in takers)
+
+
+def test_a_durable_job_that_is_cancelled_stops():
+    rig, takers = make_rig(run_s=5.0)
+    rig.store(Accepted(make_job(count=4), 'z'))
+    rig.run_for(0.1)
+    rig.store(Cancelled('a' * 16))
+    rig.run_for(0.3)
+    assert rig.table.ended_by_id['a' * 16].state is JobState.CANCELLED
+    assert not any(taker.active for taker in takers)
+
+
+def test_a_new_owner_finishes_durable_jobs():
+    rig, takers = make_rig(run_s=0.4)
+    rig.store(Accepted(make_job(count=6), 'z'))
+    rig.run_for(0.2)
+    rig.take_over('m#2')
+    rig.run_for(3)
+    assert rig.table.ended_by_id['a' * 16].state is JobState.COMPLETED
+    assert len(starts_of(takers)) == 6
