--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -13,16 +13,19 @@
 from camphorlink.internal.core.connection.backend_orders import (
     FinishedRun,
     ListedBackend,
-    RunEnd,
 )
 from camphorlink.internal.core.connection.backend_runs import (
     BackendRuns,
     Run,
-    needs_storing,
 )
-from camphorlink.internal.core.connection.run_speeds import RunSpeeds, RunTime
+from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.cell_effects import CellEffect, Store
 from camphorlink.internal.core.process.commander import Commander, EndFate
+from camphorlink.internal.core.process.end_desk import (
+    HANDOVER_S,
+    EndDesk,
+    EndTools,
+)
 from camphorlink.internal.core.process.job_table import (
     Change,
     EndsStored,
@@ -42,8 +45,6 @@
 )
 from camphorlink.internal.core.request.job_records import (
     Commanded,
-    End,
-    Ended,
 )
 from camphorlink.internal.core.request.task_placement import (
     choose_backend,
@@ -55,10 +56,6 @@
     WaitingTasks,
 )
 
-#: Time in which coordinators send the tasks that they had given to an earlier
-#: owner, in seconds: until then runs of unknown tasks go on.
-HANDOVER_S = 0.6
-
 
 class Cell:
     """Runs tasks on the back ends of one cell in one term.
@@ -97,10 +94,21 @@
             self._predecessor,
             self._effects,
         )
-        self._handover_until_s = now + HANDOVER_S
-        self._end_by_run: dict[tuple[TaskKey, int], tuple[str, int]] = {}
-        self._being_stored: set[TaskKey] = set()
-        self._unclaimed_ends: dict[TaskKey, tuple[str, FinishedRun]] = {}
+        self.ledger = self.commander.ledger
+        self._ends = EndDesk(
+            EndTools(
+                name,
+                table,
+                self.transient,
+                self.ledger,
+                speeds,
+                self._enqueue,
+                self._effects,
+            ),
+            now,
+        )
+        #: What the commander asks of the runs' owner.
+        self.is_handed_over = self._ends.is_handed_over
         self._commanded: dict[str, int] | None = None
         self._old_tasks_due_s = now
         #: Tasks that an earlier owner may have started.
@@ -133,7 +141,7 @@
         """Tells how much room there is and how long tasks wait."""
         rooms = []
         cpu = 0
-        for runs in self.commander.runs_by_backend.values():
+        for runs in self.ledger.runs_by_backend.values():
             if not runs.is_usable(now):
                 continue
             cpu += runs.listed.capacity.cpu_milli
@@ -175,13 +183,9 @@
         """
         known = self.transient.accept(job, tasks, coordinator)
         for task in tasks:
-            unclaimed = self._unclaimed_ends.pop(task, None)
-            if unclaimed is not None:
-                backend_id, end = unclaimed
-                runs = self.commander.runs_by_backend[backend_id]
-                self._end_transient(runs, end, None, known.live, now)
-                runs.note_stored(end.number)
-            elif may_have_run:
+            if self._ends.claim(known.live, task, now):
+                continue
+            if may_have_run:
                 # Until then each back end has listed its runs once more.
                 self._old_tasks_due_s = now + HANDOVER_S
                 self._old_tasks.append((known.live, task))
@@ -192,7 +196,7 @@
         """Stops what a coordinator does not want any more."""
         for task in self.transient.drop(job_id):
             self.waiting.discard(task)
-            self.commander.stop_task(task, now)
+            self.ledger.stop_task(task, now)
 
     def drop_coordinator(self, member: str, now: float) -> None:
         """Stops all that a coordinator who is gone had given to this cell."""
@@ -210,32 +214,22 @@
     def _note_due(self, change: TasksDue, now: float) -> None:
         for task in change.tasks:
             if change.live.cell_of(task) == self.name:
-                self._being_stored.discard(task)
+                self._ends.being_stored.discard(task)
                 self._enqueue(change.live, task)
 
     @note_change.register
     def _note_stored(self, change: EndsStored, now: float) -> None:
-        if change.cell != self.name:
-            return
-        for end in change.ends:
-            self._being_stored.discard(end.task)
-            listed = self._end_by_run.pop((end.task, end.run), None)
-            if listed is None:
-                continue
-            backend_id, number = listed
-            runs = self.commander.runs_by_backend.get(backend_id)
-            if runs is not None:
-                runs.note_stored(number)
-                runs.hold_due_s = now
+        if change.cell == self.name:
+            self._ends.note_stored(change, now)
 
     @note_change.register
     def _note_ended(self, change: JobEnded, now: float) -> None:
         job = change.live.job
         for step, entry in enumerate(job.steps):
-            for index in range(entry.count):
-                task = TaskKey(job.job_id, step, index)
+            for number in range(entry.width):
+                task = TaskKey(job.job_id, step, number)
                 self.waiting.discard(task)
-                self.commander.stop_task(task, now)
+                self.ledger.stop_task(task, now)
 
     @note_change.register
     def _note_owner(self, change: OwnerChanged, now: float) -> None:
@@ -255,7 +249,7 @@
     def _store_commanded(self) -> None:
         lifetimes = self._predecessor.unheard_by_id | {
             backend_id: runs.listed.born_ms
-            for backend_id, runs in self.commander.runs_by_backend.items()
+            for backend_id, runs in self.ledger.runs_by_backend.items()
         }
         if lifetimes != self._commanded:
             self._commanded = lifetimes
@@ -272,16 +266,6 @@
         self.waiting.discard(task)
         return live.job.steps[task.step].needs
 
-    def is_handed_over(self, now: float) -> bool:
-        """Tells whether coordinators have sent what earlier owners had."""
-        return now >= self._handover_until_s
-
-    def take_lost(self, runs: BackendRuns, run: Run) -> None:
-        """Takes a run that is over without a listed end."""
-        live = self._find(run.task.job_id)
-        if run.wants_retry and live is not None:
-            self._enqueue(live, run.task)
-
     def take_end(
         self,
         runs: BackendRuns,
@@ -290,59 +274,14 @@
         now: float,
     ) -> EndFate:
         """Takes a listed end, of a known run or of another term's."""
-        task = end.task
-        transient = self.transient.get(task.job_id)
-        if transient is not None and task in transient.open:
-            self._end_transient(runs, end, run, transient.live, now)
-            return EndFate.ACKNOWLEDGE
-        live = self._table.live_by_id.get(task.job_id)
-        if live is None:
-            if run is None and not self.is_handed_over(now):
-                backend_id = runs.listed.backend_id
-                self._unclaimed_ends[task] = (backend_id, end)
-                return EndFate.KEEP
-            return EndFate.ACKNOWLEDGE
-        if live.is_task_done(task):
-            return EndFate.ACKNOWLEDGE
-        if not needs_storing(end):
-            if run is not None:
-                self.take_lost(runs, run)
-            return EndFate.ACKNOWLEDGE
-        self._learn(runs, run, end, live, now)
-        self.waiting.discard(task)
-        self._being_stored.add(task)
-        key = (task, end.run)
-        self._end_by_run[key] = (runs.listed.backend_id, end.number)
-        stored = End(task, end.run, end.how is RunEnd.DONE)
-        self._effects.append(Store(Ended(self.name, self.term, (stored,))))
-        return EndFate.KEEP
-
-    def _end_transient(
-        self,
-        runs: BackendRuns,
-        end: FinishedRun,
-        run: Run | None,
-        live: LiveJob,
-        now: float,
-    ) -> None:
-        """Reports the end of a transient task, or lets it run again."""
-        task = end.task
-        is_done = end.how is RunEnd.DONE
-        if end.how is RunEnd.FAILED:
-            failed = live.failed_runs_by_task.setdefault(task, set())
-            failed.add(end.run)
-        if not is_done and not _is_used_up(live, task):
-            if run is None or run.wants_retry:
-                self._enqueue(live, task)
-            return
-        self._learn(runs, run, end, live, now)
-        self.waiting.discard(task)
-        self._report(task, is_done)
+        self.waiting.discard(end.task)
+        return self._ends.take_end(runs, end, run, now)
 
-    def _report(self, task: TaskKey, is_done: bool) -> None:
-        report = self.transient.end_task(task, is_done)
-        if report is not None:
-            self._effects.append(report)
+    def take_lost(self, runs: BackendRuns, run: Run) -> None:
+        """Takes a run that is over without a listed end."""
+        live = self._find(run.task.job_id)
+        if run.wants_retry and live is not None:
+            self._enqueue(live, run.task)
 
     # Time and placement.
 
@@ -355,12 +294,7 @@
                 leases and to start tasks.
         """
         self.commander.tick(now, may_renew)
-        if self._unclaimed_ends and self.is_handed_over(now):
-            for backend_id, end in self._unclaimed_ends.values():
-                runs = self.commander.runs_by_backend.get(backend_id)
-                if runs is not None:
-                    runs.note_stored(end.number)
-            self._unclaimed_ends.clear()
+        self._ends.tick(now)
         if may_renew:
             self._release_old_tasks(now)
             self.place(now)
@@ -383,30 +317,38 @@
         commanded = self._table.commanded_by_cell.get(self.name, {})
         usable = [
             runs
-            for runs in self.commander.runs_by_backend.values()
+            for runs in self.ledger.runs_by_backend.values()
             if runs.is_usable(now)
             and commanded.get(runs.listed.backend_id) == runs.listed.born_ms
         ]
 
-        def can_place(entry: WaitingTask) -> bool:
-            runs = choose_backend(entry, usable, self.speeds, now)
-            if runs is None:
-                return False
-            live = self._find(entry.task.job_id)
-            if live is not None:
-                live.has_begun = True
-            self.commander.start(
-                runs,
-                entry.task,
-                entry.needs,
-                entry.job.spec,
-                '',
-                now,
-            )
-            return True
+        def start(entry: WaitingTask) -> bool:  # noqa: WPS430
+            return self._start(entry, usable, now)
+
+        self.waiting.place(start)
 
-        for _ in self.waiting.pop_placeable(can_place):
-            continue
+    def _start(
+        self,
+        entry: WaitingTask,
+        usable: list[BackendRuns],
+        now: float,
+    ) -> bool:
+        """Starts a task if there is room for it; tells whether it did."""
+        runs = choose_backend(entry, usable, self.speeds, now)
+        if runs is None:
+            return False
+        live = self._find(entry.task.job_id)
+        if live is not None:
+            live.has_begun = True
+        self.ledger.start(
+            runs,
+            entry.task,
+            entry.needs,
+            entry.job.spec,
+            '',
+            now,
+        )
+        return True
 
     def _find(self, job_id: str) -> LiveJob | None:
         transient = self.transient.get(job_id)
@@ -415,34 +357,8 @@
         return self._table.live_by_id.get(job_id)
 
     def _enqueue(self, live: LiveJob, task: TaskKey) -> None:
-        if task in self.commander.backend_by_task:
+        if task in self.ledger.backend_by_task:
             return
-        if live.is_task_done(task) or task in self._being_stored:
+        if live.is_task_done(task) or task in self._ends.being_stored:
             return
         self.waiting.add(task, live.job, due_s_of(live.job, self.speeds))
-
-    def _learn(
-        self,
-        runs: BackendRuns,
-        run: Run | None,
-        end: FinishedRun,
-        live: LiveJob,
-        now: float,
-    ) -> None:
-        if end.how is not RunEnd.DONE or run is None or not run.is_ordered:
-            return
-        step = live.job.steps[end.task.step]
-        self.speeds.note(
-            RunTime(
-                live.job.queue,
-                kind_of(runs),
-                runs.listed.backend_id,
-                step.estimate_ms / 1000,
-                now - run.started_s,
-            ),
-        )
-
-
-def _is_used_up(live: LiveJob, task: TaskKey) -> bool:
-    failed = live.failed_runs_by_task.get(task, ())
-    return len(failed) >= live.job.max_attempts
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -1,4 +1,4 @@
-"""Orders to the back ends of a cell: leases, starts, stops, and their answers.
+"""What a cell's owner learns from the answers of back ends.
 
 A run is taken as over only when that is certain: the back end lists its end,
 or does not list it any more after the start or the stop was acknowledged, a
@@ -21,38 +21,23 @@
     StopRun,
 )
 from camphorlink.internal.core.connection.backend_runs import (
-    LATE_ORDER_S,
-    LEASE_S,
     BackendRuns,
     Run,
     RunState,
     absent_runs,
 )
-from camphorlink.internal.core.process.cell_effects import (
-    CellEffect,
-    CheckOwnership,
-    Count,
-    Note,
-)
+from camphorlink.internal.core.process.cell_effects import CellEffect
+from camphorlink.internal.core.process.lease_watch import LeaseWatch
 from camphorlink.internal.core.process.predecessor import Predecessor
+from camphorlink.internal.core.process.run_ledger import RunLedger
 from camphorlink.internal.core.request.durable_job import Resources, TaskKey
 
-#: How long an answer to a hold waits for an end: with a lease of 1 s, two
-#: answers may be lost before anything lapses.
-HOLD_WAIT_MS = 300
 #: Pause between holds while ends wait to be stored, or nothing is answered.
 HOLD_PAUSE_S = 0.1
-#: Time without an answer after which a stop is sent again.
-STOP_RETRY_S = 0.25
 #: Time that a back end which rejects a start gets no other.
 REJECTION_PAUSE_S = 0.05
 #: The same for one that calls itself unhealthy.
 UNHEALTHY_PAUSE_S = 1.0
-#: A silent back end's runs are over after this long, whatever was ordered:
-#: no order is carried out later, and a lease from then on has lapsed.
-PRESUMED_OVER_S = LATE_ORDER_S + LEASE_S + 1.0
-#: Numbers of runs that a term has; the next term's are higher.
-RUNS_PER_TERM = 10_000_000
 
 
 class EndFate(enum.Enum):
@@ -85,12 +70,10 @@
 
 
 class Commander:
-    """Commands the back ends of one cell in one term.
+    """Takes the answers of the back ends of one cell in one term.
 
     Attributes:
-        term: Fencing token.
-        runs_by_backend: What is known of each back end.
-        backend_by_task: Where each task has a run that is not over.
+        ledger: The runs and the orders.
     """
 
     def __init__(
@@ -101,17 +84,12 @@
         effects: list[CellEffect],
     ) -> None:
         """Starts with no back end."""
-        self.term = term
-        self.runs_by_backend: dict[str, BackendRuns] = {}
-        self.backend_by_task: dict[TaskKey, str] = {}
+        self.ledger = RunLedger(term, effects)
         self._owner = owner
         self._predecessor = predecessor
-        self._effects = effects
-        self._runs = 0
-        self._holds = 0
-        self._sent_s_by_hold: dict[int, float] = {}
-
-    # Lifetimes.
+        self._watch = LeaseWatch(self.ledger, self._lose)
+        #: Does what is due; takes the time, and whether leases are renewed.
+        self.tick = self._watch.tick
 
     def note_listing(
         self,
@@ -120,103 +98,28 @@
     ) -> None:
         """Takes the back ends of this cell as the platform lists them now."""
         for backend in listed_by_id.values():
-            known = self.runs_by_backend.get(backend.backend_id)
+            known = self.ledger.runs_by_backend.get(backend.backend_id)
             if known is None:
-                self._open(backend, now)
+                self.ledger.open(backend, now)
             elif known.listed.born_ms < backend.born_ms:
-                self._renew(known, backend, now)
+                self.ledger.renew(known, backend, now)
             elif known.listed.born_ms == backend.born_ms:
                 known.listed = backend
-        for backend_id, runs in list(self.runs_by_backend.items()):
+        for backend_id, runs in list(self.ledger.runs_by_backend.items()):
             runs.is_listed = backend_id in listed_by_id
             is_silent = runs.silent_since_s is not None
             if not runs.is_listed and is_silent and not runs.run_by_task:
-                self.runs_by_backend.pop(backend_id)
-                self._note('Back end is gone.', runs.listed)
-
-    def _open(self, backend: ListedBackend, now: float) -> BackendRuns:
-        runs = BackendRuns(backend, now)
-        self.runs_by_backend[backend.backend_id] = runs
-        self._look(runs, now)
-        return runs
-
-    def _renew(
-        self,
-        old: BackendRuns,
-        backend: ListedBackend,
-        now: float,
-    ) -> None:
-        """Opens a new lifetime; runs ordered of late may belong to it."""
-        self._note('Back end has a new lifetime.', backend)
-        runs = self._open(backend, now)
-        for run in old.run_by_task.values():
-            runs.add(run)
-
-    # Orders.
-
-    def start(
-        self,
-        runs: BackendRuns,
-        task: TaskKey,
-        needs: Resources,
-        spec: str,
-        checkpoint: str,
-        now: float,
-    ) -> None:
-        """Orders to start a task on a back end."""
-        self._runs += 1
-        number = self.term * RUNS_PER_TERM + self._runs
-        self._add(runs, Run(task, number, needs, now))
-        runs.note_lease_sent(now)
-        self._effects.append(
-            StartRun(
-                runs.listed,
-                self.term,
-                task,
-                number,
-                spec,
-                runs.lease_clock_ms(now) or 0,
-                checkpoint,
-            ),
-        )
-
-    def stop_task(self, task: TaskKey, now: float) -> None:
-        """Stops the run of a task, if it has one; it won't run again."""
-        backend_id = self.backend_by_task.get(task)
-        if backend_id is None:
-            return
-        runs = self.runs_by_backend[backend_id]
-        run = runs.run_by_task[task]
-        run.wants_retry = False
-        self._stop(runs, run, now)
-
-    def _stop(self, runs: BackendRuns, run: Run, now: float) -> None:
-        if run.state in {RunState.STOPPING, RunState.STOPPED}:
-            return
-        run.turn(RunState.STOPPING, now)
-        self._send_stop(runs, run.task, run.number)
-
-    def _send_stop(self, runs: BackendRuns, task: TaskKey, run: int) -> None:
-        self._effects.append(StopRun(runs.listed, self.term, task, run))
-
-    def _add(self, runs: BackendRuns, run: Run) -> None:
-        runs.add(run)
-        self.backend_by_task[run.task] = runs.listed.backend_id
-
-    def _drop(self, runs: BackendRuns, run: Run) -> None:
-        runs.drop(run.task)
-        self.backend_by_task.pop(run.task, None)
+                self.ledger.runs_by_backend.pop(backend_id)
+                self.ledger.note('Back end is gone.', runs.listed)
 
     def _lose(self, runs: BackendRuns, run: Run) -> None:
-        self._drop(runs, run)
+        self.ledger.drop(runs, run)
         self._owner.take_lost(runs, run)
 
     def _lose_all(self, runs: BackendRuns) -> None:
         for run in list(runs.run_by_task.values()):
             self._lose(runs, run)
 
-    # Answers.
-
     def note_start(
         self,
         order: StartRun,
@@ -225,16 +128,18 @@
         now: float,
     ) -> None:
         """Takes the answer to an order to start."""
-        runs = self.runs_by_backend.get(order.backend.backend_id)
-        run = runs and runs.run_by_task.get(order.task)
-        if runs is None or run is None or run.number != order.run:
+        runs = self.ledger.runs_by_backend.get(order.backend.backend_id)
+        if runs is None:
+            return
+        run = runs.run_by_task.get(order.task)
+        if run is None or run.number != order.run:
             return
         if answer.verdict is StartVerdict.UNANSWERED:
             runs.note_silence(sent_s)
-            self._count('lost_orders', 'start')
+            self.ledger.count('lost_orders', 'start')
             if run.state is RunState.ORDERED:
                 run.turn(RunState.UNCERTAIN, now)
-                self._look(runs, now)
+                self.ledger.look(runs, now)
             return
         runs.note_answer(answer.clock_ms, now)
         if answer.verdict is StartVerdict.STARTED:
@@ -251,15 +156,17 @@
         verdict: StartVerdict,
         now: float,
     ) -> None:
-        self._count('rejected_starts', verdict.value)
+        self.ledger.count('rejected_starts', verdict.value)
         pause_s = REJECTION_PAUSE_S
         if verdict is StartVerdict.FENCED:
-            self._effects.append(CheckOwnership())
+            self.ledger.check_ownership()
             pause_s = UNHEALTHY_PAUSE_S
         elif verdict in {StartVerdict.UNHEALTHY, StartVerdict.INVALID}:
             pause_s = UNHEALTHY_PAUSE_S
         runs.pause_until_s = now + pause_s
-        self._note('Start was rejected.', runs.listed, verdict=verdict.value)
+        self.ledger.note(
+            'Start was rejected.', runs.listed, verdict=verdict.value
+        )
 
     def note_stop(
         self,
@@ -269,7 +176,7 @@
         now: float,
     ) -> None:
         """Takes the answer to an order to stop."""
-        runs = self.runs_by_backend.get(order.backend.backend_id)
+        runs = self.ledger.runs_by_backend.get(order.backend.backend_id)
         if runs is None:
             return
         if not is_answered:
@@ -281,12 +188,12 @@
             return
         if run.state is RunState.STOPPING:
             run.turn(RunState.STOPPED, now)
-            self._look(runs, now)
+            self.ledger.look(runs, now)
 
     def note_hold(self, order: Hold, answer: HoldAnswer, now: float) -> None:
         """Takes the answer to a hold or a look."""
-        sent_s = self._sent_s_by_hold.pop(order.number)
-        runs = self.runs_by_backend.get(order.backend.backend_id)
+        sent_s = self.ledger.take_sent_s(order)
+        runs = self.ledger.runs_by_backend.get(order.backend.backend_id)
         if runs is None or order.backend.born_ms != runs.listed.born_ms:
             return
         is_main = runs.hold_number == order.number
@@ -297,11 +204,11 @@
         if is_main:
             runs.hold_number = 0
             paused = runs.has_unstored_ends or runs.silent_since_s is not None
-            runs.hold_due_s = now + (HOLD_PAUSE_S if paused else 0)
-            if not paused:
-                self._hold(runs, now, self._may_renew)
-
-    _may_renew = False
+            runs.hold_due_s = now
+            if paused:
+                runs.hold_due_s += HOLD_PAUSE_S
+            else:
+                self.ledger.hold(runs, now, self._watch.may_renew)
 
     def _note_no_list(
         self,
@@ -311,14 +218,14 @@
         now: float,
     ) -> None:
         if verdict is HoldVerdict.FENCED:
-            self._effects.append(CheckOwnership())
+            self.ledger.check_ownership()
             runs.pause_until_s = now + UNHEALTHY_PAUSE_S
         elif verdict is HoldVerdict.OTHER_LIFETIME:
-            self._note('Another back end has its address.', runs.listed)
+            self.ledger.note('Another back end has its address.', runs.listed)
             self._predecessor.note_gone(runs.listed.backend_id)
             self._lose_all(runs)
         elif runs.silent_since_s is None:
-            self._note('Back end does not answer.', runs.listed)
+            self.ledger.note('Back end does not answer.', runs.listed)
         runs.note_silence(sent_s)
 
     def _note_list(
@@ -330,10 +237,10 @@
     ) -> None:
         if answer.born_ms > runs.listed.born_ms:
             newer = runs.listed._replace(born_ms=answer.born_ms)
-            self._renew(runs, newer, now)
+            self.ledger.renew(runs, newer, now)
             return
         if runs.silent_since_s is not None:
-            self._note('Back end answers again.', runs.listed)
+            self.ledger.note('Back end answers again.', runs.listed)
         runs.note_answer(answer.clock_ms, now)
         if answer.finished:
             runs.skip_to(answer.finished[0].number)
@@ -356,7 +263,7 @@
     ) -> None:
         run = runs.run_by_task.get(end.task)
         if run is not None and run.number == end.run:
-            self._drop(runs, run)
+            self.ledger.drop(runs, run)
         else:
             run = None
         fate = self._owner.take_end(runs, end, run, now)
@@ -375,14 +282,14 @@
                 run.turn(RunState.RUNNING, now)
             return
         needs = self._owner.needs_of(entry.task)
-        if needs is None or entry.task in self.backend_by_task:
+        if needs is None or entry.task in self.ledger.backend_by_task:
             if self._owner.is_handed_over(now):
-                self._send_stop(runs, entry.task, entry.run)
+                self.ledger.send_stop(runs, entry.task, entry.run)
             return
         found = Run(entry.task, entry.run, needs, now)
         found.is_ordered = False
         found.turn(RunState.RUNNING, now)
-        self._add(runs, found)
+        self.ledger.add(runs, found)
 
     def _note_absent(
         self,
@@ -394,86 +301,6 @@
         if run.since_s > sent_s:
             return
         if run.state is RunState.UNCERTAIN:
-            self._stop(runs, run, now)
+            self.ledger.stop(runs, run, now)
         elif run.state in {RunState.RUNNING, RunState.STOPPED}:
             self._lose(runs, run)
-
-    # Time.
-
-    def tick(self, now: float, may_renew: bool) -> None:
-        """Does what is due: holds, repeated stops, lapses."""
-        self._may_renew = may_renew
-        for runs in list(self.runs_by_backend.values()):
-            if runs.hold_number == 0 and runs.hold_due_s <= now:
-                self._hold(runs, now, may_renew)
-            self._repeat_stops(runs, now)
-            if runs.silent_since_s is not None:
-                self._note_lapse(runs, now)
-
-    def _repeat_stops(self, runs: BackendRuns, now: float) -> None:
-        for run in runs.run_by_task.values():
-            if now - run.since_s < STOP_RETRY_S:
-                continue
-            if run.state is RunState.STOPPING:
-                run.turn(RunState.STOPPING, now)
-                self._send_stop(runs, run.task, run.number)
-
-    def _note_lapse(self, runs: BackendRuns, now: float) -> None:
-        silent_since_s = runs.silent_since_s or now
-        if now - silent_since_s > PRESUMED_OVER_S:
-            self._lose_all(runs)
-        elif runs.has_lapsed(now):
-            for run in list(runs.run_by_task.values()):
-                if run.state is RunState.RUNNING:
-                    self._count('lapsed_runs', 'back-end-silent')
-                    self._lose(runs, run)
-
-    def _hold(self, runs: BackendRuns, now: float, may_renew: bool) -> None:
-        renews = may_renew and runs.is_heard and runs.silent_since_s is None
-        can_wait = renews and not runs.has_unstored_ends
-        lease_ms = runs.lease_clock_ms(now) if renews else None
-        if lease_ms is not None:
-            runs.note_lease_sent(now)
-        runs.hold_number = self._send_hold(
-            runs,
-            lease_ms,
-            HOLD_WAIT_MS if can_wait else 0,
-            now,
-        )
-
-    def _look(self, runs: BackendRuns, now: float) -> None:
-        self._send_hold(runs, None, 0, now)
-
-    def _send_hold(
-        self,
-        runs: BackendRuns,
-        lease_ms: int | None,
-        wait_ms: int,
-        now: float,
-    ) -> int:
-        self._holds += 1
-        self._sent_s_by_hold[self._holds] = now
-        self._effects.append(
-            Hold(
-                runs.listed,
-                self.term,
-                runs.acknowledged,
-                lease_ms,
-                wait_ms,
-                self._holds,
-            ),
-        )
-        return self._holds
-
-    def _count(self, family: str, reason: str) -> None:
-        self._effects.append(Count(family, reason))
-
-    def _note(
-        self,
-        event: str,
-        backend: ListedBackend,
-        **facts: object,
-    ) -> None:
-        self._effects.append(
-            Note(event, {'backend': backend.backend_id, **facts}),
-        )
--- a/src/camphorlink/internal/core/process/job_snapshot.py
+++ b/src/camphorlink/internal/core/process/job_snapshot.py
@@ -9,7 +9,6 @@
 
 import cbor2
 
-from camphorlink.errors import JobRecordError
 from camphorlink.internal.core.process.job_table import (
     EndedJob,
     JobState,
@@ -18,10 +17,12 @@
     Owner,
 )
 from camphorlink.internal.core.request.durable_job import TaskKey
-from camphorlink.internal.core.request.job_records import (
+from camphorlink.internal.core.request.job_record_codec import (
+    UNREADABLE,
     decode_job,
     encode_job,
 )
+from camphorlink.store_errors import JobRecordError
 
 _STATES = tuple(JobState)
 
@@ -32,13 +33,13 @@
     Attributes:
         offset: What the snapshot covers.
         number: Number of the part, from 0.
-        count: Number of parts.
+        total: Number of parts.
         body: The bytes.
     """
 
     offset: int
     number: int
-    count: int
+    total: int
     body: bytes
 
 
@@ -77,10 +78,10 @@
             parts_by_snapshot.setdefault(key, []).append(chunk)
         for key in sorted(parts_by_snapshot, reverse=True):
             parts = sorted(parts_by_snapshot[key])
-            if len(parts) == parts[0].count:
+            if len(parts) == parts[0].total:
                 body = b''.join(chunk.body for chunk in parts)
                 return _build_table(parts[0].offset, *cbor2.loads(body))
-    except (cbor2.CBORError, LookupError, TypeError, ValueError) as exc:
+    except UNREADABLE as exc:
         raise JobRecordError(f'unreadable snapshot: {exc!r}') from exc
     if parts_by_snapshot:
         raise JobRecordError('no snapshot is whole')
--- a/src/camphorlink/internal/core/process/job_table.py
+++ b/src/camphorlink/internal/core/process/job_table.py
@@ -1,6 +1,7 @@
 """The state of all durable jobs, folded from the records of the job log."""
 
 import enum
+import itertools
 from collections.abc import Iterable
 from functools import singledispatchmethod
 from typing import NamedTuple
@@ -79,11 +80,11 @@
 
     def is_step_done(self, step: int) -> bool:
         """Tells whether all tasks of a step are done."""
-        return len(self.done_by_step[step]) == self.job.steps[step].count
+        return len(self.done_by_step[step]) == self.job.steps[step].width
 
     def is_task_done(self, task: TaskKey) -> bool:
         """Tells whether one task is done."""
-        return task.index in self.done_by_step[task.step]
+        return task.number in self.done_by_step[task.step]
 
     def is_step_due(self, step: int) -> bool:
         """Tells whether all steps that a step waits for are done."""
@@ -91,11 +92,10 @@
 
     def due_tasks(self) -> Iterable[TaskKey]:
         """Names the tasks that may run and are not done."""
-        for step in range(len(self.job.steps)):
-            if self.is_step_due(step):
-                for task in task_keys(self.job, step):
-                    if not self.is_task_done(task):
-                        yield task
+        due_steps = filter(self.is_step_due, range(len(self.job.steps)))
+        for step in due_steps:
+            tasks = task_keys(self.job, step)
+            yield from itertools.filterfalse(self.is_task_done, tasks)
 
     @property
     def is_done(self) -> bool:
@@ -259,7 +259,7 @@
             if len(runs) >= live.job.max_attempts:
                 return [self._end(live, JobState.FAILED)]
             return [TasksDue(live, (task,))]
-        live.done_by_step[task.step].add(task.index)
+        live.done_by_step[task.step].add(task.number)
         if live.is_done:
             return [self._end(live, JobState.COMPLETED)]
         if live.is_step_done(task.step):
--- /dev/null
+++ b/src/camphorlink/internal/core/process/run_ledger.py
@@ -0,0 +1,187 @@
+"""Which runs a cell's owner has ordered on which back end, and its orders.
+
+The orders themselves are effects; what comes of them is for the commander.
+"""
+
+from camphorlink.internal.core.connection.backend_orders import (
+    Hold,
+    ListedBackend,
+    StartRun,
+    StopRun,
+)
+from camphorlink.internal.core.connection.backend_runs import (
+    BackendRuns,
+    Run,
+    RunState,
+)
+from camphorlink.internal.core.process.cell_effects import (
+    CellEffect,
+    CheckOwnership,
+    Count,
+    Note,
+)
+from camphorlink.internal.core.request.durable_job import Resources, TaskKey
+
+#: How long an answer to a hold waits for an end: with a lease of 1 s, two
+#: answers may be lost before anything lapses.
+HOLD_WAIT_MS = 300
+#: Numbers of runs that a term has; the next term's are higher.
+RUNS_PER_TERM = 10_000_000
+
+
+class RunLedger:
+    """The runs of one term, and the orders about them.
+
+    Attributes:
+        term: Fencing token.
+        runs_by_backend: What is known of each back end.
+        backend_by_task: Where each task has a run that is not over.
+    """
+
+    def __init__(self, term: int, effects: list[CellEffect]) -> None:
+        """Starts with no back end; orders are added to the effects."""
+        self.term = term
+        self.runs_by_backend: dict[str, BackendRuns] = {}
+        self.backend_by_task: dict[TaskKey, str] = {}
+        self._effects = effects
+        self._runs = 0
+        self._holds = 0
+        self._sent_s_by_hold: dict[int, float] = {}
+
+    def open(self, backend: ListedBackend, now: float) -> BackendRuns:
+        """Starts with a lifetime of a back end, and looks at its runs."""
+        runs = BackendRuns(backend, now)
+        self.runs_by_backend[backend.backend_id] = runs
+        self.look(runs, now)
+        return runs
+
+    def renew(
+        self,
+        old: BackendRuns,
+        backend: ListedBackend,
+        now: float,
+    ) -> None:
+        """Opens a new lifetime; runs ordered of late may belong to it."""
+        self.note('Back end has a new lifetime.', backend)
+        runs = self.open(backend, now)
+        for run in old.run_by_task.values():
+            runs.add(run)
+
+    def add(self, runs: BackendRuns, run: Run) -> None:
+        """Counts a run that was ordered or found."""
+        runs.add(run)
+        self.backend_by_task[run.task] = runs.listed.backend_id
+
+    def drop(self, runs: BackendRuns, run: Run) -> None:
+        """Forgets a run that is certainly over."""
+        runs.drop(run.task)
+        self.backend_by_task.pop(run.task, None)
+
+    def start(
+        self,
+        runs: BackendRuns,
+        task: TaskKey,
+        needs: Resources,
+        spec: str,
+        checkpoint: str,
+        now: float,
+    ) -> None:
+        """Orders to start a task on a back end."""
+        self._runs += 1
+        number = self.term * RUNS_PER_TERM + self._runs
+        self.add(runs, Run(task, number, needs, now))
+        runs.note_lease_sent(now)
+        self._effects.append(
+            StartRun(
+                runs.listed,
+                self.term,
+                task,
+                number,
+                spec,
+                runs.lease_clock_ms(now) or 0,
+                checkpoint,
+            ),
+        )
+
+    def stop_task(self, task: TaskKey, now: float) -> None:
+        """Stops the run of a task, if it has one; it won't run again."""
+        backend_id = self.backend_by_task.get(task)
+        if backend_id is None:
+            return
+        runs = self.runs_by_backend[backend_id]
+        run = runs.run_by_task[task]
+        run.wants_retry = False
+        self.stop(runs, run, now)
+
+    def stop(self, runs: BackendRuns, run: Run, now: float) -> None:
+        """Orders to stop a run, unless that was done."""
+        if run.state in {RunState.STOPPING, RunState.STOPPED}:
+            return
+        run.turn(RunState.STOPPING, now)
+        self.send_stop(runs, run.task, run.number)
+
+    def send_stop(self, runs: BackendRuns, task: TaskKey, run: int) -> None:
+        """Orders to stop a run by its number, known here or not."""
+        self._effects.append(StopRun(runs.listed, self.term, task, run))
+
+    def hold(self, runs: BackendRuns, now: float, may_renew: bool) -> None:
+        """Sends the one hold that waits, and renews the lease if it may."""
+        renews = may_renew and runs.is_heard and runs.silent_since_s is None
+        can_wait = renews and not runs.has_unstored_ends
+        lease_ms = runs.lease_clock_ms(now) if renews else None
+        if lease_ms is not None:
+            runs.note_lease_sent(now)
+        runs.hold_number = self._send_hold(
+            runs,
+            lease_ms,
+            HOLD_WAIT_MS if can_wait else 0,
+            now,
+        )
+
+    def look(self, runs: BackendRuns, now: float) -> None:
+        """Asks for the runs of a back end at once."""
+        self._send_hold(runs, None, 0, now)
+
+    def take_sent_s(self, order: Hold) -> float:
+        """Returns when a hold was sent, once."""
+        return self._sent_s_by_hold.pop(order.number)
+
+    def check_ownership(self) -> None:
+        """Has the log read to its end: another owner may have claimed."""
+        self._effects.append(CheckOwnership())
+
+    def count(self, family: str, reason: str) -> None:
+        """Counts an event by its reason."""
+        self._effects.append(Count(family, reason))
+
+    def note(
+        self,
+        event: str,
+        backend: ListedBackend,
+        **facts: object,
+    ) -> None:
+        """Logs what was decided about a back end."""
+        self._effects.append(
+            Note(event, {'backend': backend.backend_id, **facts}),
+        )
+
+    def _send_hold(
+        self,
+        runs: BackendRuns,
+        lease_ms: int | None,
+        wait_ms: int,
+        now: float,
+    ) -> int:
+        self._holds += 1
+        self._sent_s_by_hold[self._holds] = now
+        self._effects.append(
+            Hold(
+                runs.listed,
+                self.term,
+                runs.acknowledged,
+                lease_ms,
+                wait_ms,
+                self._holds,
+            ),
+        )
+        return self._holds
--- a/src/camphorlink/internal/core/request/cell_choice.py
+++ b/src/camphorlink/internal/core/request/cell_choice.py
@@ -6,7 +6,7 @@
 no room is left, to the cell that works its queue off soonest.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from camphorlink.internal.core.request.durable_job import Resources
@@ -46,6 +46,14 @@
     cpu: int
 
 
+class _Place(NamedTuple):
+    """Room for a task: when it would end there, and where that is."""
+
+    end_s: float
+    cell: str
+    number: int
+
+
 class CellChoice:
     """Free room as last told, less what was given out since."""
 
@@ -76,45 +84,45 @@
             cells: Cells that can be reached.
         """
         usable = [cell for cell in cells if self._cpu_by_cell.get(cell)]
-        best: tuple[float, str, int] | None = None
-        for cell in usable:
-            away_s = 0 if cell == self._home else REMOTE_S
-            for place, room in enumerate(self._rooms_by_cell[cell]):
-                if room.free_cpu >= needs.cpu_milli:
-                    end_s = work_s / room.speed + away_s
-                    if best is None or end_s < best[0]:
-                        best = (end_s, cell, place)
-        if best is not None:
-            _, cell, place = best
-            rooms = self._rooms_by_cell[cell]
-            room = rooms[place]
-            left = room.free_cpu - needs.cpu_milli
-            rooms[place] = room._replace(free_cpu=left)
-            return cell
+        found = self._soonest(needs, work_s, usable)
+        if found is not None:
+            self._take_room(found, needs)
+            return found.cell
         if not usable:
             return None
-        cell = min(usable, key=lambda name: self._wait_in(name))
-        self._wait_s_by_cell[cell] += (
-            work_s * needs.cpu_milli / self._cpu_by_cell[cell]
+        shortest = min(usable, key=self._wait_in)
+        share_s = work_s * needs.cpu_milli / self._cpu_by_cell[shortest]
+        self._wait_s_by_cell[shortest] += share_s
+        return shortest
+
+    def _soonest(
+        self,
+        needs: Resources,
+        work_s: float,
+        cells: Iterable[str],
+    ) -> '_Place | None':
+        return min(
+            (
+                _Place(work_s / room.speed + self._away_s(cell), cell, number)
+                for cell in cells
+                for number, room in enumerate(self._rooms_by_cell[cell])
+                if room.free_cpu >= needs.cpu_milli
+            ),
+            default=None,
         )
-        return cell
+
+    def _take_room(self, place: '_Place', needs: Resources) -> None:
+        rooms = self._rooms_by_cell[place.cell]
+        room = rooms[place.number]
+        left = room.free_cpu - needs.cpu_milli
+        rooms[place.number] = room._replace(free_cpu=left)
 
     def shortest_wait_s(self, cells: Iterable[str]) -> float:
         """Returns the shortest wait for room in any of the cells."""
         return min((self._wait_in(cell) for cell in cells), default=0)
 
     def _wait_in(self, cell: str) -> float:
-        away_s = 0 if cell == self._home else REMOTE_S
-        return self._wait_s_by_cell.get(cell, 0) + away_s
-
-
-def read_load(plain: Sequence[object]) -> CellLoad:
-    """Reads a load as peers send it."""
-    cell, term, rooms, wait_s, cpu = plain
-    return CellLoad(
-        str(cell),
-        int(term),  # type: ignore[call-overload]
-        tuple(Room(*room) for room in rooms),  # type: ignore[attr-defined]
-        float(wait_s),  # type: ignore[arg-type]
-        int(cpu),  # type: ignore[call-overload]
-    )
+        return self._wait_s_by_cell.get(cell, 0) + self._away_s(cell)
+
+    def _away_s(self, cell: str) -> float:
+        return 0 if cell == self._home else REMOTE_S
--- a/src/camphorlink/internal/core/request/durable_job.py
+++ b/src/camphorlink/internal/core/request/durable_job.py
@@ -49,7 +49,7 @@
     """Like tasks of a job.
 
     Attributes:
-        count: Number of tasks.
+        width: Number of tasks.
         needs: What each task takes of its back end.
         estimate_ms: The caller's rough estimate of a task's run time, in ms.
         after: Numbers of the steps that must be done before.
@@ -59,7 +59,7 @@
         checkpoints: Whether its tasks write checkpoints.
     """
 
-    count: int
+    width: int
     needs: Resources
     estimate_ms: int
     after: tuple[int, ...] = ()
@@ -103,17 +103,17 @@
     Attributes:
         job_id: Its job.
         step: Number of its step, from 0.
-        index: Its number in the step, from 0.
+        number: Its number in the step, from 0.
     """
 
     job_id: str
     step: int
-    index: int
+    number: int
 
 
 def task_keys(job: DurableJob, step: int) -> Iterator[TaskKey]:
     """Names all tasks of a step."""
     return (
-        TaskKey(job.job_id, step, index)
-        for index in range(job.steps[step].count)
+        TaskKey(job.job_id, step, number)
+        for number in range(job.steps[step].width)
     )
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -103,7 +103,7 @@
             effects = self.drop(task.job_id)
             effects.append(JobOver(task.job_id, JobState.FAILED))
             return effects
-        live.done_by_step[task.step].add(task.index)
+        live.done_by_step[task.step].add(task.number)
         if live.is_done:
             self._open_by_id.pop(task.job_id)
             return [JobOver(task.job_id, JobState.COMPLETED)]
--- a/src/camphorlink/internal/core/request/waiting_tasks.py
+++ b/src/camphorlink/internal/core/request/waiting_tasks.py
@@ -7,7 +7,7 @@
 
 import heapq
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from camphorlink.internal.core.request.durable_job import (
@@ -17,6 +17,10 @@
     TaskKey,
 )
 
+#: Waiting tasks that one pass looks at beyond those that it places: bounds
+#: the cost of a pass while thousands wait.
+MAX_PASSED_OVER = 200
+
 
 class WaitingTask(NamedTuple):
     """A task that may start as soon as there is room.
@@ -44,6 +48,10 @@
         return self.step.needs
 
 
+#: Places a task if it can, and tells whether it did.
+CanPlace = Callable[[WaitingTask], bool]
+
+
 class WaitingTasks:
     """A queue ordered by when jobs are due."""
 
@@ -77,31 +85,25 @@
         """Takes a task out, if it waits."""
         self._entry_by_task.pop(task, None)
 
-    def pop_placeable(self, can_place: 'CanPlace') -> Iterator[WaitingTask]:
-        """Hands out tasks in order, as long as they can be placed.
+    def place(self, can_place: CanPlace) -> None:
+        """Offers the tasks in order, and drops those that were placed.
 
         Tasks that need as much as one that could not be placed are passed
         over without asking again.
 
         Args:
             can_place: Places a task if it can, and tells whether it did.
-
-        Yields:
-            The tasks that were placed.
         """
         kept: list[WaitingTask] = []
         refused: list[Step] = []
-        while self._heap:
+        while self._heap and len(kept) < MAX_PASSED_OVER:
             entry = heapq.heappop(self._heap)
             if self._entry_by_task.get(entry.task) is not entry:
                 continue
             if _is_hopeless(entry.step, refused):
                 kept.append(entry)
-                if len(kept) > MAX_PASSED_OVER:
-                    break
             elif can_place(entry):
                 self._entry_by_task.pop(entry.task)
-                yield entry
             else:
                 kept.append(entry)
                 refused.append(entry.step)
@@ -109,19 +111,6 @@
             heapq.heappush(self._heap, entry)
 
 
-#: Waiting tasks that one pass looks at beyond those that it places: bounds
-#: the cost of a pass while thousands wait.
-MAX_PASSED_OVER = 200
-
-
-class CanPlace:
-    """Type of the function that ``pop_placeable`` asks."""
-
-    def __call__(self, entry: WaitingTask) -> bool:
-        """Places a task if it can."""
-        raise NotImplementedError
-
-
 def _is_hopeless(step: Step, refused: list[Step]) -> bool:
     return any(
         other.needs.fits_in(step.needs)
--- a/src/camphorlink/internal/shell/connection/mesh.py
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -10,13 +10,19 @@
 import itertools
 from collections.abc import Callable
 from types import TracebackType
-from typing import Any, NamedTuple, Self
+from typing import NamedTuple, Self
 
 import cbor2
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
+from camphorlink.errors import PeerMessageError
+from camphorlink.internal.core.connection.node_messages import (
+    NodeMessage,
+    decode_message,
+    encode_message,
+)
 from camphorlink.internal.shell.process.logs import PartLog
 
 #: Messages that wait for a slow peer; the rest is dropped, since peers read
@@ -32,7 +38,7 @@
 RETRY_S = 0.3
 
 #: Gets a message and the number of the channel that it came on.
-OnMessage = Callable[[list[Any], int], None]
+OnMessage = Callable[[NodeMessage, int], None]
 #: Gets the number of a channel that was closed.
 OnClosed = Callable[[int], None]
 
@@ -101,30 +107,32 @@
         for address in addresses - set(self._sender_by_address):
             self._sender_by_address[address] = _Sender(address, self._log)
 
-    def broadcast(self, message: list[Any]) -> None:
+    def broadcast(self, message: NodeMessage) -> None:
         """Sends a message to all peers that can be reached."""
         if not self._sender_by_address:
             return
-        frame = cbor2.dumps(message)
+        frame = cbor2.dumps(encode_message(message))
         for sender in self._sender_by_address.values():
             sender.put(frame)
 
-    def send(self, address: Address, message: list[Any]) -> bool:
+    def send(self, address: Address, message: NodeMessage) -> bool:
         """Sends a message to one peer; tells whether its channel is open."""
         sender = self._sender_by_address.get(address)
-        return sender is not None and sender.put(cbor2.dumps(message))
+        return sender is not None and sender.put(
+            cbor2.dumps(encode_message(message))
+        )
 
     async def _receive(self, connection: ServerConnection) -> None:
         channel = next(self._channels)
         with contextlib.suppress(WebSocketException, OSError):
-            async for frame in connection:
-                self._take(frame, channel)
+            while True:
+                self._take(await connection.recv(decode=False), channel)
         self._on_closed(channel)
 
-    def _take(self, frame: str | bytes, channel: int) -> None:
+    def _take(self, frame: bytes, channel: int) -> None:
         try:
-            message = cbor2.loads(frame)  # type: ignore[arg-type]
-        except (cbor2.CBORError, TypeError, ValueError) as exc:
+            message = decode_message(cbor2.loads(frame))
+        except (cbor2.CBORError, PeerMessageError, TypeError) as exc:
             self._log.warning('unreadable frame', extra={'error': repr(exc)})
             return
         self._on_message(message, channel)
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -3,11 +3,10 @@
 import asyncio
 from collections.abc import Callable
 from functools import singledispatchmethod
-from typing import Any
 
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.job_table import JobState
-from camphorlink.internal.core.request.cell_choice import CellChoice, read_load
+from camphorlink.internal.core.request.cell_choice import CellChoice, CellLoad
 from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
 from camphorlink.internal.core.request.transient_jobs import (
     DropJob,
@@ -57,9 +56,8 @@
         """Tells whether a job is open here."""
         return job_id in self._jobs
 
-    def note_load(self, plain: list[Any]) -> None:
+    def note_load(self, load: CellLoad) -> None:
         """Takes what the owner of a cell says of its load."""
-        load = read_load(plain)
         self._heard_s_by_cell[load.cell] = now_s()
         self._choice.note_load(load)
 
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/peers.py
@@ -0,0 +1,224 @@
+"""The other entry VMs: who they are, who is alive, and messages to them.
+
+Each VM registers in the store under its name; the rest goes over the mesh.
+"""
+
+import asyncio
+import collections
+import contextlib
+from collections.abc import Callable
+from types import TracebackType
+from typing import NamedTuple, Self
+
+import cbor2
+
+from camphorlink.internal.core.connection.node_messages import (
+    Beat,
+    NodeMessage,
+)
+from camphorlink.internal.core.process.cell_ownership import PeerView
+from camphorlink.internal.shell.connection.mesh import Address, Mesh
+from camphorlink.internal.shell.ports import KeyedRecord, LogPort
+from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.steady_clock import now_s, wall_ms
+from camphorlink.store_errors import StoreError
+
+MEMBERS_TOPIC = 'keyed.camphorlink-members'
+#: Silence of a peer after which it is forgotten and its tasks are stopped, in
+#: seconds: its callers send a job again 1.3 s after they lost it.
+FORGOTTEN_S = 0.9
+#: Longest wait of one read of the members, in seconds.
+MEMBERS_WAIT_S = 5.0
+STORE_TIMEOUT_S = 1.5
+STORE_RETRY_S = 0.3
+
+
+class NodeSettings(NamedTuple):
+    """What an entry VM needs to know of itself.
+
+    Attributes:
+        name: Name of the VM.
+        zone: Its availability zone.
+        zones: All availability zones.
+        mesh: Where it listens for its peers.
+    """
+
+    name: str
+    zone: str
+    zones: tuple[str, ...]
+    mesh: Address
+
+
+class Peers:
+    """All other entry VMs.
+
+    Attributes:
+        member: Name of this process.
+        counts: Messages that could not be sent, by kind.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        log: LogPort,
+        on_message: Callable[[NodeMessage], None],
+        on_lost: Callable[[str], None],
+    ) -> None:
+        """Takes the store, and who gets messages and losses of members."""
+        self.member = f'{settings.name}#{wall_ms():x}'
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._settings = settings
+        self._store = log
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._beat_by_member: dict[str, Beat] = {}
+        self._heard_s_by_member: dict[str, float] = {}
+        self._member_by_channel: dict[int, str] = {}
+        self._log = PartLog('peers', settings.name)
+        self._stack = contextlib.AsyncExitStack()
+        self._mesh = Mesh(
+            settings.mesh,
+            self._hear,
+            self._note_closed,
+            PartLog('mesh', settings.name),
+        )
+
+    async def __aenter__(self) -> Self:
+        """Starts to listen, and to look for peers."""
+        await self._stack.enter_async_context(self._mesh)
+        follow = asyncio.get_running_loop().create_task(self._follow())
+        self._stack.callback(follow.cancel)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes all channels."""
+        await self._stack.aclose()
+
+    @property
+    def views(self) -> list[PeerView]:
+        """What is known of each peer that was heard lately."""
+        now = now_s()
+        return [
+            PeerView(
+                member,
+                beat.zone,
+                now - self._heard_s_by_member[member],
+                beat.store_age_s,
+                beat.is_leaving,
+            )
+            for member, beat in self._beat_by_member.items()
+        ]
+
+    def tell_all(self, message: NodeMessage) -> None:
+        """Sends a message to all peers that can be reached."""
+        self._mesh.broadcast(message)
+
+    def tell(self, member: str, message: NodeMessage) -> None:
+        """Sends a message to one peer, if it can be reached."""
+        beat = self._beat_by_member.get(member)
+        if beat is None or not self._mesh.send(
+            Address(beat.ip, beat.port),
+            message,
+        ):
+            kind = type(message).__name__
+            self.counts[kind] += 1
+            self._log.info(
+                'message not sent',
+                extra={'peer': member, 'kind': kind},
+            )
+
+    def beat(
+        self,
+        store_age_s: float,
+        is_leaving: bool,
+        waiting_by_cell: dict[str, dict[str, int]],
+    ) -> None:
+        """Tells all peers that this VM is alive, and forgets silent ones."""
+        self._mesh.broadcast(
+            Beat(
+                self.member,
+                self._settings.mesh.ip,
+                self._mesh.port,
+                self._settings.zone,
+                store_age_s,
+                is_leaving,
+                waiting_by_cell,
+            ),
+        )
+        now = now_s()
+        for member, heard_s in list(self._heard_s_by_member.items()):
+            if now - heard_s > FORGOTTEN_S:
+                self._forget(member, 'silent')
+
+    def _hear(self, message: NodeMessage, channel: int) -> None:
+        if isinstance(message, Beat):
+            self._member_by_channel[channel] = message.member
+            self._beat_by_member[message.member] = message
+            self._heard_s_by_member[message.member] = now_s()
+        self._on_message(message)
+
+    def _note_closed(self, channel: int) -> None:
+        """Takes a peer as gone at once when its last channel is closed."""
+        member = self._member_by_channel.pop(channel, None)
+        if member is None or member in self._member_by_channel.values():
+            return
+        if member in self._beat_by_member:
+            self._forget(member, 'closed')
+
+    def _forget(self, member: str, why: str) -> None:
+        self._log.info('peer is lost', extra={'peer': member, 'why': why})
+        self._beat_by_member.pop(member)
+        self._heard_s_by_member.pop(member)
+        self._on_lost(member)
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                await self._register()
+                await self._read_members()
+            except StoreError as exc:
+                self._log.info('no members read', extra={'error': str(exc)})
+                await asyncio.sleep(STORE_RETRY_S)
+
+    async def _register(self) -> None:
+        mesh = self._settings.mesh
+        entry = cbor2.dumps([self.member, mesh.ip, self._mesh.port])
+        await self._store.append(
+            MEMBERS_TOPIC,
+            [self._store.keyed(self._settings.name, entry)],
+            STORE_TIMEOUT_S,
+        )
+
+    async def _read_members(self) -> None:
+        while True:
+            items, offset = await self._store.newest(
+                MEMBERS_TOPIC,
+                STORE_TIMEOUT_S,
+            )
+            self._mesh.set_peers(self._addresses(items))
+            page = None
+            while page is None or not page.records:
+                page = await self._store.read(
+                    MEMBERS_TOPIC,
+                    offset,
+                    STORE_TIMEOUT_S + MEMBERS_WAIT_S,
+                    MEMBERS_WAIT_S,
+                )
+
+    def _addresses(self, items: list[KeyedRecord]) -> set[Address]:
+        addresses = set()
+        for entry in items:
+            if entry.key == self._settings.name or not entry.content:
+                continue
+            try:
+                _, ip, port = cbor2.loads(entry.content)
+            except (cbor2.CBORError, TypeError, ValueError) as exc:
+                self._log.warning('member skipped', extra={'error': repr(exc)})
+            else:
+                addresses.add(Address(ip, port))
+        return addresses
--- a/src/camphorlink/internal/shell/process/published.py
+++ b/src/camphorlink/internal/shell/process/published.py
@@ -5,7 +5,6 @@
 from types import TracebackType
 from typing import Self
 
-from camphorlink.errors import StoreError
 from camphorlink.internal.core.connection.backend_orders import ListedBackend
 from camphorlink.internal.shell.ports import (
     DirectoryPort,
@@ -14,6 +13,7 @@
 )
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.steady_clock import now_s
+from camphorlink.store_errors import StoreError
 
 #: Longest wait of one read of the configuration, in seconds: within it a
 #: silent connection is found, which the bound on a new version asks for.
--- a/src/camphorlink/internal/shell/request/job_desk.py
+++ b/src/camphorlink/internal/shell/request/job_desk.py
@@ -4,12 +4,12 @@
 import enum
 from typing import NamedTuple
 
-from camphorlink.errors import JobNotStoredError
 from camphorlink.internal.core.process.job_table import JobState
 from camphorlink.internal.core.request.durable_job import DurableJob
 from camphorlink.internal.core.request.job_records import Accepted, Cancelled
 from camphorlink.internal.shell.process.job_node import JobNode
 from camphorlink.internal.shell.process.steady_clock import now_s
+from camphorlink.store_errors import JobNotStoredError
 
 #: Age of the last full read of the log within which "no such job" is said
 #: without asking the store, in seconds: under the bound for a job's visibility.
@@ -76,7 +76,7 @@
             return DONE
         if not self._is_up():
             return self._refuse(STORE_AWAY)
-        cell = self._node.choose_cell(job)
+        cell = self._node.choose_cell()
         stored = self._node.job_log.append(
             Accepted(job, cell),
             is_durable=False,
@@ -137,7 +137,7 @@
 
     def _is_up(self) -> bool:
         job_log = self._node.job_log
-        return job_log.is_caught_up and not job_log.is_stalled
+        return job_log.is_caught_up and not job_log.appender.is_stalled
 
     async def _is_sure_of(self, job_id: str) -> bool:
         """Makes sure of a job that is not known by reading the log's end."""
--- a/src/camphorlink/platform/backends.py
+++ b/src/camphorlink/platform/backends.py
@@ -32,7 +32,8 @@
 #: Occurrence of a job that has none.
 ONLY_OCCURRENCE = 0
 _INSTANCE_HEADER = 'Camphorlink-Expect-Instance'
-_BROKEN = (aiohttp.ClientError, OSError, TimeoutError)
+#: What a call without a usable answer raises.
+_BROKEN = (aiohttp.ClientError, OSError, TimeoutError, orjson.JSONDecodeError)
 _VERDICT_BY_STATUS = {
     HTTPStatus.OK: StartVerdict.STARTED,
     HTTPStatus.TOO_MANY_REQUESTS: StartVerdict.UNHEALTHY,
@@ -155,13 +156,12 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 content = await response.read()
+                status = response.status
                 document = orjson.loads(content) if content else {}
-        except (*_BROKEN, orjson.JSONDecodeError) as exc:
+        except _BROKEN as exc:
             self._log.debug('no answer', extra={'error': repr(exc)})
             return None
-        if not isinstance(document, dict):
-            return response.status, {}
-        return response.status, document
+        return status, document if isinstance(document, dict) else {}
 
 
 def _read_lists(document: dict[str, Any]) -> HoldAnswer:
@@ -188,7 +188,7 @@
 
 
 def _task_name(task: TaskKey) -> str:
-    return f'{task.job_id}.{ONLY_OCCURRENCE}.{task.step}.{task.index}'
+    return f'{task.job_id}.{ONLY_OCCURRENCE}.{task.step}.{task.number}'
 
 
 def _task_key(name: str) -> TaskKey:
--- a/src/camphorlink/platform/ingress.py
+++ b/src/camphorlink/platform/ingress.py
@@ -159,7 +159,7 @@
     if any(not 0 <= prior < number for prior in after):
         raise ValueError('after')
     step = Step(
-        count=int(entry['count']),
+        width=int(entry['count']),
         needs=Resources(
             int(entry.get('cpu', 0)),
             int(entry.get('mem_mb', 0)),
@@ -172,8 +172,8 @@
         max_per_backend=int(entry.get('anti_affinity', 0)),
         checkpoints=bool(entry.get('checkpointing', False)),
     )
-    if step.count < 1 or min(step.needs) < 0:
-        raise ValueError('count or needs')
+    if step.width < 1 or min(step.needs) < 0:
+        raise ValueError('width or needs')
     return step
 
 
--- a/src/camphorlink/platform/settings.py
+++ b/src/camphorlink/platform/settings.py
@@ -7,7 +7,7 @@
 
 from camphorlink.errors import Fault, SettingsError
 from camphorlink.internal.shell.connection.mesh import Address
-from camphorlink.internal.shell.process.job_node import NodeSettings
+from camphorlink.internal.shell.process.peers import NodeSettings
 
 #: Variable that holds the path of the settings file.
 SETTINGS_VARIABLE = 'CAMPHORLINK_SETTINGS'
--- a/src/camphorlink/platform/store.py
+++ b/src/camphorlink/platform/store.py
@@ -4,23 +4,23 @@
 import struct
 from collections.abc import Sequence
 from http import HTTPStatus
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiohttp
 import orjson
 
-from camphorlink.errors import (
-    StoreError,
-    StoreRefusedError,
-    StoreTrimmedError,
-    StoreUnansweredError,
-)
 from camphorlink.internal.shell.connection.http_owner import HttpOwner
 from camphorlink.internal.shell.ports import (
     AppendStamp,
     KeyedRecord,
     LogPage,
 )
+from camphorlink.store_errors import (
+    StoreError,
+    StoreRefusedError,
+    StoreTrimmedError,
+    StoreUnansweredError,
+)
 
 #: Every topic is used with this partition alone.
 PARTITION = '0'
@@ -96,25 +96,18 @@
         items: list[KeyedRecord] = []
         query = {'topic': topic, 'part': PARTITION}
         end: int | None = None
-        while True:
+        has_more = True
+        while has_more:
             status, body = await self._get('log-newest', query, timeout_s)
             if status != HTTPStatus.OK:
                 raise StoreError(f'newest: {status} {body[:200]!r}')
-            page = _decode(body)
-            try:
-                end = int(page['end_offset']) if end is None else end
-                items.extend(
-                    KeyedRecord(
-                        entry['key'],
-                        base64.b64decode(entry['value']),
-                    )
-                    for entry in page['items']
-                )
-                if not page.get('has_more'):
-                    return items, end
+            page = _read_newest(body)
+            items.extend(page.items)
+            end = page.end_offset if end is None else end
+            has_more = page.has_more and bool(page.items)
+            if has_more:
                 query['after'] = items[-1].key
-            except (LookupError, TypeError, ValueError) as exc:
-                raise StoreError(f'newest: {exc!r}') from exc
+        return items, end or 0
 
     def keyed(self, key: str, content: bytes) -> bytes:
         """Writes the record that sets a key; no content drops it."""
@@ -136,13 +129,14 @@
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
                 answer = await response.read()
+                status = response.status
         except aiohttp.ClientConnectorError as exc:
             raise StoreRefusedError(f'{call}: {exc!r}') from exc
         except _BROKEN as exc:
             raise StoreUnansweredError(f'{call}: {exc!r}') from exc
-        if response.status in _REFUSALS:
-            raise StoreRefusedError(f'{call}: {response.status}')
-        return response.status, answer
+        if status in _REFUSALS:
+            raise StoreRefusedError(f'{call}: {status}')
+        return status, answer
 
     async def _get(
         self,
@@ -172,6 +166,27 @@
         return None
 
 
+class _NewestPage(NamedTuple):
+    items: list[KeyedRecord]
+    end_offset: int
+    has_more: bool
+
+
+def _read_newest(body: bytes) -> _NewestPage:
+    page = _decode(body)
+    try:
+        return _NewestPage(
+            [
+                KeyedRecord(entry['key'], base64.b64decode(entry['value']))
+                for entry in page['items']
+            ],
+            int(page['end_offset']),
+            bool(page.get('has_more')),
+        )
+    except (LookupError, TypeError, ValueError) as exc:
+        raise StoreError(f'newest: {exc!r}') from exc
+
+
 def _read_page(body: bytes) -> LogPage:
     if len(body) < _BOUNDS.size:
         raise StoreError(f'read: {len(body)} bytes')
@@ -179,7 +194,7 @@
     records: list[bytes] = []
     place = _BOUNDS.size
     while place + _LENGTH.size <= len(body):
-        (length,) = _LENGTH.unpack_from(body, place)
+        length = _LENGTH.unpack_from(body, place)[0]
         place += _LENGTH.size
         records.append(body[place : place + length])
         place += length
