Slow, stalled and failing back ends; broken channels; tasks of a lost owner

Change: learned speeds follow one back end, overdue runs count at once, stalled runs start elsewhere, back ends that fail several jobs are paused; a reset channel is opened at once and repeats its last frames; tasks of a lost owner move after 1.4 s; claims wait 0.25 s after a start.

--- a/src/camphorlink/internal/core/connection/backend_orders.py
+++ b/src/camphorlink/internal/core/connection/backend_orders.py
@@ -62,11 +62,19 @@
 
 
 class ActiveRun(NamedTuple):
-    """A run that a back end lists as present."""
+    """A run that a back end lists as present.
+
+    Attributes:
+        task: The task.
+        run: Number of the run.
+        checkpoint: What it has saved, empty for nothing.
+        percent: How far it is.
+    """
 
     task: TaskKey
     run: int
     checkpoint: str
+    percent: int = 0
 
 
 class FinishedRun(NamedTuple):
--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -52,12 +52,19 @@
         state: What is known of it.
         since_s: When it got into that state.
         started_s: When it was ordered.
+        expected_s: How long it should take, 0 for unknown.
+        percent: How far it was when it was last listed.
+        percent_s: When that was.
+        is_confirmed: Whether it is certain that it began, so that it ends with
+            its lease at the latest.
         is_ordered: Whether this owner ordered it, so that its start is known.
         wants_retry: Whether the task goes back to the queue when it is over.
     """
 
-    __slots__ = ('checkpoint', 'is_ordered', 'needs', 'number', 'since_s',
-                 'started_s', 'state', 'task', 'wants_retry')  # fmt: skip
+    __slots__ = ('checkpoint', 'expected_s', 'is_confirmed', 'is_ordered',
+                 'needs', 'number',
+                 'percent', 'percent_s', 'since_s', 'started_s', 'state',
+                 'task', 'wants_retry')  # fmt: skip
 
     def __init__(
         self,
@@ -73,6 +80,10 @@
         self.state = RunState.ORDERED
         self.since_s = now
         self.started_s = now
+        self.expected_s = 0.0
+        self.percent = 0
+        self.percent_s = now
+        self.is_confirmed = False
         self.is_ordered = True
         self.wants_retry = True
         self.checkpoint = ''
@@ -80,6 +91,7 @@
     def turn(self, state: RunState, now: float) -> None:
         """Takes a new state."""
         self.state = state
+        self.is_confirmed = self.is_confirmed or state is RunState.RUNNING
         self.since_s = now
 
 
--- a/src/camphorlink/internal/core/connection/run_speeds.py
+++ b/src/camphorlink/internal/core/connection/run_speeds.py
@@ -9,6 +9,11 @@
 
 #: Share of a new measurement in a learned value: about ten runs count.
 LEARNING_RATE = 0.1
+#: The same for one back end: a slow one is found within a few runs.
+BACKEND_RATE = 0.25
+#: Part of the way from its own speed back to that of its kind that a back end
+#: makes at each heartbeat of 0.2 s: one that was slow gets runs again soon.
+RELAXATION = 0.03
 #: Bounds on one measurement, so that a single odd run teaches little.
 MIN_RATIO = 0.1
 MAX_RATIO = 10.0
@@ -44,6 +49,7 @@
         self._speed_by_kind: dict[str, float] = {}
         self._speed_by_backend: dict[str, float] = {}
         self._runs_by_backend: dict[str, int] = {}
+        self._kind_by_backend: dict[str, str] = {}
 
     def speed_of(self, kind: str, backend_id: str) -> float:
         """Returns the speed to expect of a back end."""
@@ -69,17 +75,37 @@
         )
         measured = self.work_s(seen.queue, seen.estimate_s) / seen.run_s
         _learn(self._speed_by_kind, seen.kind, measured)
-        _learn(self._speed_by_backend, seen.backend_id, measured)
+        _learn(
+            self._speed_by_backend,
+            seen.backend_id,
+            measured,
+            BACKEND_RATE,
+        )
         runs = self._runs_by_backend.get(seen.backend_id, 0)
         self._runs_by_backend[seen.backend_id] = runs + 1
+        self._kind_by_backend[seen.backend_id] = seen.kind
+
+    def relax(self) -> None:
+        """Lets each back end's speed drift to that of its kind a little."""
+        for backend_id, kind in self._kind_by_backend.items():
+            by_kind = self._speed_by_kind.get(kind, 1.0)
+            own = self._speed_by_backend.get(backend_id, by_kind)
+            drift = RELAXATION * (by_kind - own)
+            self._speed_by_backend[backend_id] = own + drift
 
     def forget(self, backend_id: str) -> None:
         """Forgets a lifetime that is over."""
         self._speed_by_backend.pop(backend_id, None)
         self._runs_by_backend.pop(backend_id, None)
+        self._kind_by_backend.pop(backend_id, None)
 
 
-def _learn(value_by_key: dict[str, float], key: str, measured: float) -> None:
+def _learn(
+    value_by_key: dict[str, float],
+    key: str,
+    measured: float,
+    rate: float = LEARNING_RATE,
+) -> None:
     bounded = min(max(measured, MIN_RATIO), MAX_RATIO)
     known = value_by_key.get(key, 1.0)
-    value_by_key[key] = known + LEARNING_RATE * (bounded - known)
+    value_by_key[key] = known + rate * (bounded - known)
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -18,6 +18,10 @@
     BackendRuns,
     Run,
 )
+from camphorlink.internal.core.connection.backend_trust import (
+    BackendTrust,
+    stalled_runs,
+)
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.cell_effects import CellEffect, Store
 from camphorlink.internal.core.process.commander import Commander, EndFate
@@ -49,13 +53,16 @@
 from camphorlink.internal.core.request.task_placement import (
     choose_backend,
     due_s_of,
-    kind_of,
+    speed_now,
 )
 from camphorlink.internal.core.request.waiting_tasks import (
     WaitingTask,
     WaitingTasks,
 )
 
+#: Time that a back end gets nothing after a run on it stalled, in seconds.
+STALLED_PAUSE_S = 1.0
+
 
 class Cell:
     """Runs tasks on the back ends of one cell in one term.
@@ -95,6 +102,7 @@
             self._effects,
         )
         self.ledger = self.commander.ledger
+        self._trust = BackendTrust()
         self._ends = EndDesk(
             EndTools(
                 name,
@@ -102,6 +110,7 @@
                 self.transient,
                 self.ledger,
                 speeds,
+                self._trust,
                 self._enqueue,
                 self._effects,
             ),
@@ -146,10 +155,7 @@
                 continue
             cpu += runs.listed.capacity.cpu_milli
             if runs.free.cpu_milli > 0:
-                speed = self.speeds.speed_of(
-                    kind_of(runs),
-                    runs.listed.backend_id,
-                )
+                speed = speed_now(runs, self.speeds, now)
                 rooms.append(Room(round(speed, 2), runs.free.cpu_milli))
         work = sum(
             entry.needs.cpu_milli * self._work_s(entry)
@@ -181,6 +187,24 @@
             may_have_run: Whether an earlier owner may have started them.
             now: Time in seconds.
         """
+        fresh = []
+        for task in tasks:
+            report = self.transient.report_again(task, coordinator)
+            if report is None:
+                fresh.append(task)
+            else:
+                self._effects.append(report)
+        if fresh:
+            self._accept(job, fresh, coordinator, may_have_run, now)
+
+    def _accept(
+        self,
+        job: DurableJob,
+        tasks: Sequence[TaskKey],
+        coordinator: str,
+        may_have_run: bool,
+        now: float,
+    ) -> None:
         known = self.transient.accept(job, tasks, coordinator)
         for task in tasks:
             if self._ends.claim(known.live, task, now):
@@ -297,8 +321,17 @@
         self._ends.tick(now)
         if may_renew:
             self._release_old_tasks(now)
+            self._restart_stalled(now)
             self.place(now)
 
+    def _restart_stalled(self, now: float) -> None:
+        """Stops runs whose tasks would end sooner elsewhere."""
+        for runs in self.ledger.runs_by_backend.values():
+            for run in stalled_runs(runs, now):
+                self.ledger.count('stalled_runs', 'slower-than-a-restart')
+                self.ledger.stop(runs, run, now)
+                runs.pause_until_s = now + STALLED_PAUSE_S
+
     def _release_old_tasks(self, now: float) -> None:
         if not self._old_tasks or now < self._old_tasks_due_s:
             return
@@ -340,7 +373,7 @@
         live = self._find(entry.task.job_id)
         if live is not None:
             live.has_begun = True
-        self.ledger.start(
+        run = self.ledger.start(
             runs,
             entry.task,
             entry.needs,
@@ -348,6 +381,8 @@
             '',
             now,
         )
+        speed = speed_now(runs, self.speeds, now)
+        run.expected_s = self._work_s(entry) / speed
         return True
 
     def _find(self, job_id: str) -> LiveJob | None:
--- a/src/camphorlink/internal/core/process/cell_ownership.py
+++ b/src/camphorlink/internal/core/process/cell_ownership.py
@@ -18,8 +18,9 @@
 STORE_SILENCE_S = 2.0
 #: Time that a VM leaves to each one that comes before it, in seconds.
 TURN_S = 0.4
-#: Time after its start in which a VM learns of its peers, in seconds.
-SETTLE_S = 0.8
+#: Time after its start in which a VM learns of its peers, in seconds: their
+#: channels open within 0.1 s; a claim too early costs a hand-over.
+SETTLE_S = 0.25
 
 
 class PeerView(NamedTuple):
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -280,6 +280,8 @@
         if run is not None and run.number == entry.run:
             if run.state in {RunState.ORDERED, RunState.UNCERTAIN}:
                 run.turn(RunState.RUNNING, now)
+            run.percent = entry.percent
+            run.percent_s = now
             return
         needs = self._owner.needs_of(entry.task)
         if needs is None or entry.task in self.ledger.backend_by_task:
--- a/src/camphorlink/internal/core/process/end_desk.py
+++ b/src/camphorlink/internal/core/process/end_desk.py
@@ -18,6 +18,7 @@
     Run,
     needs_storing,
 )
+from camphorlink.internal.core.connection.backend_trust import BackendTrust
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds, RunTime
 from camphorlink.internal.core.process.cell_effects import CellEffect, Store
 from camphorlink.internal.core.process.commander import EndFate
@@ -48,6 +49,7 @@
     transient: TransientWork
     ledger: RunLedger
     speeds: RunSpeeds
+    trust: BackendTrust
     enqueue: Enqueue
     effects: list[CellEffect]
 
@@ -162,11 +164,11 @@
         if end.how is RunEnd.FAILED:
             failed = live.failed_runs_by_task.setdefault(task, set())
             failed.add(end.run)
+        self._learn(runs, run, end, live, now)
         if not is_done and not _is_used_up(live, task):
             if run is None or run.wants_retry:
                 self._tools.enqueue(live, task)
             return
-        self._learn(runs, run, end, live, now)
         self._report(task, is_done)
 
     def _report(self, task: TaskKey, is_done: bool) -> None:
@@ -182,8 +184,12 @@
         live: LiveJob,
         now: float,
     ) -> None:
+        trust = self._tools.trust
+        if end.how is RunEnd.FAILED:
+            trust.note_failed(runs, end.task.job_id, now)
         if end.how is not RunEnd.DONE or run is None or not run.is_ordered:
             return
+        trust.note_done(runs.listed.backend_id)
         step = live.job.steps[end.task.step]
         self._tools.speeds.note(
             RunTime(
--- a/src/camphorlink/internal/core/process/lease_watch.py
+++ b/src/camphorlink/internal/core/process/lease_watch.py
@@ -59,6 +59,6 @@
                 self._lose(runs, run)
         elif runs.has_lapsed(now):
             for run in list(runs.run_by_task.values()):
-                if run.state is RunState.RUNNING:
+                if run.is_confirmed:
                     self._ledger.count('lapsed_runs', 'back-end-silent')
                     self._lose(runs, run)
--- a/src/camphorlink/internal/core/process/run_ledger.py
+++ b/src/camphorlink/internal/core/process/run_ledger.py
@@ -85,11 +85,12 @@
         spec: str,
         checkpoint: str,
         now: float,
-    ) -> None:
+    ) -> Run:
         """Orders to start a task on a back end."""
         self._runs += 1
         number = self.term * RUNS_PER_TERM + self._runs
-        self.add(runs, Run(task, number, needs, now))
+        run = Run(task, number, needs, now)
+        self.add(runs, run)
         runs.note_lease_sent(now)
         self._effects.append(
             StartRun(
@@ -102,6 +103,7 @@
                 checkpoint,
             ),
         )
+        return run
 
     def stop_task(self, task: TaskKey, now: float) -> None:
         """Stops the run of a task, if it has one; it won't run again."""
--- a/src/camphorlink/internal/core/process/transient_work.py
+++ b/src/camphorlink/internal/core/process/transient_work.py
@@ -4,12 +4,17 @@
 coordinates it, gives its tasks to cells, and answers when all have ended.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 from camphorlink.internal.core.process.job_table import LiveJob
 from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
 
+#: Ended tasks that are remembered: some seconds of a busy cell, since an order
+#: to run them may come twice when a channel breaks.
+MAX_ENDED = 5000
+
 
 class TransientJob:
     """The tasks of one transient job that run in a cell.
@@ -50,6 +55,7 @@
         """Starts with none."""
         self._cell = cell
         self._job_by_id: dict[str, TransientJob] = {}
+        self._ended: OrderedDict[TaskKey, bool] = OrderedDict()
 
     def __iter__(self) -> Iterator[TransientJob]:
         """Goes through the jobs."""
@@ -82,8 +88,22 @@
         known.open.discard(task)
         if not known.open:
             self._job_by_id.pop(task.job_id)
+        self._ended[task] = is_done
+        while len(self._ended) > MAX_ENDED:
+            self._ended.popitem(last=False)
         return TaskReport(known.coordinator, task, is_done)
 
+    def report_again(
+        self,
+        task: TaskKey,
+        coordinator: str,
+    ) -> TaskReport | None:
+        """Returns the report of a task that ended here a short while ago."""
+        is_done = self._ended.get(task)
+        if is_done is None:
+            return None
+        return TaskReport(coordinator, task, is_done)
+
     def drop(self, job_id: str) -> set[TaskKey]:
         """Forgets a job; returns its open tasks."""
         known = self._job_by_id.pop(job_id, None)
--- a/src/camphorlink/internal/core/request/task_placement.py
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from camphorlink.internal.core.connection.backend_runs import BackendRuns
+from camphorlink.internal.core.connection.backend_trust import slowness
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.request.durable_job import DurableJob, Step
 from camphorlink.internal.core.request.waiting_tasks import WaitingTask
@@ -21,6 +22,12 @@
     return runs.listed.labels[0] if runs.listed.labels else ''
 
 
+def speed_now(runs: BackendRuns, speeds: RunSpeeds, now: float) -> float:
+    """Returns the speed to expect of a back end, by what runs there now."""
+    learned = speeds.speed_of(kind_of(runs), runs.listed.backend_id)
+    return learned / slowness(runs, now)
+
+
 def goal_s(job: DurableJob, speeds: RunSpeeds) -> float:
     """Returns the time within which a job should end, in seconds."""
     end_s_by_step: list[float] = []
@@ -50,7 +57,7 @@
     for runs in usable:
         if not step.needs.fits_in(runs.free) or not _is_allowed(entry, runs):
             continue
-        speed = speeds.speed_of(kind_of(runs), runs.listed.backend_id)
+        speed = speed_now(runs, speeds, now)
         if step.rack and step.rack not in runs.listed.labels:
             speed /= REMOTE_FACTOR
         rank = (round(speed, 1), -runs.free.cpu_milli)
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -38,10 +38,15 @@
 
 
 class JobOver(NamedTuple):
-    """A job has ended; its caller is to be told."""
+    """A job has ended; its caller is to be told.
+
+    Attributes:
+        job_id: The job.
+        state: How it ended, or ``None`` when no cell could take it.
+    """
 
     job_id: str
-    state: JobState
+    state: JobState | None
 
 
 TransientEffect = GiveTasks | DropJob | JobOver
@@ -138,6 +143,26 @@
                 effects.append(GiveTasks(cell, job, tasks, may_have_run=True))
         return effects
 
+    def move_tasks(
+        self,
+        cell: str,
+        cells: Sequence[str],
+    ) -> list[TransientEffect]:
+        """Gives the open tasks of a cell whose owner is gone to others.
+
+        Call it only when nothing that the owner ordered can still run.
+        """
+        effects: list[TransientEffect] = []
+        for opened in list(self._open_by_id.values()):
+            tasks = [
+                task
+                for task, chosen in opened.cell_by_task.items()
+                if chosen == cell
+            ]
+            if tasks:
+                effects.extend(self._give(opened, tasks, cells))
+        return effects
+
     def _give(
         self,
         opened: _OpenJob,
@@ -152,7 +177,7 @@
             cell = self._choice.choose(step.needs, work_s, cells)
             if cell is None:
                 effects = self.drop(job.job_id)
-                effects.append(JobOver(job.job_id, JobState.CANCELLED))
+                effects.append(JobOver(job.job_id, None))
                 return effects
             tasks_by_cell.setdefault(cell, []).append(task)
             opened.cell_by_task[task] = cell
--- a/src/camphorlink/internal/shell/connection/mesh.py
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -6,14 +6,15 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import itertools
-from collections.abc import Callable
+import math
 from types import TracebackType
-from typing import NamedTuple, Self
+from typing import NamedTuple, Protocol, Self
 
 import cbor2
-from websockets.asyncio.client import connect
+from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
@@ -34,13 +35,13 @@
 PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 1.0
 OPEN_TIMEOUT_S = 1.0
-#: Pause before a channel is opened again, in seconds.
-RETRY_S = 0.3
-
-#: Gets a message and the number of the channel that it came on.
-OnMessage = Callable[[NodeMessage, int], None]
-#: Gets the number of a channel that was closed.
-OnClosed = Callable[[int], None]
+#: Pauses before a channel is opened again, in seconds: one that was reset is
+#: back at once, a VM that is away is not asked all the time.
+FIRST_RETRY_S = 0.02
+RETRY_S = 0.25
+#: Frames sent so shortly before a channel broke, in seconds, are sent again
+#: on the next one: they may have been lost, and all take a repetition well.
+RESEND_S = 0.3
 
 
 class Address(NamedTuple):
@@ -50,20 +51,34 @@
     port: int
 
 
+class MeshListener(Protocol):
+    """Who gets the news of the mesh."""
+
+    def hear(self, message: NodeMessage, channel: int) -> None:
+        """Takes a message, and the number of the channel that it came on."""
+
+    def note_closed(self, channel: int) -> None:
+        """Takes that a peer's channel was closed."""
+
+    def note_refused(self, address: Address) -> None:
+        """Takes that no process listens at a peer's address."""
+
+    def greeting(self) -> NodeMessage:
+        """Returns the first message of each channel."""
+
+
 class Mesh:
     """Channels to all other entry VMs."""
 
     def __init__(
         self,
         listen: Address,
-        on_message: OnMessage,
-        on_closed: OnClosed,
+        listener: MeshListener,
         log: PartLog,
     ) -> None:
         """Takes the address to listen on and who gets the news."""
         self._listen = listen
-        self._on_message = on_message
-        self._on_closed = on_closed
+        self._listener = listener
         self._channels = itertools.count(1)
         self._log = log
         self._server: Server | None = None
@@ -105,7 +120,11 @@
         for address in set(self._sender_by_address) - addresses:
             self._sender_by_address.pop(address).close()
         for address in addresses - set(self._sender_by_address):
-            self._sender_by_address[address] = _Sender(address, self._log)
+            self._sender_by_address[address] = _Sender(
+                address,
+                self._listener,
+                self._log,
+            )
 
     def broadcast(self, message: NodeMessage) -> None:
         """Sends a message to all peers that can be reached."""
@@ -127,7 +146,7 @@
         with contextlib.suppress(WebSocketException, OSError):
             while True:
                 self._take(await connection.recv(decode=False), channel)
-        self._on_closed(channel)
+        self._listener.note_closed(channel)
 
     def _take(self, frame: bytes, channel: int) -> None:
         try:
@@ -135,23 +154,34 @@
         except (cbor2.CBORError, PeerMessageError, TypeError) as exc:
             self._log.warning('unreadable frame', extra={'error': repr(exc)})
             return
-        self._on_message(message, channel)
+        self._listener.hear(message, channel)
 
 
 class _Sender:
     """The channel to one peer, opened again whenever it breaks."""
 
-    def __init__(self, address: Address, log: PartLog) -> None:
+    def __init__(
+        self,
+        address: Address,
+        listener: MeshListener,
+        log: PartLog,
+    ) -> None:
         self._address = address
+        self._listener = listener
         self._log = log
         self._outbox: asyncio.Queue[bytes] = asyncio.Queue(OUTBOX_MESSAGES)
+        self._sent: collections.deque[tuple[float, bytes]] = collections.deque(
+            maxlen=OUTBOX_MESSAGES
+        )
         self._is_open = False
-        loop = asyncio.get_running_loop()
-        self._task = loop.create_task(self._run())
+        self._broken_s = -math.inf
+        self._loop = asyncio.get_running_loop()
+        self._task = self._loop.create_task(self._run())
 
     def put(self, frame: bytes) -> bool:
-        """Queues a frame, or drops it when the channel is not open."""
-        if not self._is_open or self._outbox.full():
+        """Queues a frame, or drops it when the channel has been away."""
+        is_away = self._loop.time() - self._broken_s > RESEND_S
+        if (is_away and not self._is_open) or self._outbox.full():
             return False
         self._outbox.put_nowait(frame)
         return True
@@ -164,9 +194,12 @@
         while True:
             try:
                 await self._send_all()
+            except ConnectionRefusedError:
+                self._listener.note_refused(self._address)
             except (OSError, WebSocketException, TimeoutError) as exc:
-                self._note_closed(exc)
-            await asyncio.sleep(RETRY_S)
+                self._note_broken(exc)
+            is_fresh = self._loop.time() - self._broken_s < RESEND_S
+            await asyncio.sleep(FIRST_RETRY_S if is_fresh else RETRY_S)
 
     async def _send_all(self) -> None:
         async with connect(
@@ -178,16 +211,31 @@
             ping_interval=PING_INTERVAL_S,
             ping_timeout=PING_TIMEOUT_S,
         ) as connection:
+            greeting = self._listener.greeting()
+            await connection.send(cbor2.dumps(encode_message(greeting)))
+            await self._send_again(connection)
             self._is_open = True
             while True:
-                await connection.send(await self._outbox.get())
-
-    def _note_closed(self, exc: Exception) -> None:
+                frame = await self._outbox.get()
+                self._sent.append((self._loop.time(), frame))
+                await connection.send(frame)
+
+    async def _send_again(self, connection: ClientConnection) -> None:
+        """Sends what the last channel may have lost."""
+        for sent_s, frame in list(self._sent):
+            if self._broken_s - sent_s < RESEND_S:
+                await connection.send(frame)
+        self._sent.clear()
+
+    def _note_broken(self, exc: Exception) -> None:
         if self._is_open:
+            self._broken_s = self._loop.time()
             self._log.info(
                 'channel to peer lost',
                 extra={'peer': self._address.ip, 'error': repr(exc)},
             )
+        elif self._loop.time() - self._broken_s > RESEND_S:
+            self._sent.clear()
+            while not self._outbox.empty():
+                self._outbox.get_nowait()
         self._is_open = False
-        while not self._outbox.empty():
-            self._outbox.get_nowait()
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -21,6 +21,11 @@
 #: loads are told ten times in that time.
 LOAD_FRESH_S = 0.6
 
+#: Time after the loss of an owner in which it notices that it has lost this
+#: VM, stops what it ran for it, or its leases lapse, in seconds.
+LOST_OWNER_S = 1.4
+
+IsLost = Callable[[], bool]
 #: Gives an order for a cell to its owner.
 SendToCell = Callable[[str, GiveTasks | DropJob], None]
 
@@ -39,7 +44,7 @@
         self._jobs = TransientJobs(self._choice, speeds)
         self._send_to_cell = send_to_cell
         self._heard_s_by_cell: dict[str, float] = {}
-        self._over_by_id: dict[str, asyncio.Future[JobState]] = {}
+        self._over_by_id: dict[str, asyncio.Future[JobState | None]] = {}
         self._dispatch = self._carry_out
 
     @property
@@ -69,6 +74,26 @@
         """Sends the open tasks of a cell to its new owner."""
         self._carry_all(self._jobs.note_owner(cell))
 
+    def note_lost_owner(self, cell: str, is_still_lost: IsLost) -> None:
+        """Moves the tasks of a cell whose owner is gone, once that is safe.
+
+        Args:
+            cell: The cell.
+            is_still_lost: Tells then whether it has the same owner, and that
+                is still gone.
+        """
+        asyncio.get_running_loop().call_later(
+            LOST_OWNER_S,
+            self._move,
+            cell,
+            is_still_lost,
+        )
+
+    def _move(self, cell: str, is_still_lost: IsLost) -> None:
+        if is_still_lost():
+            others = [name for name in self.cells if name != cell]
+            self._carry_all(self._jobs.move_tasks(cell, others))
+
     async def run(self, job: DurableJob, wait_s: float) -> JobState | None:
         """Runs a job until it has ended.
 
@@ -77,10 +102,10 @@
             wait_s: How long its caller waits.
 
         Returns:
-            Its end, or ``None`` when that did not come in time.  A caller
-            that leaves earlier cancels the job.
+            Its end, or ``None`` when that did not come in time or no cell
+            could go on with it.  A caller that leaves cancels the job.
         """
-        over: asyncio.Future[JobState] = (
+        over: asyncio.Future[JobState | None] = (
             asyncio.get_running_loop().create_future()
         )
         self._over_by_id[job.job_id] = over
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -3,8 +3,8 @@
 import asyncio
 import collections
 import contextlib
+import functools
 from collections.abc import Sequence
-from functools import singledispatchmethod
 from types import TracebackType
 from typing import NamedTuple, Self
 
@@ -25,6 +25,7 @@
     OwnerChanged,
 )
 from camphorlink.internal.core.process.transient_work import TaskReport
+from camphorlink.internal.core.request.cell_choice import CellLoad
 from camphorlink.internal.core.request.transient_jobs import (
     DropJob,
     GiveTasks,
@@ -87,7 +88,9 @@
         self._log = PartLog('node', settings.name)
         self._stack = contextlib.AsyncExitStack()
         self._waiting_by_cell: dict[str, dict[str, int]] = {}
+        self._told_by_cell: dict[str, tuple[CellLoad, float]] = {}
         speeds = RunSpeeds()
+        self._speeds = speeds
         self.peers = Peers(
             settings,
             platform.log,
@@ -205,7 +208,7 @@
     def _hear(self, message: NodeMessage) -> None:
         self._take_message(message)
 
-    @singledispatchmethod
+    @functools.singledispatchmethod
     def _take(self, message: NodeMessage) -> None:
         raise TypeError(message)
 
@@ -288,8 +291,19 @@
 
     def _note_lost(self, member: str) -> None:
         self.cells.note_lost(member)
+        for cell, owner in self.table.owner_by_cell.items():
+            if owner.member == member:
+                self.coordinator.note_lost_owner(
+                    cell,
+                    functools.partial(self._is_lost, cell, member),
+                )
         self.cells.claim_due(self._view(), self.peers.views)
 
+    def _is_lost(self, cell: str, member: str) -> bool:
+        return self.table.owner_of(
+            cell,
+        ).member == member and not self.peers.is_known(member)
+
     def _beat(self) -> None:
         waiting_by_cell = {
             cell: host.cell.count_waiting_jobs()
@@ -305,6 +319,7 @@
             self.cells.claim_due(self._view(), self.peers.views)
             self.cells.take_snapshot_if_due()
             self.table.forget_before(wall_ms() - int(REMEMBERED_S * 1000))
+            self._speeds.relax()
             await asyncio.sleep(HEARTBEAT_S)
 
     async def _tell_loads(self) -> None:
@@ -312,5 +327,12 @@
             for host in self.cells.host_by_cell.values():
                 load = host.cell.load(now_s())
                 self.coordinator.note_load(load)
-                self.peers.tell_all(LoadTold(load))
+                self._tell_load(load)
             await asyncio.sleep(LOAD_PERIOD_S)
+
+    def _tell_load(self, load: CellLoad) -> None:
+        """Tells peers a load that has changed, or was told long ago."""
+        told, told_s = self._told_by_cell.get(load.cell, (None, 0.0))
+        if load != told or now_s() - told_s > HEARTBEAT_S:
+            self._told_by_cell[load.cell] = (load, now_s())
+            self.peers.tell_all(LoadTold(load))
--- a/src/camphorlink/internal/shell/process/peers.py
+++ b/src/camphorlink/internal/shell/process/peers.py
@@ -27,6 +27,8 @@
 #: Silence of a peer after which it is forgotten and its tasks are stopped, in
 #: seconds: its callers send a job again 1.3 s after they lost it.
 FORGOTTEN_S = 0.9
+#: Time in which a peer whose channel was reset opens another, in seconds.
+REOPEN_S = 0.25
 #: Longest wait of one read of the members, in seconds.
 MEMBERS_WAIT_S = 5.0
 STORE_TIMEOUT_S = 1.5
@@ -75,11 +77,19 @@
         self._heard_s_by_member: dict[str, float] = {}
         self._member_by_channel: dict[int, str] = {}
         self._log = PartLog('peers', settings.name)
+        self._last_beat = Beat(
+            self.member,
+            settings.mesh.ip,
+            settings.mesh.port,
+            settings.zone,
+            FORGOTTEN_S,
+            False,
+            {},
+        )
         self._stack = contextlib.AsyncExitStack()
         self._mesh = Mesh(
             settings.mesh,
-            self._hear,
-            self._note_closed,
+            self,
             PartLog('mesh', settings.name),
         )
 
@@ -114,6 +124,10 @@
             for member, beat in self._beat_by_member.items()
         ]
 
+    def is_known(self, member: str) -> bool:
+        """Tells whether a member was heard lately."""
+        return member in self._beat_by_member
+
     def tell_all(self, message: NodeMessage) -> None:
         """Sends a message to all peers that can be reached."""
         self._mesh.broadcast(message)
@@ -139,36 +153,48 @@
         waiting_by_cell: dict[str, dict[str, int]],
     ) -> None:
         """Tells all peers that this VM is alive, and forgets silent ones."""
-        self._mesh.broadcast(
-            Beat(
-                self.member,
-                self._settings.mesh.ip,
-                self._mesh.port,
-                self._settings.zone,
-                store_age_s,
-                is_leaving,
-                waiting_by_cell,
-            ),
+        self._last_beat = Beat(
+            self.member,
+            self._settings.mesh.ip,
+            self._mesh.port,
+            self._settings.zone,
+            store_age_s,
+            is_leaving,
+            waiting_by_cell,
         )
+        self._mesh.broadcast(self._last_beat)
         now = now_s()
         for member, heard_s in list(self._heard_s_by_member.items()):
             if now - heard_s > FORGOTTEN_S:
                 self._forget(member, 'silent')
 
-    def _hear(self, message: NodeMessage, channel: int) -> None:
+    def greeting(self) -> NodeMessage:
+        """Returns the first message of each channel: who speaks there."""
+        return self._last_beat
+
+    def hear(self, message: NodeMessage, channel: int) -> None:
+        """Takes a message of a peer."""
         if isinstance(message, Beat):
             self._member_by_channel[channel] = message.member
             self._beat_by_member[message.member] = message
             self._heard_s_by_member[message.member] = now_s()
         self._on_message(message)
 
-    def _note_closed(self, channel: int) -> None:
-        """Takes a peer as gone at once when its last channel is closed."""
+    def note_closed(self, channel: int) -> None:
+        """Gives a peer whose channel was closed a moment to open another."""
         member = self._member_by_channel.pop(channel, None)
         if member is None or member in self._member_by_channel.values():
             return
         if member in self._beat_by_member:
-            self._forget(member, 'closed')
+            latest_s = now_s() - FORGOTTEN_S + REOPEN_S
+            heard_s = self._heard_s_by_member[member]
+            self._heard_s_by_member[member] = min(heard_s, latest_s)
+
+    def note_refused(self, address: Address) -> None:
+        """Forgets a peer at once when no process listens any more."""
+        for member, beat in list(self._beat_by_member.items()):
+            if Address(beat.ip, beat.port) == address:
+                self._forget(member, 'refused')
 
     def _forget(self, member: str, why: str) -> None:
         self._log.info('peer is lost', extra={'peer': member, 'why': why})
--- a/src/camphorlink/internal/shell/request/job_desk.py
+++ b/src/camphorlink/internal/shell/request/job_desk.py
@@ -102,8 +102,6 @@
         state = await coordinator.run(job, wait_s)
         if state is None:
             return DeskAnswer(Verdict.UNKNOWN, reason='not-ended-in-time')
-        if state is JobState.CANCELLED:
-            return self._refuse(NO_CELL)
         return DeskAnswer(Verdict.DONE, state)
 
     async def read(self, job_id: str) -> DeskAnswer:
--- a/src/camphorlink/platform/backends.py
+++ b/src/camphorlink/platform/backends.py
@@ -171,7 +171,12 @@
         born_ms=int(document.get('born', 0)),
         # A fifth entry, a rough load figure, is not used.
         active=tuple(
-            ActiveRun(_task_key(entry[0]), int(entry[1]), str(entry[2]))
+            ActiveRun(
+                _task_key(entry[0]),
+                int(entry[1]),
+                str(entry[2]),
+                int(entry[3]),
+            )
             for entry in document['active']
         ),
         finished=tuple(
