Stand-ins of the users' platform, and the whole path on them

A store with topics, producers, groups and keyed records, runners with leases, fencing and numbered ends, as processes on loopback.

--- a/src/camphorlink/bench/programs.py
+++ b/src/camphorlink/bench/programs.py
@@ -44,11 +44,13 @@
         name: str,
         module: str,
         arguments: list[str],
+        environment: Mapping[str, str] | None = None,
     ) -> None:
         """Prepares a program whose log goes to ``directory``."""
         self.name = name
         self.log_path = Path(directory) / f'{name}.log'
         self.addresses: dict[str, str] = {}
+        self._environment = environment or {}
         self._command = [sys.executable, '-m', module, *arguments]
 
     def __enter__(self) -> 'Program':
@@ -58,7 +60,11 @@
                 self._command,
                 stdout=subprocess.PIPE,
                 stderr=log,
-                env={**os.environ, 'PYTHONPATH': str(SOURCE)},
+                env={
+                    **os.environ,
+                    'PYTHONPATH': str(SOURCE),
+                    **self._environment,
+                },
             )
         try:
             self.addresses = json.loads(self._read_first_line())
--- a/src/camphorlink/platform/program.py
+++ b/src/camphorlink/platform/program.py
@@ -10,6 +10,7 @@
 from typing import Self
 
 import click
+import orjson
 from aiohttp import web
 
 from camphorlink.errors import SettingsError
@@ -50,7 +51,7 @@
             Platform(store, runners, Directory()),
         )
         ingress = Ingress(self.node, JobDesk(self.node))
-        await self._serve(
+        readiness = await self._serve(
             ingress.build_readiness_app(),
             self.settings.readiness,
         )
@@ -61,7 +62,10 @@
         )
         app = ingress.build_app()
         app.on_response_prepare.append(self._close_while_leaving)
-        await self._serve(app, self.settings.callers)
+        callers = await self._serve(app, self.settings.callers)
+        addresses = {'callers': callers, 'readiness': readiness}
+        click.echo(orjson.dumps(addresses))
+        sys.stdout.flush()
         return self
 
     async def __aexit__(
@@ -84,7 +88,7 @@
         else:
             self._log.info('settings read again')
 
-    async def _serve(self, app: web.Application, listen: Address) -> None:
+    async def _serve(self, app: web.Application, listen: Address) -> str:
         runner = web.AppRunner(
             app,
             access_log=None,
@@ -93,6 +97,8 @@
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
         await web.TCPSite(runner, listen.ip, listen.port).start()
+        ip, port = runner.addresses[0][:2]
+        return f'{ip}:{port}'
 
     async def _close_while_leaving(
         self,
--- /dev/null
+++ b/src/camphorlink/platform/standin/site.py
@@ -0,0 +1,141 @@
+"""A whole stand-in platform in one process: a store, runners, a config."""
+
+import asyncio
+import contextlib
+import itertools
+from types import TracebackType
+from typing import Any, Self
+
+import orjson
+from aiohttp import web
+
+from camphorlink.platform.standin.runner import (
+    RunnerSettings,
+    RunnerStandin,
+)
+from camphorlink.platform.standin.store import StoreFaults, StoreStandin
+from camphorlink.standin.servers import LocalServer
+
+LOOPBACK = '127.0.0.1'
+#: Period of the runners' registrations, in seconds.
+HEARTBEAT_S = 0.5
+#: The one service and queue of the stand-in site.
+SERVICE = 'caster'
+HOST = 'jobs.example'
+PREFIX = '/corrections/'
+CONFIG = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'corrections',
+            'host': HOST,
+            'path_prefix': PREFIX,
+            'kind': 'non_idempotent',
+            'timeout_ms': 1500,
+            'target_latency_ms': 60,
+            'priority': 0,
+            'service': SERVICE,
+            'max_attempts': 3,
+            'slack_factor': 1.6,
+        },
+    ],
+    'services': [
+        {
+            'name': SERVICE,
+            'health_path': '/healthz',
+            'max_conns': 64,
+            'protocol': 'h1',
+            'tls': False,
+            'admission_control': True,
+            'standby': False,
+        },
+    ],
+    'limits': {
+        'max_header_bytes': 16_384,
+        'max_body_bytes': 262_144,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15_000,
+    },
+}
+
+
+class StandinSite:
+    """Store and runners on loopback.
+
+    Attributes:
+        store: The store.
+        runners: All runners.
+        store_address: IP number and port of the store.
+    """
+
+    def __init__(self, zones: tuple[str, ...], runners_per_zone: int) -> None:
+        """Takes the zones and how many runners each has."""
+        self.store = StoreStandin()
+        self.store_address = ''
+        self.runners = [
+            RunnerStandin(RunnerSettings(f'i-{zone}-{number}', SERVICE, zone))
+            for zone in zones
+            for number in range(runners_per_zone)
+        ]
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Starts all servers, publishes the config, registers runners."""
+        app = self.store.build_app()
+        app.router.add_post('/standin/faults', self.set_faults)
+        app.router.add_post('/standin/publish', self.publish)
+        app.router.add_get('/standin/starts', self.show_starts)
+        server = LocalServer(app, LOOPBACK, 0)
+        await self._stack.enter_async_context(server)
+        self.store_address = server.address
+        self.store.publish('keyed.op', 'config', CONFIG)
+        loop = asyncio.get_running_loop()
+        for runner in self.runners:
+            listening = LocalServer(runner.build_app(), LOOPBACK, 0)
+            await self._stack.enter_async_context(listening)
+            for work in (
+                runner.work_forever(),
+                self._register_forever(runner, listening.address),
+            ):
+                task = loop.create_task(work)
+                self._stack.callback(task.cancel)
+        return self
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops all servers."""
+        await self._stack.aclose()
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Switches faults of the store on and off."""
+        document = orjson.loads(await request.read())
+        self.store.faults = StoreFaults(**document)
+        return web.json_response({})
+
+    async def publish(self, request: web.Request) -> web.Response:
+        """Writes a record as the operator or a runner does."""
+        document: dict[str, Any] = orjson.loads(await request.read())
+        self.store.publish(**document)
+        return web.json_response({})
+
+    async def show_starts(self, request: web.Request) -> web.Response:
+        """Lists all runs that began."""
+        starts = itertools.chain.from_iterable(
+            runner.starts for runner in self.runners
+        )
+        return web.json_response({'starts': list(starts)})
+
+    async def _register_forever(
+        self,
+        runner: RunnerStandin,
+        address: str,
+    ) -> None:
+        for sequence in itertools.count():
+            entry = runner.registration(address, sequence)
+            runner_id = runner.settings.runner_id
+            self.store.publish('keyed.servers', runner_id, entry)
+            await asyncio.sleep(HEARTBEAT_S)
--- /dev/null
+++ b/src/camphorlink/platform/standin/store.py
@@ -0,0 +1,174 @@
+"""The stand-in store over HTTP, with faults that a test switches on."""
+
+import asyncio
+import base64
+import struct
+from typing import Any, NamedTuple
+
+import orjson
+from aiohttp import web
+
+from camphorlink.platform.standin.groups import Groups
+from camphorlink.platform.standin.topics import (
+    Partition,
+    RefusedError,
+    Stamp,
+    join_records,
+    split_records,
+)
+
+_BOUNDS = struct.Struct('>QQ')
+#: Longest body of an append, in bytes.
+MAX_CALL_BYTES = 2 * 1024 * 1024
+MS_PER_S = 1000
+#: Beginning of the paths by which tests steer the stand-in.
+CONTROL_PREFIX = '/standin/'
+#: Topics that only the platform may write to.
+PLATFORM_TOPICS = frozenset(('keyed.op', 'keyed.servers'))
+
+
+class StoreFaults(NamedTuple):
+    """What is wrong with the store.
+
+    Attributes:
+        busy: Answers 503 and does nothing.
+        delay_s: Time that it takes longer, in seconds.
+        loses_answers: Does what it is asked to, and cuts the channel.
+    """
+
+    busy: bool = False
+    delay_s: float = 0
+    loses_answers: bool = False
+
+
+class StoreStandin:
+    """Topics in memory, served as the platform's store.
+
+    Attributes:
+        faults: What is wrong at the moment.
+        calls: Calls that were answered or refused.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty and sound."""
+        self.faults = StoreFaults()
+        self.calls = 0
+        self._partition_by_name: dict[tuple[str, str], Partition] = {}
+        self._groups = Groups()
+
+    def build_app(self) -> web.Application:
+        """Returns the application with all calls of the store."""
+        app = web.Application(
+            client_max_size=MAX_CALL_BYTES,
+            middlewares=[self._fail],
+        )
+        app.add_routes(
+            [
+                web.post('/v1/log-append', self.append),
+                web.get('/v1/log-read', self.read),
+                web.post('/v1/log-trim', self.trim),
+                web.get('/v1/log-newest', self.newest),
+                web.post('/v1/log-join', self._groups.join),
+                web.post('/v1/log-leave', self._groups.leave),
+                web.post('/v1/log-commit', self._groups.commit),
+                web.get('/v1/log-owners', self._groups.owners),
+            ],
+        )
+        return app
+
+    def partition(self, topic: str, part: str = '0') -> Partition:
+        """Returns a partition, which is made on first use."""
+        return self._partition_by_name.setdefault((topic, part), Partition())
+
+    def publish(self, topic: str, key: str, document: Any) -> None:
+        """Writes as the operator or a runner does; ``None`` removes."""
+        value = b'' if document is None else orjson.dumps(document)
+        encoded = key.encode()
+        record = bytes((len(encoded),)) + encoded + value
+        self.partition(topic).append([record], None, None)
+
+    async def append(self, request: web.Request) -> web.Response:
+        """Appends the records of a body."""
+        query = request.query
+        if query['topic'] in PLATFORM_TOPICS:
+            return web.json_response({}, status=403)
+        stamp = None
+        if 'producer' in query:
+            stamp = Stamp(
+                query['producer'],
+                int(query['epoch']),
+                int(query['sequence']),
+            )
+        records = split_records(await request.read())
+        at = int(query['at']) if 'at' in query else None
+        partition = self.partition(query['topic'], query['part'])
+        try:
+            answer = partition.append(records, at, stamp)
+        except RefusedError as exc:
+            return web.json_response(exc.answer, status=exc.status)
+        return web.json_response(answer)
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Returns records from an offset, waiting for the first if asked."""
+        query = request.query
+        partition = self.partition(query['topic'], query['part'])
+        offset = int(query['from'])
+        wait_s = int(query.get('wait_ms', '0')) / MS_PER_S
+        if offset >= partition.end and wait_s:
+            changed = partition.changed
+            try:
+                await asyncio.wait_for(changed.wait(), wait_s)
+            except TimeoutError:
+                offset = max(offset, partition.end)
+        if offset < partition.first:
+            gone = {'first_offset': partition.first}
+            return web.json_response(gone, status=410)
+        records = partition.records[offset - partition.first :]
+        bounds = _BOUNDS.pack(partition.end, partition.first)
+        return web.Response(body=bounds + join_records(records))
+
+    async def trim(self, request: web.Request) -> web.Response:
+        """Forgets the records before an offset."""
+        document = await request.json()
+        partition = self.partition(document['topic'], str(document['part']))
+        partition.trim(int(document['before_offset']))
+        return web.json_response({})
+
+    async def newest(self, request: web.Request) -> web.Response:
+        """Returns the newest record of each key."""
+        partition = self.partition(
+            request.query['topic'],
+            request.query['part'],
+        )
+        items = [
+            {
+                'key': key,
+                'value': base64.b64encode(entry).decode(),
+                'offset': offset,
+            }
+            for key, (offset, entry) in sorted(partition.newest().items())
+        ]
+        answer = {
+            'items': items,
+            'has_more': False,
+            'end_offset': partition.end,
+        }
+        return web.json_response(answer)
+
+    @web.middleware
+    async def _fail(
+        self,
+        request: web.Request,
+        handler: Any,
+    ) -> web.StreamResponse:
+        if request.path.startswith(CONTROL_PREFIX):
+            return await handler(request)
+        self.calls += 1
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if self.faults.busy:
+            return web.json_response({}, status=503)
+        response = await handler(request)
+        if self.faults.loses_answers and request.transport is not None:
+            request.transport.abort()
+        return response
--- /dev/null
+++ b/tests/nocover/test_platform_path.py
@@ -0,0 +1,188 @@
+"""The whole path on a stand-in of the users' platform, as processes."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from camphorlink.platform.standin.site import CONFIG, HOST, PREFIX
+from platform_site import PlatformSite
+from processes import wait_until
+
+NODES = {'edge-1': 'larissa', 'edge-2': 'larissa', 'edge-3': 'volos'}
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory):
+    with PlatformSite(tmp_path_factory.mktemp('site'), NODES) as opened:
+        yield opened
+
+
+def completed(site, name, job_id):
+    answer = site.read(name, job_id)
+    return answer.status == 200 and answer.body['state'] == 'completed'
+
+
+@pytest.mark.parametrize('width', [1, 4, 32])
+def test_a_best_effort_job_is_answered_with_its_end(site, width):
+    job_id = f'a{width:015x}'
+    answer = site.submit('edge-1', job_id, width)
+    assert (answer.status, answer.body) == (200, {'state': 'completed'})
+    assert len(site.starts_of(job_id)) == width
+
+
+@pytest.mark.parametrize('width', [1, 4, 32])
+def test_a_durable_job_is_accepted_and_completed_everywhere(site, width):
+    job_id = f'b{width:015x}'
+    assert site.submit('edge-1', job_id, width, best_effort=False).status == 200
+    for name in NODES:
+        wait_until(lambda name=name: completed(site, name, job_id))
+    assert len(site.starts_of(job_id)) == width
+
+
+def test_a_durable_job_that_arrives_at_three_vms_at_once_is_one_job(site):
+    job_id = 'c' * 16
+    with ThreadPoolExecutor(3) as pool:
+        answers = list(
+            pool.map(
+                lambda name: site.submit(name, job_id, 4, best_effort=False),
+                NODES,
+            ),
+        )
+    assert [answer.status for answer in answers] == [200, 200, 200]
+    wait_until(lambda: completed(site, 'edge-3', job_id))
+    assert site.submit('edge-2', job_id, 4, best_effort=False).status == 200
+    assert len(site.starts_of(job_id)) == 4
+
+
+def test_a_cancelled_job_ends_and_stays_cancelled(site):
+    job_id = 'd' * 16
+    site.submit('edge-1', job_id, 32, best_effort=False)
+    assert site.request('edge-3', 'DELETE', PREFIX + job_id).status == 200
+    for name in NODES:
+        wait_until(
+            lambda name=name: (
+                site.read(name, job_id).body == {'state': 'cancelled'}
+            ),
+        )
+
+
+def test_a_failing_task_uses_its_attempts_up(site):
+    answer = site.submit('edge-1', 'e' * 16, spec='fail')
+    assert (answer.status, answer.body) == (200, {'state': 'failed'})
+    assert len(site.starts_of('e' * 16)) == 3
+    site.submit('edge-2', 'f' * 16, spec='fail', best_effort=False)
+    wait_until(
+        lambda: site.read('edge-2', 'f' * 16).body == {'state': 'failed'},
+    )
+    assert len(site.starts_of('f' * 16)) == 3
+
+
+def test_what_nobody_submitted_is_gone(site):
+    assert site.read('edge-1', '1' * 16).status == 410
+    assert site.request('edge-1', 'DELETE', PREFIX + '1' * 16).status == 410
+
+
+def test_a_queue_that_is_not_there_is_refused(site):
+    answer = site.request('edge-1', 'POST', '/other/' + '2' * 16, {})
+    assert answer.status == 404
+    answer = site.request(
+        'edge-1', 'GET', PREFIX, headers={'Host': 'other.example'}
+    )
+    assert answer.status == 404
+
+
+def test_pending_jobs_are_counted(site):
+    answer = site.request('edge-1', 'GET', PREFIX)
+    assert (answer.status, answer.body) == (200, {'pending': 0})
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        b'no JSON',
+        b'[]',
+        {'spec': 7, 'steps': []},
+        {'spec': 'x', 'steps': []},
+        {'spec': 'x', 'steps': [{'count': 0}]},
+        {'spec': 'x', 'steps': [{'count': 'many'}]},
+        {'spec': 'x', 'steps': [{'count': 1, 'after': [0]}]},
+        {'spec': 'x' * 5000, 'steps': [{'count': 1}]},
+    ],
+)
+def test_bad_input_is_refused_and_nothing_runs(site, document):
+    answer = site.request('edge-1', 'POST', PREFIX + '3' * 16, document)
+    assert answer.status == 400
+    assert site.read('edge-1', '3' * 16).status == 410
+    assert not site.starts_of('3' * 16)
+
+
+@pytest.mark.parametrize('job_id', ['xyz', 'A' * 16, '0' * 17, '0' * 15])
+def test_an_identifier_of_another_form_is_refused(site, job_id):
+    assert site.submit('edge-1', job_id).status == 400
+
+
+def test_a_store_that_is_away_refuses_durable_jobs_and_runs_others(site):
+    site.set_faults(busy=True)
+    try:
+        answer = site.submit('edge-1', '4' * 16, best_effort=False)
+        assert answer.status == 503
+        assert int(answer.headers['retry-after']) >= 1
+        assert site.submit('edge-1', '5' * 16).status == 200
+    finally:
+        site.set_faults()
+    assert not site.starts_of('4' * 16)
+    wait_until(
+        lambda: (
+            site.submit('edge-1', '6' * 16, best_effort=False).status == 200
+        ),
+    )
+
+
+def test_a_store_that_loses_answers_stores_a_job_once(site):
+    site.set_faults(loses_answers=True)
+    try:
+        answer = site.submit('edge-1', '7' * 16, best_effort=False)
+        assert answer.status == 504
+    finally:
+        site.set_faults()
+    wait_until(lambda: completed(site, 'edge-3', '7' * 16))
+    assert len(site.starts_of('7' * 16)) == 1
+
+
+def test_entries_of_other_writers_name_no_back_end(site):
+    site.publish('keyed.servers', 'i-odd', {'service': 'caster'})
+    site.publish('keyed.op', 'config', {'version': 'nine'})
+    assert site.submit('edge-1', '8' * 16).status == 200
+
+
+def test_a_new_configuration_adds_and_removes_queues(site):
+    routes = CONFIG['routes']
+    added = routes[0] | {'name': 'more', 'path_prefix': '/more/'}
+    newer = CONFIG | {'version': 2, 'routes': [*routes, added]}
+    site.publish('keyed.op', 'config', newer)
+    for name in NODES:
+        wait_until(
+            lambda name=name: site.request(name, 'GET', '/more/').status == 200,
+        )
+    site.publish('keyed.op', 'config', CONFIG | {'version': 3})
+    for name in NODES:
+        wait_until(
+            lambda name=name: site.request(name, 'GET', '/more/').status == 404,
+        )
+    site.publish('keyed.op', 'config', newer)
+    assert site.request('edge-1', 'GET', '/more/').status == 404
+    assert HOST
+
+
+def test_an_owner_that_dies_is_replaced_and_its_work_goes_on(tmp_path):
+    with PlatformSite(tmp_path, NODES) as opened:
+        owner = opened.node_by_name['edge-1']
+        for number in range(4):
+            opened.submit('edge-2', f'9{number:015x}', 8, best_effort=False)
+        owner.kill()
+        for number in range(4):
+            job_id = f'9{number:015x}'
+            wait_until(
+                lambda job_id=job_id: completed(opened, 'edge-2', job_id)
+            )
+        wait_until(lambda: opened.submit('edge-2', 'a' * 16).status == 200)
