--- a/src/camphorlink/internal/core/connection/node_messages.py
+++ b/src/camphorlink/internal/core/connection/node_messages.py
@@ -4,17 +4,10 @@
 reading the store, or by a caller who sends its job again.
 """
 
-from collections.abc import Callable, Sequence
-from functools import singledispatch
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-from camphorlink.errors import PeerMessageError
-from camphorlink.internal.core.request.cell_choice import CellLoad, Room
+from camphorlink.internal.core.request.cell_choice import CellLoad
 from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
-from camphorlink.internal.core.request.job_record_codec import (
-    decode_job,
-    encode_job,
-)
 
 
 class Beat(NamedTuple):
@@ -88,102 +81,3 @@
 NodeMessage = (
     Beat | RecordsAppended | LoadTold | RunTasks | DropTasks | TaskEnded
 )
-
-
-@singledispatch
-def encode_message(message: Any) -> list[Any]:
-    """Writes a message as a plain list, its kind first."""
-    raise TypeError(message)
-
-
-@encode_message.register
-def _encode_beat(message: Beat) -> list[Any]:
-    return ['beat', *message]
-
-
-@encode_message.register
-def _encode_records(message: RecordsAppended) -> list[Any]:
-    return ['records', message.offset, list(message.records)]
-
-
-@encode_message.register
-def _encode_load(message: LoadTold) -> list[Any]:
-    load = message.load
-    rooms = [list(room) for room in load.rooms]
-    return ['load', load.cell, load.term, rooms, load.wait_s, load.cpu]
-
-
-@encode_message.register
-def _encode_run(message: RunTasks) -> list[Any]:
-    return [
-        'run',
-        message.coordinator,
-        message.cell,
-        encode_job(message.job),
-        [[task.step, task.number] for task in message.tasks],
-        message.may_have_run,
-    ]
-
-
-@encode_message.register
-def _encode_drop(message: DropTasks) -> list[Any]:
-    return ['drop', *message]
-
-
-@encode_message.register
-def _encode_ended(message: TaskEnded) -> list[Any]:
-    return ['ended', list(message.task), message.is_done]
-
-
-def _decode_run(
-    coordinator: str,
-    cell: str,
-    plain: list[Any],
-    tasks: Sequence[Sequence[int]],
-    may_have_run: bool,
-) -> RunTasks:
-    job = decode_job(plain)
-    keys = tuple(TaskKey(job.job_id, step, index) for step, index in tasks)
-    return RunTasks(coordinator, cell, job, keys, may_have_run)
-
-
-def _decode_load(
-    cell: str,
-    term: int,
-    rooms: Sequence[Sequence[Any]],
-    wait_s: float,
-    cpu: int,
-) -> LoadTold:
-    free = tuple(Room(*room) for room in rooms)
-    return LoadTold(CellLoad(cell, term, free, wait_s, cpu))
-
-
-def _decode_records(offset: int, records: list[bytes]) -> RecordsAppended:
-    return RecordsAppended(offset, tuple(records))
-
-
-def _decode_ended(task: Sequence[Any], is_done: bool) -> TaskEnded:
-    return TaskEnded(TaskKey(*task), is_done)
-
-
-_DECODE_BY_KIND: dict[str, Callable[..., NodeMessage]] = {
-    'beat': Beat,
-    'records': _decode_records,
-    'load': _decode_load,
-    'run': _decode_run,
-    'drop': DropTasks,
-    'ended': _decode_ended,
-}
-
-
-def decode_message(plain: Any) -> NodeMessage:
-    """Reads what ``encode_message`` wrote.
-
-    Raises:
-        PeerMessageError: If it is no message of a known kind.
-    """
-    try:
-        kind, *fields = plain
-        return _DECODE_BY_KIND[kind](*fields)
-    except (LookupError, TypeError, ValueError) as exc:
-        raise PeerMessageError(f'unknown message: {exc!r}') from exc
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -20,13 +20,11 @@
 )
 from camphorlink.internal.core.connection.backend_trust import (
     BackendTrust,
-    stalled_runs,
 )
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.cell_effects import CellEffect, Store
 from camphorlink.internal.core.process.commander import Commander, EndFate
 from camphorlink.internal.core.process.end_desk import (
-    HANDOVER_S,
     EndDesk,
     EndTools,
 )
@@ -39,9 +37,9 @@
     OwnerChanged,
     TasksDue,
 )
-from camphorlink.internal.core.process.predecessor import Predecessor
+from camphorlink.internal.core.process.predecessor import OldTasks, Predecessor
+from camphorlink.internal.core.process.task_starter import TaskStarter
 from camphorlink.internal.core.process.transient_work import TransientWork
-from camphorlink.internal.core.request.cell_choice import CellLoad, Room
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     Resources,
@@ -51,18 +49,12 @@
     Commanded,
 )
 from camphorlink.internal.core.request.task_placement import (
-    choose_backend,
     due_s_of,
-    speed_now,
 )
 from camphorlink.internal.core.request.waiting_tasks import (
-    WaitingTask,
     WaitingTasks,
 )
 
-#: Time that a back end gets nothing after a run on it stalled, in seconds.
-STALLED_PAUSE_S = 1.0
-
 
 class Cell:
     """Runs tasks on the back ends of one cell in one term.
@@ -102,7 +94,15 @@
             self._effects,
         )
         self.ledger = self.commander.ledger
-        self._trust = BackendTrust()
+        trust = BackendTrust()
+        self._starter = TaskStarter(
+            name,
+            table,
+            self.ledger,
+            speeds,
+            self.waiting,
+            self._find,
+        )
         self._ends = EndDesk(
             EndTools(
                 name,
@@ -110,7 +110,7 @@
                 self.transient,
                 self.ledger,
                 speeds,
-                self._trust,
+                trust,
                 self._enqueue,
                 self._effects,
             ),
@@ -119,14 +119,11 @@
         #: What the commander asks of the runs' owner.
         self.is_handed_over = self._ends.is_handed_over
         self._commanded: dict[str, int] | None = None
-        self._old_tasks_due_s = now
-        #: Tasks that an earlier owner may have started.
-        self._old_tasks: list[tuple[LiveJob, TaskKey]] = [
-            (live, task)
-            for live in table.live_by_id.values()
-            for task in live.due_tasks()
-            if live.cell_of(task) == name
-        ]
+        self._old_tasks = OldTasks(self._predecessor, now)
+        for live in table.live_by_id.values():
+            for task in live.due_tasks():
+                if live.cell_of(task) == name:
+                    self._old_tasks.add_stored(live, task)
 
     def take_effects(self) -> list[CellEffect]:
         """Returns what is to be done, once."""
@@ -138,36 +135,6 @@
         """Tells whether the log still names this term as the owner's."""
         return table.owner_of(self.name).term == self.term
 
-    def count_waiting_jobs(self) -> dict[str, int]:
-        """Counts by queue the jobs of which no task was started here."""
-        ids_by_queue: dict[str, set[str]] = {}
-        for entry in self.waiting:
-            job = entry.job
-            ids_by_queue.setdefault(job.queue, set()).add(job.job_id)
-        return {queue: len(ids) for queue, ids in ids_by_queue.items()}
-
-    def load(self, now: float) -> CellLoad:
-        """Tells how much room there is and how long tasks wait."""
-        rooms = []
-        cpu = 0
-        for runs in self.ledger.runs_by_backend.values():
-            if not runs.is_usable(now):
-                continue
-            cpu += runs.listed.capacity.cpu_milli
-            if runs.free.cpu_milli > 0:
-                speed = speed_now(runs, self.speeds, now)
-                rooms.append(Room(round(speed, 2), runs.free.cpu_milli))
-        work = sum(
-            entry.needs.cpu_milli * self._work_s(entry)
-            for entry in self.waiting
-        )
-        wait_s = work / cpu if cpu else 0.0
-        return CellLoad(self.name, self.term, tuple(rooms), wait_s, cpu)
-
-    def _work_s(self, entry: WaitingTask) -> float:
-        estimate_s = entry.step.estimate_ms / 1000
-        return self.speeds.work_s(entry.job.queue, estimate_s)
-
     # Transient jobs.
 
     def run_transient(
@@ -210,9 +177,7 @@
             if self._ends.claim(known.live, task, now):
                 continue
             if may_have_run:
-                # Until then each back end has listed its runs once more.
-                self._old_tasks_due_s = now + HANDOVER_S
-                self._old_tasks.append((known.live, task))
+                self._old_tasks.add(known.live, task, now)
             else:
                 self._enqueue(known.live, task)
 
@@ -231,8 +196,13 @@
 
     @singledispatchmethod
     def note_change(self, change: Change, now: float) -> None:
-        """Takes a change of the job table."""
-        raise TypeError(change)
+        """Takes a change of the job table; a new owner is the shell's matter.
+
+        Raises:
+            TypeError: If the change is of an unknown type.
+        """
+        if not isinstance(change, OwnerChanged):
+            raise TypeError(change)
 
     @note_change.register
     def _note_due(self, change: TasksDue, now: float) -> None:
@@ -255,10 +225,6 @@
                 self.waiting.discard(task)
                 self.ledger.stop_task(task, now)
 
-    @note_change.register
-    def _note_owner(self, change: OwnerChanged, now: float) -> None:
-        """Nothing to do: the shell drops a cell that it lost."""
-
     # Back ends.
 
     def note_listing(
@@ -320,70 +286,15 @@
         self.commander.tick(now, may_renew)
         self._ends.tick(now)
         if may_renew:
-            self._release_old_tasks(now)
-            self._restart_stalled(now)
+            for live, task in self._old_tasks.take_due(now):
+                if self._find(live.job.job_id) is live:
+                    self._enqueue(live, task)
+            self._starter.restart_stalled(now)
             self.place(now)
 
-    def _restart_stalled(self, now: float) -> None:
-        """Stops runs whose tasks would end sooner elsewhere."""
-        for runs in self.ledger.runs_by_backend.values():
-            for run in stalled_runs(runs, now):
-                self.ledger.count('stalled_runs', 'slower-than-a-restart')
-                self.ledger.stop(runs, run, now)
-                runs.pause_until_s = now + STALLED_PAUSE_S
-
-    def _release_old_tasks(self, now: float) -> None:
-        if not self._old_tasks or now < self._old_tasks_due_s:
-            return
-        if not self._predecessor.is_over(now):
-            return
-        old_tasks = self._old_tasks
-        self._old_tasks = []
-        for live, task in old_tasks:
-            if self._find(live.job.job_id) is live:
-                self._enqueue(live, task)
-
     def place(self, now: float) -> None:
         """Starts waiting tasks where there is room."""
-        if not self.waiting:
-            return
-        commanded = self._table.commanded_by_cell.get(self.name, {})
-        usable = [
-            runs
-            for runs in self.ledger.runs_by_backend.values()
-            if runs.is_usable(now)
-            and commanded.get(runs.listed.backend_id) == runs.listed.born_ms
-        ]
-
-        def start(entry: WaitingTask) -> bool:  # noqa: WPS430
-            return self._start(entry, usable, now)
-
-        self.waiting.place(start)
-
-    def _start(
-        self,
-        entry: WaitingTask,
-        usable: list[BackendRuns],
-        now: float,
-    ) -> bool:
-        """Starts a task if there is room for it; tells whether it did."""
-        runs = choose_backend(entry, usable, self.speeds, now)
-        if runs is None:
-            return False
-        live = self._find(entry.task.job_id)
-        if live is not None:
-            live.has_begun = True
-        run = self.ledger.start(
-            runs,
-            entry.task,
-            entry.needs,
-            entry.job.spec,
-            '',
-            now,
-        )
-        speed = speed_now(runs, self.speeds, now)
-        run.expected_s = self._work_s(entry) / speed
-        return True
+        self._starter.place(now)
 
     def _find(self, job_id: str) -> LiveJob | None:
         transient = self.transient.get(job_id)
--- a/src/camphorlink/internal/core/process/predecessor.py
+++ b/src/camphorlink/internal/core/process/predecessor.py
@@ -11,6 +11,8 @@
     LATE_ORDER_S,
     LEASE_S,
 )
+from camphorlink.internal.core.process.job_table import LiveJob
+from camphorlink.internal.core.request.durable_job import TaskKey
 
 #: Longest time that an owner goes on after the store last confirmed it, in
 #: seconds: bridges the store's outages of up to 9 s.
@@ -18,6 +20,9 @@
 #: After this long no order of an earlier owner is carried out, and no lease
 #: that it renewed still lasts, in seconds.
 ORDERS_OVER_S = CONFIRMED_FOR_S + LATE_ORDER_S + LEASE_S + 1.0
+#: Time in which each back end lists its runs again, in seconds: the wait of a
+#: hold, its time-out, and a margin.
+RELIST_S = 0.6
 
 
 class Predecessor:
@@ -44,3 +49,35 @@
     def is_over(self, now: float) -> bool:
         """Tells whether nothing unseen of the earlier owner can run."""
         return not self.unheard_by_id or now > self._until_s
+
+
+class OldTasks:
+    """Tasks that an earlier owner may have started, until that is known."""
+
+    def __init__(self, predecessor: Predecessor, now: float) -> None:
+        """Starts with none."""
+        self._predecessor = predecessor
+        self._due_s = now
+        self._tasks: list[tuple[LiveJob, TaskKey]] = []
+
+    def add_stored(self, live: LiveJob, task: TaskKey) -> None:
+        """Adds a task of a durable job, which was known from the start."""
+        self._tasks.append((live, task))
+
+    def add(self, live: LiveJob, task: TaskKey, now: float) -> None:
+        """Adds a task whose coordinator has sent it only now.
+
+        Back ends may have listed its run when nobody knew it: each lists its
+        runs once more before the task is released.
+        """
+        self._due_s = now + RELIST_S
+        self._tasks.append((live, task))
+
+    def take_due(self, now: float) -> list[tuple[LiveJob, TaskKey]]:
+        """Returns the tasks whose runs would be known by now, once."""
+        is_due = now >= self._due_s and self._predecessor.is_over(now)
+        if not self._tasks or not is_due:
+            return []
+        tasks = self._tasks
+        self._tasks = []
+        return tasks
--- /dev/null
+++ b/src/camphorlink/internal/core/process/task_starter.py
@@ -0,0 +1,92 @@
+"""Starts the waiting tasks of a cell, and restarts those that stalled."""
+
+from collections.abc import Callable
+
+from camphorlink.internal.core.connection.backend_runs import BackendRuns
+from camphorlink.internal.core.connection.backend_trust import stalled_runs
+from camphorlink.internal.core.connection.run_speeds import RunSpeeds
+from camphorlink.internal.core.process.job_table import JobTable, LiveJob
+from camphorlink.internal.core.process.run_ledger import RunLedger
+from camphorlink.internal.core.request.task_placement import (
+    choose_backend,
+    speed_now,
+)
+from camphorlink.internal.core.request.waiting_tasks import (
+    WaitingTask,
+    WaitingTasks,
+    work_s_of,
+)
+
+#: Time that a back end gets nothing after a run on it stalled, in seconds.
+STALLED_PAUSE_S = 1.0
+
+
+class TaskStarter:
+    """Puts waiting tasks on back ends."""
+
+    def __init__(
+        self,
+        cell: str,
+        table: JobTable,
+        ledger: RunLedger,
+        speeds: RunSpeeds,
+        waiting: WaitingTasks,
+        find: Callable[[str], LiveJob | None],
+    ) -> None:
+        """Takes the cell's parts, and the way to a job by its identifier."""
+        self._cell = cell
+        self._table = table
+        self._ledger = ledger
+        self._speeds = speeds
+        self._waiting = waiting
+        self._find = find
+
+    def place(self, now: float) -> None:
+        """Starts waiting tasks where there is room."""
+        if not self._waiting:
+            return
+        commanded = self._table.commanded_by_cell.get(self._cell, {})
+        usable = [
+            runs
+            for runs in self._ledger.runs_by_backend.values()
+            if runs.is_usable(now)
+            and commanded.get(runs.listed.backend_id) == runs.listed.born_ms
+        ]
+
+        def start(entry: WaitingTask) -> bool:  # noqa: WPS430
+            return self._start(entry, usable, now)
+
+        self._waiting.place(start)
+
+    def _start(
+        self,
+        entry: WaitingTask,
+        usable: list[BackendRuns],
+        now: float,
+    ) -> bool:
+        """Starts a task if there is room for it; tells whether it did."""
+        runs = choose_backend(entry, usable, self._speeds, now)
+        if runs is None:
+            return False
+        live = self._find(entry.task.job_id)
+        if live is not None:
+            live.has_begun = True
+        run = self._ledger.start(
+            runs,
+            entry.task,
+            entry.needs,
+            entry.job.spec,
+            '',
+            now,
+        )
+        speed = speed_now(runs, self._speeds, now)
+        run.expected_s = work_s_of(entry, self._speeds) / speed
+        return True
+
+    def restart_stalled(self, now: float) -> None:
+        """Stops runs whose tasks would end sooner elsewhere."""
+        for runs in self._ledger.runs_by_backend.values():
+            for run in stalled_runs(runs, now):
+                self._ledger.count('stalled_runs', 'slower-than-a-restart')
+                self._ledger.stop(runs, run, now)
+                runs.pause_until_s = now + STALLED_PAUSE_S
--- a/src/camphorlink/internal/core/request/waiting_tasks.py
+++ b/src/camphorlink/internal/core/request/waiting_tasks.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     Resources,
@@ -17,6 +18,7 @@
     TaskKey,
 )
 
+MS_PER_S = 1000
 #: Waiting tasks that one pass looks at beyond those that it places: bounds
 #: the cost of a pass while thousands wait.
 MAX_PASSED_OVER = 200
@@ -48,6 +50,12 @@
         return self.step.needs
 
 
+def work_s_of(entry: WaitingTask, speeds: RunSpeeds) -> float:
+    """Returns the run time to expect of a task at speed 1, in seconds."""
+    estimate_s = entry.step.estimate_ms / MS_PER_S
+    return speeds.work_s(entry.job.queue, estimate_s)
+
+
 #: Places a task if it can, and tells whether it did.
 CanPlace = Callable[[WaitingTask], bool]
 
--- a/src/camphorlink/internal/shell/connection/mesh.py
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -19,11 +19,11 @@
 from websockets.exceptions import WebSocketException
 
 from camphorlink.errors import PeerMessageError
-from camphorlink.internal.core.connection.node_messages import (
-    NodeMessage,
+from camphorlink.internal.core.connection.node_message_codec import (
     decode_message,
     encode_message,
 )
+from camphorlink.internal.core.connection.node_messages import NodeMessage
 from camphorlink.internal.shell.process.logs import PartLog
 
 #: Messages that wait for a slow peer; the rest is dropped, since peers read
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -1,10 +1,10 @@
 """Runs one cell on the event loop while this VM owns it."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
 from types import TracebackType
-from typing import Any, Self
+from typing import Self
 
 from camphorlink.internal.core.connection.backend_orders import (
     Hold,
@@ -25,6 +25,7 @@
 from camphorlink.internal.core.process.transient_work import TaskReport
 from camphorlink.internal.core.request.transient_jobs import GiveTasks
 from camphorlink.internal.shell.ports import BackendPort
+from camphorlink.internal.shell.process.backend_calls import BackendCalls
 from camphorlink.internal.shell.process.job_log import JobLog
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.steady_clock import now_s
@@ -49,11 +50,10 @@
         """Takes the cell and what it works with."""
         self.cell = cell
         self._job_log = job_log
-        self._backends = backends
         self._on_count = on_count
         self._on_report = on_report
         self._log = PartLog('cell', cell.name)
-        self._calls: set[asyncio.Task[None]] = set()
+        self._calls = BackendCalls(backends, cell.commander, self._place)
         self._ticker: asyncio.Task[None] | None = None
         self._is_open = False
         # Looking a single-dispatch method up builds a function every time.
@@ -76,8 +76,7 @@
         self._is_open = False
         if self._ticker is not None:
             self._ticker.cancel()
-        for call in self._calls:
-            call.cancel()
+        self._calls.close()
         self._log.info('cell given up', extra={'term': self.cell.term})
 
     @property
@@ -141,16 +140,8 @@
         raise TypeError(effect)
 
     @_carry_out.register
-    def _start(self, effect: StartRun) -> None:
-        self._call(self._await_start(effect))
-
-    @_carry_out.register
-    def _stop(self, effect: StopRun) -> None:
-        self._call(self._await_stop(effect))
-
-    @_carry_out.register
-    def _hold(self, effect: Hold) -> None:
-        self._call(self._await_hold(effect))
+    def _order(self, effect: StartRun | StopRun | Hold) -> None:
+        self._calls.send(effect)
 
     @_carry_out.register
     def _store(self, effect: Store) -> None:
@@ -162,7 +153,7 @@
 
     @_carry_out.register
     def _check(self, effect: CheckOwnership) -> None:
-        self._call(self._await_check())
+        self._calls.run(self._job_log.catch_up())
 
     @_carry_out.register
     def _count(self, effect: Count) -> None:
@@ -171,28 +162,3 @@
     @_carry_out.register
     def _note(self, effect: Note) -> None:
         self._log.info(effect.event, extra=effect.facts)
-
-    def _call(self, work: Coroutine[Any, Any, None]) -> None:
-        call = asyncio.get_running_loop().create_task(work)
-        self._calls.add(call)
-        call.add_done_callback(self._calls.discard)
-
-    async def _await_start(self, order: StartRun) -> None:
-        sent_s = now_s()
-        answer = await self._backends.start(order)
-        self.cell.commander.note_start(order, answer, sent_s, now_s())
-        self._place()
-
-    async def _await_stop(self, order: StopRun) -> None:
-        sent_s = now_s()
-        is_answered = await self._backends.stop(order)
-        self.cell.commander.note_stop(order, is_answered, sent_s, now_s())
-        self._flush()
-
-    async def _await_hold(self, order: Hold) -> None:
-        answer = await self._backends.hold(order)
-        self.cell.commander.note_hold(order, answer, now_s())
-        self._place()
-
-    async def _await_check(self) -> None:
-        await self._job_log.catch_up()
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -9,27 +9,20 @@
 from typing import NamedTuple, Self
 
 from camphorlink.internal.core.connection.node_messages import (
-    Beat,
-    DropTasks,
-    LoadTold,
     NodeMessage,
     RecordsAppended,
-    RunTasks,
-    TaskEnded,
 )
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
+from camphorlink.internal.core.process.cell_load import (
+    count_waiting_jobs,
+    load_of,
+)
 from camphorlink.internal.core.process.cell_ownership import PeerView
 from camphorlink.internal.core.process.job_table import (
     Change,
     JobTable,
     OwnerChanged,
 )
-from camphorlink.internal.core.process.transient_work import TaskReport
-from camphorlink.internal.core.request.cell_choice import CellLoad
-from camphorlink.internal.core.request.transient_jobs import (
-    DropJob,
-    GiveTasks,
-)
 from camphorlink.internal.shell.ports import (
     BackendPort,
     DirectoryPort,
@@ -39,9 +32,11 @@
     CellKeeper,
     CellTools,
 )
+from camphorlink.internal.shell.process.cell_post import CellPost
 from camphorlink.internal.shell.process.coordinator import Coordinator
 from camphorlink.internal.shell.process.job_log import JobLog
 from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.node_inbox import NodeInbox
 from camphorlink.internal.shell.process.peers import NodeSettings, Peers
 from camphorlink.internal.shell.process.published import Published
 from camphorlink.internal.shell.process.steady_clock import now_s, wall_ms
@@ -88,7 +83,6 @@
         self._log = PartLog('node', settings.name)
         self._stack = contextlib.AsyncExitStack()
         self._waiting_by_cell: dict[str, dict[str, int]] = {}
-        self._told_by_cell: dict[str, tuple[CellLoad, float]] = {}
         speeds = RunSpeeds()
         self._speeds = speeds
         self.peers = Peers(
@@ -97,10 +91,11 @@
             self._hear,
             self._note_lost,
         )
+        self._post = CellPost(self.peers)
         self.coordinator = Coordinator(
             settings.zone,
             speeds,
-            self._send_to_cell,
+            self._post.send_to_cell,
         )
         self.job_log = JobLog(platform.log, self.peers.member, self)
         self.published = Published(
@@ -117,11 +112,17 @@
                 platform.backends,
                 speeds,
                 self._count,
-                self._report,
+                self._post.report,
             ),
         )
-        # Looking a single-dispatch method up builds a function every time.
-        self._take_message = self._take
+        self._post.connect(self.cells, self.coordinator, self.job_log)
+        self._inbox = NodeInbox(
+            self.cells,
+            self.job_log,
+            self.coordinator,
+            self._waiting_by_cell,
+            self._count,
+        )
 
     @property
     def table(self) -> JobTable:
@@ -203,80 +204,8 @@
     def _count(self, family: str, reason: str) -> None:
         self.counts[family, reason] += 1
 
-    # Messages of peers.
-
     def _hear(self, message: NodeMessage) -> None:
-        self._take_message(message)
-
-    @functools.singledispatchmethod
-    def _take(self, message: NodeMessage) -> None:
-        raise TypeError(message)
-
-    @_take.register
-    def _take_beat(self, message: Beat) -> None:
-        self._waiting_by_cell.update(message.waiting_by_cell)
-
-    @_take.register
-    def _take_records(self, message: RecordsAppended) -> None:
-        self.job_log.hear(message.offset, message.records)
-
-    @_take.register
-    def _take_load(self, message: LoadTold) -> None:
-        self.coordinator.note_load(message.load)
-
-    @_take.register
-    def _take_run(self, message: RunTasks) -> None:
-        host = self.cells.host_by_cell.get(message.cell)
-        if host is None:
-            self._count('lost_messages', 'cell-not-owned')
-            return
-        given = GiveTasks(
-            message.cell,
-            message.job,
-            message.tasks,
-            message.may_have_run,
-        )
-        host.run_transient(given, message.coordinator)
-
-    @_take.register
-    def _take_drop(self, message: DropTasks) -> None:
-        host = self.cells.host_by_cell.get(message.cell)
-        if host is not None:
-            host.drop_transient(message.job_id)
-
-    @_take.register
-    def _take_ended(self, message: TaskEnded) -> None:
-        self.coordinator.note_report(message.task, message.is_done)
-
-    # Transient jobs.
-
-    def _send_to_cell(self, cell: str, order: GiveTasks | DropJob) -> None:
-        host = self.cells.host_by_cell.get(cell)
-        if host is None:
-            owner = self.table.owner_of(cell).member
-            self.peers.tell(owner, self._message_of(order))
-        elif isinstance(order, DropJob):
-            host.drop_transient(order.job_id)
-        else:
-            host.run_transient(order, self.peers.member)
-
-    def _message_of(self, order: GiveTasks | DropJob) -> NodeMessage:
-        if isinstance(order, DropJob):
-            return DropTasks(order.cell, order.job_id)
-        return RunTasks(
-            self.peers.member,
-            order.cell,
-            order.job,
-            order.tasks,
-            order.may_have_run,
-        )
-
-    def _report(self, cell: str, report: TaskReport) -> None:
-        if report.coordinator == self.peers.member:
-            self.coordinator.note_report(report.task, report.is_done)
-        else:
-            ended = TaskEnded(report.task, report.is_done)
-            self.peers.tell(report.coordinator, ended)
+        self._inbox.take(message)
 
     # Time.
 
@@ -306,7 +235,7 @@
 
     def _beat(self) -> None:
         waiting_by_cell = {
-            cell: host.cell.count_waiting_jobs()
+            cell: count_waiting_jobs(host.cell)
             for cell, host in self.cells.host_by_cell.items()
         }
         self._waiting_by_cell.update(waiting_by_cell)
@@ -325,14 +254,5 @@
     async def _tell_loads(self) -> None:
         while True:
             for host in self.cells.host_by_cell.values():
-                load = host.cell.load(now_s())
-                self.coordinator.note_load(load)
-                self._tell_load(load)
+                self._post.tell_load(load_of(host.cell, now_s()))
             await asyncio.sleep(LOAD_PERIOD_S)
-
-    def _tell_load(self, load: CellLoad) -> None:
-        """Tells peers a load that has changed, or was told long ago."""
-        told, told_s = self._told_by_cell.get(load.cell, (None, 0.0))
-        if load != told or now_s() - told_s > HEARTBEAT_S:
-            self._told_by_cell[load.cell] = (load, now_s())
-            self.peers.tell_all(LoadTold(load))
--- a/src/camphorlink/platform/standin/runner.py
+++ b/src/camphorlink/platform/standin/runner.py
@@ -151,8 +151,7 @@
         order = orjson.loads(await request.read())
         if not self._admit(order):
             return self._answer(409, reason='fence')
-        if 'deadline_ms' in order:
-            self._extend(order['deadline_ms'])
+        self._extend(order.get('deadline_ms', 0))
         acknowledged = order.get('acknowledged', 0)
         self._finished = [
             entry for entry in self._finished if entry[0] > acknowledged
--- a/src/camphorlink/platform/standin/store.py
+++ b/src/camphorlink/platform/standin/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import struct
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
 import orjson
@@ -92,18 +93,16 @@
         query = request.query
         if query['topic'] in PLATFORM_TOPICS:
             return web.json_response({}, status=403)
-        stamp = None
-        if 'producer' in query:
-            stamp = Stamp(
-                query['producer'],
-                int(query['epoch']),
-                int(query['sequence']),
-            )
+        stamp = _read_stamp(query)
         records = split_records(await request.read())
-        at = int(query['at']) if 'at' in query else None
+        at = query.get('at')
         partition = self.partition(query['topic'], query['part'])
         try:
-            answer = partition.append(records, at, stamp)
+            answer = partition.append(
+                records,
+                None if at is None else int(at),
+                stamp,
+            )
         except RefusedError as exc:
             return web.json_response(exc.answer, status=exc.status)
         return web.json_response(answer)
@@ -172,3 +171,10 @@
         if self.faults.loses_answers and request.transport is not None:
             request.transport.abort()
         return response
+
+
+def _read_stamp(query: Mapping[str, str]) -> Stamp | None:
+    producer = query.get('producer')
+    if producer is None:
+        return None
+    return Stamp(producer, int(query['epoch']), int(query['sequence']))
