--- a/src/camphorlink/internal/core/connection/backend_trust.py
+++ b/src/camphorlink/internal/core/connection/backend_trust.py
@@ -20,6 +20,7 @@
 #: and some time besides, in seconds: a list of progress is up to 0.3 s old.
 STALLED_RATIO = 2.5
 STALLED_MARGIN_S = 0.15
+ALL_PERCENT = 100
 #: How much sooner a task must end elsewhere to be stopped and started anew.
 RESTART_GAIN = 2.0
 #: Failed runs of different jobs, with no good end between, after which a back
@@ -78,16 +79,19 @@
 
 
 def _is_stalled(run: Run, now: float) -> bool:
-    elapsed_s = now - run.started_s
+    """Judges by progress that was listed when the run was overdue already."""
+    if run.state is not RunState.RUNNING or not run.expected_s:
+        return False
+    listed_s = run.percent_s - run.started_s
     limit_s = STALLED_RATIO * run.expected_s + STALLED_MARGIN_S
-    if _overdue_ratio(run, now) < STALLED_RATIO or elapsed_s < limit_s:
+    if listed_s < limit_s:
         return False
-    return _left_s(run) > RESTART_GAIN * run.expected_s
+    left_s = _total_s(run) - (now - run.started_s)
+    return left_s > RESTART_GAIN * run.expected_s + STALLED_MARGIN_S
 
 
-def _left_s(run: Run) -> float:
-    """Estimates what a run still needs, from its last listed progress."""
+def _total_s(run: Run) -> float:
+    """Estimates a run's whole time from its last listed progress."""
     if run.percent <= 0:
         return math.inf
-    seen_s = run.percent_s - run.started_s
-    return seen_s * (100 - run.percent) / run.percent
+    return (run.percent_s - run.started_s) * ALL_PERCENT / run.percent
