The goal of wide jobs counts waves; width alone refuses nothing

Cause: a job of 32 tasks on a small installation was refused though nothing else ran (test_a_best_effort_job_is_answered_with_its_end[32], which failed). Change: the goal takes the waves that the users' definition grants a step wider than a quarter of the room; a job is refused only when it is late against what it would take alone, too.

--- a/src/camphorlink/internal/core/connection/node_message_codec.py
+++ b/src/camphorlink/internal/core/connection/node_message_codec.py
@@ -53,6 +53,7 @@
         message.cell,
         encode_job(message.job),
         [[task.step, task.number] for task in message.tasks],
+        message.goal_s,
         message.may_have_run,
     ]
 
@@ -72,11 +73,11 @@
     cell: str,
     plain: list[Any],
     tasks: Sequence[Sequence[int]],
-    may_have_run: bool,
+    *rest: Any,
 ) -> RunTasks:
     job = decode_job(plain)
     keys = tuple(TaskKey(job.job_id, step, index) for step, index in tasks)
-    return RunTasks(coordinator, cell, job, keys, may_have_run)
+    return RunTasks(coordinator, cell, job, keys, *rest)
 
 
 def _decode_load(
--- a/src/camphorlink/internal/core/connection/node_messages.py
+++ b/src/camphorlink/internal/core/connection/node_messages.py
@@ -54,6 +54,7 @@
         cell: The cell.
         job: The job.
         tasks: Those that it is to run.
+        goal_s: Time within which the job should end, in seconds.
         may_have_run: Whether an earlier owner may have begun.
     """
 
@@ -61,6 +62,7 @@
     cell: str
     job: DurableJob
     tasks: tuple[TaskKey, ...]
+    goal_s: float
     may_have_run: bool
 
 
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -7,7 +7,6 @@
 reported back.
 """
 
-from collections.abc import Sequence
 from functools import singledispatchmethod
 
 from camphorlink.internal.core.connection.backend_orders import (
@@ -41,7 +40,6 @@
 from camphorlink.internal.core.process.task_starter import TaskStarter
 from camphorlink.internal.core.process.transient_work import TransientWork
 from camphorlink.internal.core.request.durable_job import (
-    DurableJob,
     Resources,
     TaskKey,
 )
@@ -52,6 +50,7 @@
     MS_PER_S,
     goal_s,
 )
+from camphorlink.internal.core.request.transient_jobs import GiveTasks
 from camphorlink.internal.core.request.waiting_tasks import (
     WaitingTasks,
 )
@@ -141,48 +140,37 @@
 
     def run_transient(
         self,
-        job: DurableJob,
-        tasks: Sequence[TaskKey],
+        given: GiveTasks,
         coordinator: str,
-        may_have_run: bool,
         now: float,
     ) -> None:
         """Takes tasks of a transient job.
 
         Args:
-            job: The job.
-            tasks: Those of its tasks that this cell is to run.
+            given: The tasks.
             coordinator: Member to report to.
-            may_have_run: Whether an earlier owner may have started them.
             now: Time in seconds.
         """
         self._now = now
         fresh = []
-        for task in tasks:
+        for task in given.tasks:
             report = self.transient.report_again(task, coordinator)
             if report is None:
                 fresh.append(task)
             else:
                 self._effects.append(report)
-        if fresh:
-            self._accept(job, fresh, coordinator, may_have_run, now)
-
-    def _accept(
-        self,
-        job: DurableJob,
-        tasks: Sequence[TaskKey],
-        coordinator: str,
-        may_have_run: bool,
-        now: float,
-    ) -> None:
-        known = self.transient.accept(job, tasks, coordinator)
-        for task in tasks:
-            if self._ends.claim(known.live, task, now):
+        if not fresh:
+            return
+        live = self.transient.accept(given.job, fresh, coordinator).live
+        if live.due_s is None:
+            live.due_s = now + given.goal_s
+        for task in fresh:
+            if self._ends.claim(live, task, now):
                 continue
-            if may_have_run:
-                self._old_tasks.add(known.live, task, now)
+            if given.may_have_run:
+                self._old_tasks.add(live, task, now)
             else:
-                self._enqueue(known.live, task)
+                self._enqueue(live, task)
 
     def drop_transient(self, job_id: str, now: float) -> None:
         """Stops what a coordinator does not want any more."""
--- a/src/camphorlink/internal/core/process/cell_load.py
+++ b/src/camphorlink/internal/core/process/cell_load.py
@@ -9,10 +9,12 @@
     """Tells how much room there is and how long tasks wait."""
     rooms = []
     power = 0.0
+    cpu = 0
     for runs in cell.ledger.runs_by_backend.values():
         if not runs.is_usable(now):
             continue
         speed = round(speed_now(runs, cell.speeds, now), 2)
+        cpu += runs.listed.capacity.cpu_milli
         power += runs.listed.capacity.cpu_milli * speed
         if runs.free.cpu_milli > 0:
             rooms.append(Room(speed, runs.free.cpu_milli))
@@ -33,6 +35,7 @@
         round(on_time / power, 3) if power else 0.0,
         round(late / power, 3) if power else 0.0,
         round(power),
+        cpu,
     )
 
 
--- a/src/camphorlink/internal/core/request/cell_choice.py
+++ b/src/camphorlink/internal/core/request/cell_choice.py
@@ -41,6 +41,7 @@
         late_s: The same for those that can't: they come after.
         power: Processor of its usable back ends times their speeds, in
             thousandths of a core.
+        cpu: Processor of its usable back ends, in thousandths of a core.
     """
 
     cell: str
@@ -49,6 +50,7 @@
     wait_s: float
     late_s: float
     power: int
+    cpu: int
 
 
 class Plan(NamedTuple):
@@ -135,6 +137,12 @@
                 load = load._replace(wait_s=load.wait_s + share)
             self._load_by_cell[cell] = load
 
+    def cpu_of(self, cells: Iterable[str]) -> int:
+        """Returns the processor of all back ends of cells, in thousandths."""
+        return sum(
+            load.cpu for cell in cells if (load := self._load_by_cell.get(cell))
+        )
+
     def whole_wait_s(self, cells: Iterable[str]) -> float:
         """Returns the shortest time to work a cell's whole queue off."""
         return min(
--- a/src/camphorlink/internal/core/request/task_placement.py
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -6,6 +6,7 @@
 room left over, which keeps room for tasks that need more.
 """
 
+import math
 from collections.abc import Iterable
 
 from camphorlink.internal.core.connection.backend_runs import BackendRuns
@@ -15,6 +16,9 @@
 from camphorlink.internal.core.request.waiting_tasks import WaitingTask
 
 MS_PER_S = 1000
+#: Part of the room that a step takes at once by the users' definition of a
+#: job's objective.
+WAVE_SHARE = 0.25
 
 
 def kind_of(runs: BackendRuns) -> str:
@@ -28,17 +32,33 @@
     return learned / slowness(runs, now)
 
 
-def goal_s(job: DurableJob, speeds: RunSpeeds) -> float:
-    """Returns the time within which a job should end, in seconds."""
+def goal_s(job: DurableJob, speeds: RunSpeeds, room_cpu: int = 0) -> float:
+    """Returns the time within which a job should end, in seconds.
+
+    Args:
+        job: The job.
+        speeds: Learned run times.
+        room_cpu: Processor of all back ends, in thousandths of a core, or 0
+            where it is not known: a step wider than a part of it may run in
+            waves.
+    """
     end_s_by_step: list[float] = []
     for step in job.steps:
         start_s = max((end_s_by_step[prior] for prior in step.after), default=0)
         work_s = speeds.work_s(job.queue, step.estimate_ms / MS_PER_S)
-        end_s_by_step.append(start_s + work_s)
+        waves = _waves(step, room_cpu)
+        end_s_by_step.append(start_s + work_s * waves)
     longest_s = max(end_s_by_step, default=0)
     return job.slack_factor * longest_s + job.target_ms / MS_PER_S
 
 
+def _waves(step: Step, room_cpu: int) -> int:
+    part_cpu = room_cpu * WAVE_SHARE
+    if not part_cpu:
+        return 1
+    return max(math.ceil(step.width * step.needs.cpu_milli / part_cpu), 1)
+
+
 def choose_backend(
     entry: WaitingTask,
     usable: Iterable[BackendRuns],
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -38,12 +39,14 @@
         cell: The cell.
         job: The job.
         tasks: Those that it is to run.
+        goal_s: Time within which the job should end, in seconds.
         may_have_run: Whether an earlier owner of the cell may have begun.
     """
 
     cell: str
     job: DurableJob
     tasks: tuple[TaskKey, ...]
+    goal_s: float
     may_have_run: bool
 
 
@@ -84,7 +87,8 @@
 class _OpenJob:
     """A job whose caller waits."""
 
-    def __init__(self, job: DurableJob) -> None:
+    def __init__(self, job: DurableJob, goal: float) -> None:
+        self.goal_s = goal
         self.live = LiveJob(job, '', -1)
         self.cell_by_task: dict[TaskKey, str] = {}
 
@@ -124,10 +128,12 @@
         end_s = self._predict_s(job, cells)
         if end_s is None:
             return [JobRefused(job.job_id, NO_CELL_RETRY_S)]
-        if end_s > LATEST_RATIO * goal_s(job, self._speeds):
+        room_cpu = self._choice.cpu_of(cells)
+        goal = goal_s(job, self._speeds, room_cpu)
+        if end_s > LATEST_RATIO * max(goal, self._alone_s(job, room_cpu)):
             wait_s = self._choice.whole_wait_s(cells)
             return [JobRefused(job.job_id, max(wait_s, MIN_RETRY_S))]
-        opened = _OpenJob(job)
+        opened = _OpenJob(job, goal)
         self._open_by_id[job.job_id] = opened
         return self._give(opened, tuple(opened.live.due_tasks()), cells)
 
@@ -145,6 +151,14 @@
         later_s = sum(self._work_s(job, step) for step in job.steps[1:])
         return plan.end_s + later_s
 
+    def _alone_s(self, job: DurableJob, room_cpu: int) -> float:
+        """Returns what a job would take if nothing else ran, in seconds."""
+        return sum(
+            self._work_s(job, step)
+            * math.ceil(step.width * step.needs.cpu_milli / max(room_cpu, 1))
+            for step in job.steps
+        )
+
     def _work_s(self, job: DurableJob, step: Step) -> float:
         return self._speeds.work_s(job.queue, step.estimate_ms / MS_PER_S)
 
@@ -196,7 +210,15 @@
             )
             if tasks:
                 job = opened.live.job
-                effects.append(GiveTasks(cell, job, tasks, may_have_run=True))
+                effects.append(
+                    GiveTasks(
+                        cell,
+                        job,
+                        tasks,
+                        opened.goal_s,
+                        may_have_run=True,
+                    ),
+                )
         return effects
 
     def move_tasks(
@@ -254,7 +276,13 @@
             tasks_by_cell.setdefault(chosen, []).append(task)
             opened.cell_by_task[task] = chosen
         return [
-            GiveTasks(cell, job, tuple(given), may_have_run=False)
+            GiveTasks(
+                cell,
+                job,
+                tuple(given),
+                opened.goal_s,
+                may_have_run=False,
+            )
             for cell, given in tasks_by_cell.items()
         ]
 
--- a/src/camphorlink/internal/core/request/waiting_tasks.py
+++ b/src/camphorlink/internal/core/request/waiting_tasks.py
@@ -18,9 +18,9 @@
     TaskKey,
 )
 
-#: Waiting tasks that one pass looks at beyond those that it places: bounds
-#: the cost of a pass while thousands wait.
-MAX_PASSED_OVER = 200
+#: Waiting tasks of each kind, on time and late, that one pass looks at: bounds
+#: its cost while thousands wait.
+MAX_LOOKED_AT = 300
 
 
 class WaitingTask(NamedTuple):
@@ -118,29 +118,34 @@
         """
         refused: list[Step] = []
         kept: list[WaitingTask] = []
-        for entry in self._pop_all(self._on_time, kept):
+        for entry in self._pop_some(self._on_time):
             if not entry.can_be_on_time(now):
                 heapq.heappush(self._late, entry)
             elif not self._offer(entry, can_place, refused):
                 kept.append(entry)
-        kept_late: list[WaitingTask] = []
-        for entry in self._pop_all(self._late, kept_late):
-            if not self._offer(entry, can_place, refused):
-                kept_late.append(entry)
-        for entry in kept:
-            heapq.heappush(self._on_time, entry)
-        for entry in kept_late:
-            heapq.heappush(self._late, entry)
-
-    def _pop_all(
+        kept_late = [
+            entry
+            for entry in self._pop_some(self._late)
+            if not self._offer(entry, can_place, refused)
+        ]
+        self._put_back(self._on_time, kept)
+        self._put_back(self._late, kept_late)
+
+    def _put_back(
         self,
         heap: list[WaitingTask],
         kept: list[WaitingTask],
-    ) -> Iterator[WaitingTask]:
-        """Hands out entries in order, until too many were passed over."""
-        while heap and len(kept) < MAX_PASSED_OVER:
+    ) -> None:
+        for entry in kept:
+            heapq.heappush(heap, entry)
+
+    def _pop_some(self, heap: list[WaitingTask]) -> Iterator[WaitingTask]:
+        """Hands out waiting entries in order, up to a bound."""
+        looked_at = 0
+        while heap and looked_at < MAX_LOOKED_AT:
             entry = heapq.heappop(heap)
             if self._entry_by_task.get(entry.task) is entry:
+                looked_at += 1
                 yield entry
 
     def _offer(
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -101,13 +101,7 @@
 
     def run_transient(self, given: GiveTasks, coordinator: str) -> None:
         """Takes tasks of a transient job."""
-        self.cell.run_transient(
-            given.job,
-            given.tasks,
-            coordinator,
-            given.may_have_run,
-            now_s(),
-        )
+        self.cell.run_transient(given, coordinator, now_s())
         self._place()
 
     def drop_transient(self, job_id: str) -> None:
--- a/src/camphorlink/internal/shell/process/cell_post.py
+++ b/src/camphorlink/internal/shell/process/cell_post.py
@@ -78,5 +78,6 @@
             order.cell,
             order.job,
             order.tasks,
+            order.goal_s,
             order.may_have_run,
         )
--- a/tests/order_takers.py
+++ b/tests/order_takers.py
@@ -33,6 +33,7 @@
     task_keys,
 )
 from camphorlink.internal.core.request.job_records import Claimed
+from camphorlink.internal.core.request.transient_jobs import GiveTasks
 
 HOLD_MAX_S = 1.0
 TICK_S = 0.02
@@ -193,13 +194,14 @@
         self.cell.note_listing(entries, self.now)
         self.carry_out()
 
-    def submit(self, job, coordinator='c#1', may_have_run=False):
-        tasks = [
+    def submit(self, job, coordinator='c#1', may_have_run=False, goal_s=10.0):
+        tasks = tuple(
             task
             for step in range(len(job.steps))
             for task in task_keys(job, step)
-        ]
-        self.cell.run_transient(job, tasks, coordinator, may_have_run, self.now)
+        )
+        given = GiveTasks('z', job, tasks, 10.0, may_have_run)
+        self.cell.run_transient(given, coordinator, self.now)
         self.cell.place(self.now)
         self.carry_out()
 
