--- a/src/camphorlink/internal/core/request/waiting_tasks.py
+++ b/src/camphorlink/internal/core/request/waiting_tasks.py
@@ -124,9 +124,9 @@
             elif not self._offer(entry, can_place, refused):
                 kept.append(entry)
         kept_late = [
-            entry
-            for entry in self._pop_some(self._late)
-            if not self._offer(entry, can_place, refused)
+            late
+            for late in self._pop_some(self._late)
+            if not self._offer(late, can_place, refused)
         ]
         self._put_back(self._on_time, kept)
         self._put_back(self._late, kept_late)
