--- a/src/camphorlink/internal/core/process/job_table.py
+++ b/src/camphorlink/internal/core/process/job_table.py
@@ -266,9 +266,10 @@
         live.done_by_step[task.step].add(task.number)
         if live.is_done:
             return [self._end(live, JobState.COMPLETED)]
-        if live.is_step_done(task.step):
-            return [TasksDue(live, _due_after(live, task.step))]
-        return []
+        if not live.is_step_done(task.step):
+            return []
+        due = _due_after(live, task.step)
+        return [TasksDue(live, due)] if due else []
 
     def _end(self, live: LiveJob, state: JobState) -> JobEnded:
         job = live.job
--- /dev/null
+++ b/tests/core/test_job_table.py
@@ -0,0 +1,226 @@
+"""The fold of the job log: one order, one state, first record wins."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from camphorlink.internal.core.process.job_snapshot import (
+    read_snapshot,
+    take_snapshot,
+)
+from camphorlink.internal.core.process.job_table import (
+    EndsStored,
+    JobEnded,
+    JobState,
+    JobTable,
+    OwnerChanged,
+    TasksDue,
+)
+from camphorlink.internal.core.request.durable_job import (
+    Resources,
+    Step,
+    TaskKey,
+)
+from camphorlink.internal.core.request.job_record_codec import (
+    decode_record,
+    encode_record,
+)
+from camphorlink.internal.core.request.job_records import (
+    Accepted,
+    Cancelled,
+    Claimed,
+    Commanded,
+    End,
+    Ended,
+    Moved,
+    SnapshotTaken,
+)
+from camphorlink.store_errors import JobRecordError
+from order_takers import make_job
+
+JOB = 'a' * 16
+
+
+def fold(*records):
+    table = JobTable()
+    changes = [change for record in records for change in table.apply(record)]
+    return table, changes
+
+
+def end(number=0, run=1, is_done=True, step=0, job_id=JOB):
+    return End(TaskKey(job_id, step, number), run, is_done)
+
+
+def test_the_first_acceptance_of_an_identifier_counts():
+    table, changes = fold(
+        Accepted(make_job(), 'one'),
+        Accepted(make_job(count=9), 'two'),
+    )
+    assert table.live_by_id[JOB].cell == 'one'
+    assert len(changes) == 1
+
+
+def test_an_identifier_stays_taken_after_its_job_has_ended():
+    table, changes = fold(
+        Accepted(make_job(), 'z'),
+        Cancelled(JOB),
+        Accepted(make_job(), 'z'),
+    )
+    assert not table.live_by_id
+    assert table.ended_by_id[JOB].state is JobState.CANCELLED
+    assert len(changes) == 2
+
+
+def test_a_claim_counts_only_if_it_replaces_the_owner_at_its_place():
+    table, changes = fold(
+        Claimed('z', 0, 'm#1'),
+        Claimed('z', 0, 'm#2'),
+        Claimed('z', 1, 'm#3'),
+    )
+    assert table.owner_of('z').member == 'm#3'
+    assert [type(change) for change in changes] == [OwnerChanged] * 2
+
+
+def test_terms_rise_over_all_cells():
+    table, _ = fold(
+        Claimed('x', 0, 'm'), Claimed('y', 0, 'm'), Claimed('x', 1, 'n')
+    )
+    assert (table.owner_of('x').term, table.owner_of('y').term) == (3, 2)
+
+
+def test_ends_of_a_former_owner_change_nothing():
+    table, changes = fold(
+        Claimed('z', 0, 'm#1'),
+        Accepted(make_job(), 'z'),
+        Claimed('z', 1, 'm#2'),
+        Ended('z', 1, (end(),)),
+    )
+    assert JOB in table.live_by_id
+    assert not any(isinstance(change, EndsStored) for change in changes)
+
+
+def test_a_job_is_completed_by_its_last_end():
+    table, changes = fold(
+        Claimed('z', 0, 'm'),
+        Accepted(make_job(count=2), 'z'),
+        Ended('z', 1, (end(0),)),
+        Ended('z', 1, (end(1),)),
+    )
+    assert table.ended_by_id[JOB].state is JobState.COMPLETED
+    assert isinstance(changes[-1], JobEnded)
+
+
+def test_a_step_is_due_when_all_that_it_waits_for_is_done():
+    needs = Resources(1)
+    steps = (Step(1, needs, 1), Step(1, needs, 1), Step(2, needs, 1, (0, 1)))
+    _, changes = fold(
+        Claimed('z', 0, 'm'),
+        Accepted(make_job(steps=steps), 'z'),
+        Ended('z', 1, (end(step=0),)),
+        Ended('z', 1, (end(step=1),)),
+    )
+    due = [change.tasks for change in changes if isinstance(change, TasksDue)]
+    assert [len(tasks) for tasks in due] == [2, 2]
+    assert {task.step for task in due[1]} == {2}
+
+
+def test_a_failed_run_counts_once_however_often_it_is_stored():
+    table, _ = fold(
+        Claimed('z', 0, 'm'),
+        Accepted(make_job(max_attempts=2), 'z'),
+        *[Ended('z', 1, (end(run=7, is_done=False),)) for _ in range(3)],
+    )
+    assert JOB in table.live_by_id
+    table.apply(Ended('z', 1, (end(run=8, is_done=False),)))
+    assert table.ended_by_id[JOB].state is JobState.FAILED
+
+
+def test_moved_tasks_belong_to_the_other_cell():
+    table, _ = fold(
+        Claimed('z', 0, 'm'),
+        Accepted(make_job(count=2), 'z'),
+        Moved('z', 1, 'y', (TaskKey(JOB, 0, 1),)),
+    )
+    live = table.live_by_id[JOB]
+    assert [live.cell_of(TaskKey(JOB, 0, n)) for n in (0, 1)] == ['z', 'y']
+
+
+def test_ended_jobs_are_forgotten_after_their_time():
+    table, _ = fold(Accepted(make_job(accepted_ms=5), 'z'), Cancelled(JOB))
+    table.forget_before(5)
+    assert JOB in table.ended_by_id
+    table.forget_before(6)
+    assert JOB not in table.ended_by_id
+
+
+RECORDS = (
+    Accepted(make_job(count=3), 'z'),
+    Ended('z', 2, (end(), end(1, 9, is_done=False))),
+    Cancelled(JOB),
+    Claimed('z', 4, 'm#1'),
+    Commanded('z', 4, (('i-1', 17),)),
+    Moved('z', 4, 'y', (TaskKey(JOB, 0, 1),)),
+    SnapshotTaken(12),
+)
+
+
+@pytest.mark.parametrize('record', RECORDS)
+def test_records_are_read_as_they_were_written(record):
+    assert decode_record(encode_record(record)) == record
+
+
+@pytest.mark.parametrize('body', [b'', b'\xff', b'\x80', b'\x82\x61x\x01'])
+def test_other_bytes_are_no_record(body):
+    with pytest.raises(JobRecordError):
+        decode_record(body)
+
+
+any_record = st.one_of(
+    st.builds(
+        lambda n, width: Accepted(make_job(f'{n:016x}', width), 'z'),
+        st.integers(0, 3),
+        st.integers(1, 3),
+    ),
+    st.builds(lambda n: Cancelled(f'{n:016x}'), st.integers(0, 3)),
+    st.builds(lambda term: Claimed('z', term, f'm#{term}'), st.integers(0, 3)),
+    st.builds(
+        lambda term, n, number, run, is_done: Ended(
+            'z', term, (end(number, run, is_done, job_id=f'{n:016x}'),)
+        ),
+        st.integers(0, 3),
+        st.integers(0, 3),
+        st.integers(0, 2),
+        st.integers(1, 4),
+        st.booleans(),
+    ),
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    st.lists(any_record, max_size=30), st.integers(0, 30), st.integers(9, 99)
+)
+def test_a_reader_of_a_snapshot_ends_in_the_same_state(records, cut, chunk):
+    whole, _ = fold(*records)
+    half, _ = fold(*records[:cut])
+    chunks = [('z', body) for body in take_snapshot(half, chunk)]
+    restored = read_snapshot(reversed(chunks))
+    for record in records[cut:]:
+        restored.apply(record)
+    restored.snapshot_offset = whole.snapshot_offset
+    one, other = (take_snapshot(table, 10**6) for table in (whole, restored))
+    assert one == other
+
+
+def test_the_newest_whole_snapshot_is_read():
+    old, _ = fold(Accepted(make_job(), 'z'))
+    new, _ = fold(Accepted(make_job(), 'z'), Cancelled(JOB))
+    torn = take_snapshot(new, 20)[1:]
+    whole = take_snapshot(old, 20)
+    found = read_snapshot(
+        [('a', body) for body in torn] + [('b', body) for body in whole],
+    )
+    assert found.next_offset == 1
+    with pytest.raises(JobRecordError):
+        read_snapshot([('a', body) for body in torn])
+    assert read_snapshot([]) is None
