Loads by service, cells by step, checkpoints carried on, unsupported jobs refused

Cause: with several services, or labels that one zone alone has, a task went to a cell that can never run it; jobs that ask for gangs, occurrences and the like were run as if they did not. Change: owners tell room by service and labels; cells are chosen for each step among those that list a fitting back end; what a run had saved goes with its next start; what is not built is refused whole (503, unsupported-job).

--- a/src/camphorlink/internal/core/connection/node_message_codec.py
+++ b/src/camphorlink/internal/core/connection/node_message_codec.py
@@ -42,7 +42,7 @@
 def _encode_load(message: LoadTold) -> list[Any]:
     load = message.load
     rooms = [list(room) for room in load.rooms]
-    return ['load', load.cell, load.term, rooms, *load[3:]]
+    return ['load', load.cell, load.service, load.term, rooms, *load[4:]]
 
 
 @encode_message.register
@@ -82,12 +82,16 @@
 
 def _decode_load(
     cell: str,
+    service: str,
     term: int,
     rooms: Sequence[Sequence[Any]],
     *figures: Any,
 ) -> LoadTold:
-    free = tuple(Room(*room) for room in rooms)
-    return LoadTold(CellLoad(cell, term, free, *figures))
+    free = tuple(
+        Room(speed, free_cpu, tuple(labels))
+        for speed, free_cpu, labels in rooms
+    )
+    return LoadTold(CellLoad(cell, service, term, free, *figures))
 
 
 def _decode_records(offset: int, records: list[bytes]) -> RecordsAppended:
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -261,6 +261,8 @@
     def take_lost(self, runs: BackendRuns, run: Run) -> None:
         """Takes a run that is over without a listed end."""
         live = self._find(run.task.job_id)
+        if live is not None and run.checkpoint:
+            live.checkpoint_by_task[run.task] = run.checkpoint
         if run.wants_retry and live is not None:
             self._enqueue(live, run.task)
 
--- a/src/camphorlink/internal/core/process/cell_load.py
+++ b/src/camphorlink/internal/core/process/cell_load.py
@@ -5,31 +5,29 @@
 from camphorlink.internal.core.request.task_placement import speed_now
 
 
-def load_of(cell: Cell, now: float) -> CellLoad:
-    """Tells how much room there is and how long tasks wait."""
+def loads_of(cell: Cell, now: float) -> list[CellLoad]:
+    """Tells for each service how much room there is and how long tasks wait."""
+    backends = cell.ledger.runs_by_backend.values()
+    services = {runs.listed.service for runs in backends}
+    return [_load_of(cell, service, now) for service in sorted(services)]
+
+
+def _load_of(cell: Cell, service: str, now: float) -> CellLoad:
     rooms = []
     power = 0.0
     cpu = 0
     for runs in cell.ledger.runs_by_backend.values():
-        if not runs.is_usable(now):
+        if runs.listed.service != service or not runs.is_usable(now):
             continue
         speed = round(speed_now(runs, cell.speeds, now), 2)
         cpu += runs.listed.capacity.cpu_milli
         power += runs.listed.capacity.cpu_milli * speed
         if runs.free.cpu_milli > 0:
-            rooms.append(Room(speed, runs.free.cpu_milli))
-    on_time = sum(
-        entry.needs.cpu_milli * entry.work_s
-        for entry in cell.waiting
-        if entry.can_be_on_time(now)
-    )
-    late = sum(
-        entry.needs.cpu_milli * entry.work_s
-        for entry in cell.waiting
-        if not entry.can_be_on_time(now)
-    )
+            rooms.append(Room(speed, runs.free.cpu_milli, runs.listed.labels))
+    on_time, late = _waiting_work(cell, service, now)
     return CellLoad(
         cell.name,
+        service,
         cell.term,
         tuple(rooms),
         round(on_time / power, 3) if power else 0.0,
@@ -39,6 +37,21 @@
     )
 
 
+def _waiting_work(cell: Cell, service: str, now: float) -> tuple[float, float]:
+    """Returns the waiting work that can end in time, and the other."""
+    on_time = 0.0
+    late = 0.0
+    for entry in cell.waiting:
+        if entry.job.service != service:
+            continue
+        work = entry.needs.cpu_milli * entry.work_s
+        if entry.can_be_on_time(now):
+            on_time += work
+        else:
+            late += work
+    return on_time, late
+
+
 def count_waiting_jobs(cell: Cell) -> dict[str, int]:
     """Counts by queue the jobs of which no task was started here."""
     ids_by_queue: dict[str, set[str]] = {}
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -280,6 +280,7 @@
         if run is not None and run.number == entry.run:
             if run.state in {RunState.ORDERED, RunState.UNCERTAIN}:
                 run.turn(RunState.RUNNING, now)
+            run.checkpoint = entry.checkpoint
             run.percent = entry.percent
             run.percent_s = now
             return
--- a/src/camphorlink/internal/core/process/end_desk.py
+++ b/src/camphorlink/internal/core/process/end_desk.py
@@ -87,6 +87,8 @@
             self._end_transient(runs, end, run, transient.live, now)
             return EndFate.ACKNOWLEDGE
         live = self._tools.table.live_by_id.get(task.job_id)
+        if live is not None and end.checkpoint:
+            live.checkpoint_by_task[task] = end.checkpoint
         if live is None:
             if run is None and not self.is_handed_over(now):
                 backend_id = runs.listed.backend_id
--- a/src/camphorlink/internal/core/process/job_snapshot.py
+++ b/src/camphorlink/internal/core/process/job_snapshot.py
@@ -104,7 +104,7 @@
 def _plain_live(live: LiveJob) -> list[Any]:
     return [
         encode_job(live.job),
-        live.cell,
+        list(live.cells),
         live.offset,
         [sorted(done) for done in live.done_by_step],
         [[*task, *sorted(runs)]
@@ -139,13 +139,13 @@
 
 def _build_live(
     job: list[Any],
-    cell: str,
+    cells: list[str],
     offset: int,
     done: list[list[int]],
     failed: list[list[Any]],
     moved: list[list[Any]],
 ) -> LiveJob:
-    live = LiveJob(decode_job(job), cell, offset)
+    live = LiveJob(decode_job(job), tuple(cells), offset)
     live.done_by_step = [set(indices) for indices in done]
     live.failed_runs_by_task = {
         TaskKey(*row[:3]): set(row[3:]) for row in failed
--- a/src/camphorlink/internal/core/process/job_table.py
+++ b/src/camphorlink/internal/core/process/job_table.py
@@ -56,21 +56,28 @@
 
     Attributes:
         job: The job as accepted.
-        cell: Where its tasks run unless they were moved.
+        cells: Where the tasks of each step run unless they were moved.
+        checkpoint_by_task: What runs that are over had saved.
         offset: Offset of its acceptance.
         has_begun: Whether a task is known to have started.
         due_s: When it should have ended, by the clock of the VM that runs it,
             or ``None`` where none of its tasks was queued.
     """
 
-    __slots__ = ('cell', 'cell_by_task', 'done_by_step', 'due_s',
+    __slots__ = ('cell_by_task', 'cells', 'checkpoint_by_task', 'done_by_step', 'due_s',
                  'failed_runs_by_task', 'has_begun', 'job',
                  'offset')  # fmt: skip
 
-    def __init__(self, job: DurableJob, cell: str, offset: int) -> None:
+    def __init__(
+        self,
+        job: DurableJob,
+        cells: tuple[str, ...],
+        offset: int,
+    ) -> None:
         """Starts with no task ended."""
         self.job = job
-        self.cell = cell
+        self.cells = cells
+        self.checkpoint_by_task: dict[TaskKey, str] = {}
         self.offset = offset
         self.has_begun = False
         self.due_s: float | None = None
@@ -80,7 +87,7 @@
 
     def cell_of(self, task: TaskKey) -> str:
         """Returns the cell that runs a task."""
-        return self.cell_by_task.get(task, self.cell)
+        return self.cell_by_task.get(task, self.cells[task.step])
 
     def is_step_done(self, step: int) -> bool:
         """Tells whether all tasks of a step are done."""
@@ -200,7 +207,7 @@
         job_id = record.job.job_id
         if job_id in self.live_by_id or job_id in self.ended_by_id:
             return []
-        live = LiveJob(record.job, record.cell, self.next_offset)
+        live = LiveJob(record.job, record.cells, self.next_offset)
         self.live_by_id[job_id] = live
         return [TasksDue(live, tuple(live.due_tasks()))]
 
--- a/src/camphorlink/internal/core/process/task_starter.py
+++ b/src/camphorlink/internal/core/process/task_starter.py
@@ -68,14 +68,15 @@
         if runs is None:
             return False
         live = self._find(entry.task.job_id)
-        if live is not None:
-            live.has_begun = True
+        if live is None:
+            return False
+        live.has_begun = True
         run = self._ledger.start(
             runs,
             entry.task,
             entry.needs,
             entry.job.spec,
-            '',
+            live.checkpoint_by_task.get(entry.task, ''),
             now,
         )
         speed = speed_now(runs, self._speeds, now)
--- a/src/camphorlink/internal/core/request/job_record_codec.py
+++ b/src/camphorlink/internal/core/request/job_record_codec.py
@@ -64,7 +64,7 @@
 
 @_plain.register
 def _plain_accepted(record: Accepted) -> list[Any]:
-    return ['accepted', encode_job(record.job), record.cell]
+    return ['accepted', encode_job(record.job), list(record.cells)]
 
 
 @_plain.register
@@ -127,7 +127,7 @@
 
 
 _BUILD_BY_KIND: dict[str, Callable[..., Record]] = {
-    'accepted': lambda job, cell: Accepted(decode_job(job), cell),
+    'accepted': lambda job, cells: Accepted(decode_job(job), tuple(cells)),
     'ended': _ended,
     'cancelled': Cancelled,
     'claimed': Claimed,
--- a/src/camphorlink/internal/core/request/job_records.py
+++ b/src/camphorlink/internal/core/request/job_records.py
@@ -15,10 +15,10 @@
 
 
 class Accepted(NamedTuple):
-    """A job was accepted; it runs in the named cell."""
+    """A job was accepted; each of its steps runs in the named cell."""
 
     job: DurableJob
-    cell: str
+    cells: tuple[str, ...]
 
 
 class End(NamedTuple):
--- a/src/camphorlink/internal/core/request/task_placement.py
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -12,6 +12,7 @@
 from camphorlink.internal.core.connection.backend_runs import BackendRuns
 from camphorlink.internal.core.connection.backend_trust import slowness
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
+from camphorlink.internal.core.request.cell_choice import REMOTE_FACTOR
 from camphorlink.internal.core.request.durable_job import DurableJob, Step
 from camphorlink.internal.core.request.waiting_tasks import WaitingTask
 
@@ -82,10 +83,6 @@
     return best
 
 
-#: Times that a task takes away from its data: the larger of the stated ones.
-REMOTE_FACTOR = 2.0
-
-
 def _is_allowed(entry: WaitingTask, runs: BackendRuns) -> bool:
     step: Step = entry.step
     if runs.listed.service != entry.job.service:
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -7,12 +7,12 @@
 
 import itertools
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.job_table import JobState, LiveJob
-from camphorlink.internal.core.request.cell_choice import CellChoice
+from camphorlink.internal.core.request.cell_choice import CellChoice, TaskGroup
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     Step,
@@ -84,22 +84,32 @@
 TransientEffect = GiveTasks | DropJob | JobOver | JobRefused
 
 
+#: Returns the cells that can be reached and can run a step of a service.
+CellsFor = Callable[[str, Step], Sequence[str]]
+
+
 class _OpenJob:
     """A job whose caller waits."""
 
     def __init__(self, job: DurableJob, goal: float) -> None:
         self.goal_s = goal
-        self.live = LiveJob(job, '', -1)
+        self.live = LiveJob(job, ('',) * len(job.steps), -1)
         self.cell_by_task: dict[TaskKey, str] = {}
 
 
 class TransientJobs:
     """The transient jobs that a VM coordinates."""
 
-    def __init__(self, choice: CellChoice, speeds: RunSpeeds) -> None:
+    def __init__(
+        self,
+        choice: CellChoice,
+        speeds: RunSpeeds,
+        cells_for: CellsFor,
+    ) -> None:
         """Takes what is known of cells and run times."""
         self._choice = choice
         self._speeds = speeds
+        self._cells_for = cells_for
         self._open_by_id: dict[str, _OpenJob] = {}
 
     def __len__(self) -> int:
@@ -110,32 +120,25 @@
         """Tells whether a job is open here."""
         return job_id in self._open_by_id
 
-    def submit(
-        self,
-        job: DurableJob,
-        cells: Sequence[str],
-    ) -> list[TransientEffect]:
+    def submit(self, job: DurableJob) -> list[TransientEffect]:
         """Gives the tasks of a new job to cells, or refuses it.
 
         It is refused, and nothing of it runs, when it would end far too late
         for its goal: what can't be done in time should not keep others from
         being done.
-
-        Args:
-            job: The job.
-            cells: Cells that can be reached.
         """
+        cells = self._cells_for(job.service, job.steps[0])
         end_s = self._predict_s(job, cells)
         if end_s is None:
             return [JobRefused(job.job_id, NO_CELL_RETRY_S)]
-        room_cpu = self._choice.cpu_of(cells)
+        room_cpu = self._choice.cpu_of(job.service, cells)
         goal = goal_s(job, self._speeds, room_cpu)
         if end_s > LATEST_RATIO * max(goal, self._alone_s(job, room_cpu)):
-            wait_s = self._choice.whole_wait_s(cells)
+            wait_s = self._choice.whole_wait_s(job.service, cells)
             return [JobRefused(job.job_id, max(wait_s, MIN_RETRY_S))]
         opened = _OpenJob(job, goal)
         self._open_by_id[job.job_id] = opened
-        return self._give(opened, tuple(opened.live.due_tasks()), cells)
+        return self._give(opened, tuple(opened.live.due_tasks()))
 
     def _predict_s(
         self,
@@ -143,9 +146,8 @@
         cells: Sequence[str],
     ) -> float | None:
         """Predicts when a job would end, from now, in seconds."""
-        first = job.steps[0]
-        work_s = self._work_s(job, first)
-        plan = self._choice.plan(first.width, first.needs, work_s, cells)
+        first = self._group(job, job.steps[0], job.steps[0].width)
+        plan = self._choice.plan(first, cells)
         if plan is None:
             return None
         later_s = sum(self._work_s(job, step) for step in job.steps[1:])
@@ -159,6 +161,9 @@
             for step in job.steps
         )
 
+    def _group(self, job: DurableJob, step: Step, width: int) -> TaskGroup:
+        return TaskGroup(job.service, step, width, self._work_s(job, step))
+
     def _work_s(self, job: DurableJob, step: Step) -> float:
         return self._speeds.work_s(job.queue, step.estimate_ms / MS_PER_S)
 
@@ -166,7 +171,6 @@
         self,
         task: TaskKey,
         is_done: bool,
-        cells: Sequence[str],
     ) -> list[TransientEffect]:
         """Takes what became of a task."""
         opened = self._open_by_id.get(task.job_id)
@@ -188,7 +192,7 @@
                 for due in live.due_tasks()
                 if due not in opened.cell_by_task
             )
-            return self._give(opened, fresh, cells)
+            return self._give(opened, fresh)
         return []
 
     def drop(self, job_id: str) -> list[TransientEffect]:
@@ -221,11 +225,7 @@
                 )
         return effects
 
-    def move_tasks(
-        self,
-        cell: str,
-        cells: Sequence[str],
-    ) -> list[TransientEffect]:
+    def move_tasks(self, cell: str) -> list[TransientEffect]:
         """Gives the open tasks of a cell whose owner is gone to others.
 
         Call it only when nothing that the owner ordered can still run.
@@ -238,18 +238,18 @@
                 if chosen == cell
             ]
             if tasks:
-                effects.extend(self._give(opened, tasks, cells))
+                effects.extend(self._give(opened, tasks, without=cell))
         return effects
 
     def _give(
         self,
         opened: _OpenJob,
         tasks: Sequence[TaskKey],
-        cells: Sequence[str],
+        without: str = '',
     ) -> list[TransientEffect]:
         effects: list[TransientEffect] = []
         for step, group in itertools.groupby(tasks, _step_of):
-            given = self._give_step(opened, step, tuple(group), cells)
+            given = self._give_step(opened, step, tuple(group), without)
             if given is None:
                 job_id = opened.live.job.job_id
                 return [*self.drop(job_id), JobOver(job_id, None)]
@@ -261,29 +261,34 @@
         opened: _OpenJob,
         number: int,
         tasks: tuple[TaskKey, ...],
-        cells: Sequence[str],
+        without: str,
     ) -> list[TransientEffect] | None:
         """Gives tasks of one step; ``None`` when no cell can take them."""
         job = opened.live.job
         step = job.steps[number]
-        work_s = self._work_s(job, step)
-        plan = self._choice.plan(len(tasks), step.needs, work_s, cells)
+        group = self._group(job, step, len(tasks))
+        cells = self._cells_for(job.service, step)
+        plan = self._choice.plan(
+            group,
+            [cell for cell in cells if cell != without],
+        )
         if plan is None:
             return None
-        self._choice.count(plan, step.needs, work_s)
-        tasks_by_cell: dict[str, list[TaskKey]] = {}
-        for task, chosen in zip(tasks, plan.cells, strict=True):
-            tasks_by_cell.setdefault(chosen, []).append(task)
-            opened.cell_by_task[task] = chosen
+        self._choice.count(plan, group)
+        opened.cell_by_task.update(zip(tasks, plan.cells, strict=True))
         return [
             GiveTasks(
-                cell,
+                chosen,
                 job,
-                tuple(given),
+                tuple(
+                    task
+                    for task in tasks
+                    if opened.cell_by_task[task] == chosen
+                ),
                 opened.goal_s,
                 may_have_run=False,
             )
-            for cell, given in tasks_by_cell.items()
+            for chosen in dict.fromkeys(plan.cells)
         ]
 
 
--- a/src/camphorlink/internal/shell/ports.py
+++ b/src/camphorlink/internal/shell/ports.py
@@ -122,6 +122,7 @@
         max_attempts: Failed runs of one task that fail a job.
         slack_factor: Times its longest chain of work that a job may take.
         target_ms: Time beyond that within which it is on time, in ms.
+        needs_advice: Whether a policy tells which back ends may run its jobs.
     """
 
     name: str
@@ -132,6 +133,7 @@
     max_attempts: int
     slack_factor: float
     target_ms: int
+    needs_advice: bool = False
 
 
 class JobConfig(NamedTuple):
--- a/src/camphorlink/internal/shell/process/cell_post.py
+++ b/src/camphorlink/internal/shell/process/cell_post.py
@@ -30,7 +30,7 @@
     def __init__(self, peers: Peers) -> None:
         """Takes the way to peers; the parts of this VM come later."""
         self._peers = peers
-        self._told_by_cell: dict[str, tuple[CellLoad, float]] = {}
+        self._told: dict[tuple[str, str], tuple[CellLoad, float]] = {}
 
     def connect(
         self,
@@ -65,9 +65,10 @@
     def tell_load(self, load: CellLoad) -> None:
         """Tells peers a load that has changed, or was told long ago."""
         self._coordinator.note_load(load)
-        told, told_s = self._told_by_cell.get(load.cell, (None, 0.0))
+        key = (load.cell, load.service)
+        told, told_s = self._told.get(key, (None, 0.0))
         if load != told or now_s() - told_s > LOAD_REPEAT_S:
-            self._told_by_cell[load.cell] = (load, now_s())
+            self._told[key] = (load, now_s())
             self._peers.tell_all(LoadTold(load))
 
     def _message_of(self, order: GiveTasks | DropJob) -> NodeMessage:
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -1,12 +1,21 @@
 """Transient jobs between their callers and the owners of cells."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from functools import singledispatchmethod
 
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
-from camphorlink.internal.core.request.cell_choice import CellChoice, CellLoad
-from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
+from camphorlink.internal.core.request.cell_choice import (
+    CellChoice,
+    CellLoad,
+    cells_with,
+)
+from camphorlink.internal.core.request.durable_job import (
+    DurableJob,
+    Step,
+    TaskKey,
+)
 from camphorlink.internal.core.request.transient_jobs import (
     DropJob,
     GiveTasks,
@@ -15,6 +24,7 @@
     TransientEffect,
     TransientJobs,
 )
+from camphorlink.internal.shell.process.published import Published
 from camphorlink.internal.shell.process.steady_clock import now_s
 
 #: Age of a cell's load after which the cell gets no more tasks, in seconds:
@@ -39,23 +49,26 @@
         zone: str,
         speeds: RunSpeeds,
         send_to_cell: SendToCell,
+        published: Published,
     ) -> None:
         """Takes this VM's zone and the way to the owners of cells."""
         self._choice = CellChoice(zone)
-        self._jobs = TransientJobs(self._choice, speeds)
+        self._jobs = TransientJobs(self._choice, speeds, self._cells_for)
         self._send_to_cell = send_to_cell
-        self._heard_s_by_cell: dict[str, float] = {}
+        self._published = published
+        self._heard_s_by_cell: dict[tuple[str, str], float] = {}
         self._over_by_id: dict[str, asyncio.Future[JobOver | JobRefused]] = {}
         self._dispatch = self._carry_out
 
-    @property
-    def cells(self) -> list[str]:
-        """Cells whose owner told its load lately."""
+    def _cells_for(self, service: str, step: Step) -> list[str]:
+        """Returns the cells that told their load lately and can run a step."""
         now = now_s()
+        backends = self._published.listed_by_id.values()
         return [
             cell
-            for cell, heard_s in self._heard_s_by_cell.items()
-            if now - heard_s < LOAD_FRESH_S
+            for cell in sorted(cells_with(backends, service, step))
+            if now - self._heard_s_by_cell.get((cell, service), -math.inf)
+            < LOAD_FRESH_S
         ]
 
     def __contains__(self, job_id: str) -> bool:
@@ -64,12 +77,12 @@
 
     def note_load(self, load: CellLoad) -> None:
         """Takes what the owner of a cell says of its load."""
-        self._heard_s_by_cell[load.cell] = now_s()
+        self._heard_s_by_cell[load.cell, load.service] = now_s()
         self._choice.note_load(load)
 
     def note_report(self, task: TaskKey, is_done: bool) -> None:
         """Takes what became of a task."""
-        self._carry_all(self._jobs.note_report(task, is_done, self.cells))
+        self._carry_all(self._jobs.note_report(task, is_done))
 
     def note_owner(self, cell: str) -> None:
         """Sends the open tasks of a cell to its new owner."""
@@ -98,8 +111,7 @@
 
     def _move(self, cell: str, is_still_lost: IsLost) -> None:
         if is_still_lost():
-            others = [name for name in self.cells if name != cell]
-            self._carry_all(self._jobs.move_tasks(cell, others))
+            self._carry_all(self._jobs.move_tasks(cell))
 
     async def run(
         self,
@@ -122,7 +134,7 @@
         )
         self._over_by_id[job.job_id] = over
         try:
-            self._carry_all(self._jobs.submit(job, self.cells))
+            self._carry_all(self._jobs.submit(job))
             return await asyncio.wait_for(over, wait_s)
         except TimeoutError:
             return JobOver(job.job_id, None)
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -15,7 +15,7 @@
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.cell_load import (
     count_waiting_jobs,
-    load_of,
+    loads_of,
 )
 from camphorlink.internal.core.process.cell_ownership import PeerView
 from camphorlink.internal.core.process.job_table import (
@@ -23,6 +23,8 @@
     JobTable,
     OwnerChanged,
 )
+from camphorlink.internal.core.request.cell_choice import cells_with
+from camphorlink.internal.core.request.durable_job import DurableJob
 from camphorlink.internal.shell.ports import (
     BackendPort,
     DirectoryPort,
@@ -91,18 +93,19 @@
             self._hear,
             self._note_lost,
         )
+        self.published = Published(
+            platform.log,
+            platform.directory,
+            self._note_listing,
+        )
         self._post = CellPost(self.peers)
         self.coordinator = Coordinator(
             settings.zone,
             speeds,
             self._post.send_to_cell,
+            self.published,
         )
         self.job_log = JobLog(platform.log, self.peers.member, self)
-        self.published = Published(
-            platform.log,
-            platform.directory,
-            self._note_listing,
-        )
         self.cells = CellKeeper(
             self.peers.member,
             settings.zones,
@@ -169,12 +172,21 @@
         self._beat()
         await asyncio.sleep(min(BALANCER_S, grace_s * GRACE_SHARE))
 
-    def choose_cell(self) -> str:
-        """Chooses the cell of a durable job: this zone's, if it has one."""
-        owned = self.table.owner_by_cell
-        if self._zone in owned or not owned:
-            return self._zone
-        return min(owned)
+    def choose_cells(self, job: DurableJob) -> tuple[str, ...] | None:
+        """Chooses the cell of each step: this zone's, if it can run it.
+
+        Returns:
+            The cells, or ``None`` when no back end can run one of the steps.
+        """
+        chosen: list[str] = []
+        backends = self.published.listed_by_id.values()
+        for step in job.steps:
+            cells = cells_with(backends, job.service, step)
+            owned = cells & set(self.table.owner_by_cell) or cells
+            if not owned:
+                return None
+            chosen.append(self._zone if self._zone in owned else min(owned))
+        return tuple(chosen)
 
     def pending_jobs(self, queue: str) -> int:
         """Returns how many accepted jobs of a queue no task of has started."""
@@ -255,5 +267,6 @@
     async def _tell_loads(self) -> None:
         while True:
             for host in self.cells.host_by_cell.values():
-                self._post.tell_load(load_of(host.cell, now_s()))
+                for load in loads_of(host.cell, now_s()):
+                    self._post.tell_load(load)
             await asyncio.sleep(LOAD_PERIOD_S)
--- a/src/camphorlink/internal/shell/request/job_desk.py
+++ b/src/camphorlink/internal/shell/request/job_desk.py
@@ -51,6 +51,12 @@
     reason='store-away',
     retry_after_s=STORE_AWAY_RETRY_S,
 )
+#: No back end that is listed can run it; others may be added.
+NO_BACKEND = DeskAnswer(
+    Verdict.REFUSED,
+    reason='no-back-end',
+    retry_after_s=STORE_AWAY_RETRY_S,
+)
 
 
 class JobDesk:
@@ -71,9 +77,11 @@
             return DONE
         if not self._is_up():
             return self._refuse(STORE_AWAY)
-        cell = self._node.choose_cell()
+        cells = self._node.choose_cells(job)
+        if cells is None:
+            return self._refuse(NO_BACKEND)
         stored = self._node.job_log.append(
-            Accepted(job, cell),
+            Accepted(job, cells),
             is_durable=False,
         )
         try:
--- a/src/camphorlink/platform/directory.py
+++ b/src/camphorlink/platform/directory.py
@@ -92,6 +92,7 @@
         max_attempts=int(route.get('max_attempts', 1)),
         slack_factor=float(route.get('slack_factor', 1)),
         target_ms=int(route.get('target_latency_ms', 0)),
+        needs_advice=bool(route.get('advice')),
     )
 
 
--- a/src/camphorlink/platform/ingress.py
+++ b/src/camphorlink/platform/ingress.py
@@ -8,6 +8,7 @@
 import orjson
 from aiohttp import web
 
+from camphorlink.errors import CamphorlinkError
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     Resources,
@@ -30,6 +31,18 @@
 MAX_SPEC_BYTES = 4000
 _JOB_ID = re.compile('[0-9a-f]{16}')
 _RETRY_WITHOUT_CONFIG_S = 1.0
+#: A later release may support it: an hour, in seconds.
+_RETRY_UNSUPPORTED_S = 3600
+#: What a step may ask for that is not built yet.
+_UNSUPPORTED = (
+    'gang',
+    'rack_local',
+    'speculative',
+    'long_running',
+    'fills',
+    'target_ms',
+    'max_unavailable',
+)
 _STATUS_BY_VERDICT = {
     Verdict.DONE: HTTPStatus.OK,
     Verdict.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,
@@ -38,6 +51,10 @@
 }
 
 
+class UnsupportedJobError(CamphorlinkError):
+    """A job asks for something that is not built yet; it is refused whole."""
+
+
 class Ingress:
     """Handlers of the clients' port and of the readiness port."""
 
@@ -100,6 +117,13 @@
         try:
             document = orjson.loads(await request.read())
             job = read_job(document, queue, job_id)
+        except UnsupportedJobError as exc:
+            return _problem(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'unsupported-job',
+                _RETRY_UNSUPPORTED_S,
+                str(exc),
+            )
         except (LookupError, TypeError, ValueError) as exc:
             return _problem(HTTPStatus.BAD_REQUEST, 'bad-job', 0, str(exc))
         if document.get('best_effort'):
@@ -134,6 +158,8 @@
     spec = document['spec']
     if not isinstance(spec, str) or len(spec) > MAX_SPEC_BYTES:
         raise ValueError('spec')
+    if queue.needs_advice or document.get('repetitions'):
+        raise UnsupportedJobError('advice or repetitions')
     steps = tuple(
         _read_step(entry, number)
         for number, entry in enumerate(document['steps'])
@@ -155,6 +181,9 @@
 
 
 def _read_step(entry: dict[str, Any], number: int) -> Step:
+    wanted = [name for name in _UNSUPPORTED if entry.get(name)]
+    if wanted:
+        raise UnsupportedJobError(', '.join(wanted))
     after = tuple(int(prior) for prior in entry.get('after', ()))
     if any(not 0 <= prior < number for prior in after):
         raise ValueError('after')
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -129,7 +129,7 @@
 
 def test_a_durable_job_is_completed_when_its_ends_are_stored():
     rig, takers = make_rig()
-    rig.store(Accepted(make_job(count=4), 'z'))
+    rig.store(Accepted(make_job(count=4), ('z',) * 3))
     rig.run_for(0.6)
     assert rig.table.ended_by_id['a' * 16].state is JobState.COMPLETED
     assert len(starts_of(takers)) == 4
@@ -138,7 +138,7 @@
 
 def test_a_durable_job_that_is_cancelled_stops():
     rig, takers = make_rig(run_s=5.0)
-    rig.store(Accepted(make_job(count=4), 'z'))
+    rig.store(Accepted(make_job(count=4), ('z',) * 3))
     rig.run_for(0.1)
     rig.store(Cancelled('a' * 16))
     rig.run_for(0.3)
@@ -148,7 +148,7 @@
 
 def test_a_new_owner_finishes_durable_jobs():
     rig, takers = make_rig(run_s=0.4)
-    rig.store(Accepted(make_job(count=6), 'z'))
+    rig.store(Accepted(make_job(count=6), ('z',) * 3))
     rig.run_for(0.2)
     rig.take_over('m#2')
     rig.run_for(3)
--- a/tests/core/test_waiting_and_choice.py
+++ b/tests/core/test_waiting_and_choice.py
@@ -113,6 +113,7 @@
 def load(cell, rooms=((1.0, 32_000),), wait_s=0.0, power=32_000):
     return CellLoad(
         cell,
+        's',
         1,
         tuple(Room(*room) for room in rooms),
         wait_s,
@@ -126,7 +127,8 @@
     choice = CellChoice(loads[0].cell)
     for told in loads:
         choice.note_load(told)
-    return TransientJobs(choice, RunSpeeds())
+    cells = [told.cell for told in loads]
+    return TransientJobs(choice, RunSpeeds(), lambda service, step: cells)
 
 
 def given(effects):
@@ -139,7 +141,7 @@
 
 def test_a_wide_job_is_split_over_the_room_of_all_cells():
     jobs = make_jobs(load('y'), load('z'))
-    assert given(jobs.submit(make_job(count=4), ['y', 'z'])) == {
+    assert given(jobs.submit(make_job(count=4))) == {
         'y': 2,
         'z': 2,
     }
@@ -147,48 +149,48 @@
 
 def test_room_that_was_given_out_is_not_given_again():
     jobs = make_jobs(load('y'), load('z'))
-    first = given(jobs.submit(make_job('1', count=2), ['y', 'z']))
-    second = given(jobs.submit(make_job('2', count=2), ['y', 'z']))
+    first = given(jobs.submit(make_job('1', count=2)))
+    second = given(jobs.submit(make_job('2', count=2)))
     assert first == {'y': 2}
     assert second == {'z': 2}
 
 
 def test_fast_back_ends_elsewhere_outweigh_the_way_there():
     jobs = make_jobs(load('y', [(0.7, 32_000)]), load('z', [(1.7, 32_000)]))
-    assert given(jobs.submit(make_job(), ['y', 'z'])) == {'z': 1}
+    assert given(jobs.submit(make_job())) == {'z': 1}
 
 
 def test_without_room_the_shortest_queue_is_taken():
     jobs = make_jobs(load('y', [], 0.05), load('z', [], 0.01))
-    assert given(jobs.submit(make_job(), ['y', 'z'])) == {'z': 1}
+    assert given(jobs.submit(make_job())) == {'z': 1}
 
 
 def test_a_job_that_would_end_far_too_late_is_refused_with_the_wait():
     jobs = make_jobs(load('z', [], 3.4))
-    refused = jobs.submit(make_job(), ['z'])
+    refused = jobs.submit(make_job())
     assert refused == [JobRefused('a' * 16, 3.4)]
     assert not len(jobs)
 
 
 def test_room_refuses_nobody_however_wide_the_job():
     jobs = make_jobs(load('z'))
-    assert given(jobs.submit(make_job(count=32), ['z'])) == {'z': 32}
+    assert given(jobs.submit(make_job(count=32))) == {'z': 32}
 
 
 def test_without_any_cell_a_job_is_refused():
     jobs = make_jobs(load('z', [], power=0))
-    assert isinstance(jobs.submit(make_job(), ['z'])[0], JobRefused)
+    assert isinstance(jobs.submit(make_job())[0], JobRefused)
 
 
 def test_ends_complete_a_job_and_one_failure_drops_the_rest():
     jobs = make_jobs(load('z'))
     job = make_job(count=2)
-    jobs.submit(job, ['z'])
-    assert not jobs.note_report(TaskKey('a' * 16, 0, 0), True, ['z'])
-    over = jobs.note_report(TaskKey('a' * 16, 0, 1), True, ['z'])
+    jobs.submit(job)
+    assert not jobs.note_report(TaskKey('a' * 16, 0, 0), True)
+    over = jobs.note_report(TaskKey('a' * 16, 0, 1), True)
     assert over == [JobOver('a' * 16, JobState.COMPLETED)]
-    jobs.submit(job, ['z'])
-    over = jobs.note_report(TaskKey('a' * 16, 0, 0), False, ['z'])
+    jobs.submit(job)
+    over = jobs.note_report(TaskKey('a' * 16, 0, 0), False)
     assert over == [
         DropJob('z', 'a' * 16),
         JobOver('a' * 16, JobState.FAILED),
@@ -197,25 +199,25 @@
 
 def test_a_report_that_comes_twice_counts_once():
     jobs = make_jobs(load('z'))
-    jobs.submit(make_job(count=2), ['z'])
+    jobs.submit(make_job(count=2))
     for _ in range(2):
-        assert not jobs.note_report(TaskKey('a' * 16, 0, 0), True, ['z'])
+        assert not jobs.note_report(TaskKey('a' * 16, 0, 0), True)
 
 
 def test_later_steps_are_given_when_their_turn_comes():
     jobs = make_jobs(load('z'))
     steps = (Step(1, NEEDS, 100), Step(2, NEEDS, 100, (0,)))
-    assert given(jobs.submit(make_job(steps=steps), ['z'])) == {'z': 1}
-    later = jobs.note_report(TaskKey('a' * 16, 0, 0), True, ['z'])
+    assert given(jobs.submit(make_job(steps=steps))) == {'z': 1}
+    later = jobs.note_report(TaskKey('a' * 16, 0, 0), True)
     assert given(later) == {'z': 2}
 
 
 def test_open_tasks_go_to_a_new_owner_or_to_other_cells():
     jobs = make_jobs(load('y'), load('z', [(0.1, 32_000)]))
-    jobs.submit(make_job(), ['y', 'z'])
+    jobs.submit(make_job())
     again = jobs.note_owner('y')
     assert again[0].may_have_run
-    moved = jobs.move_tasks('y', ['z'])
+    moved = jobs.move_tasks('y')
     assert given(moved) == {'z': 1}
     assert not moved[0].may_have_run
 
