--- a/src/camphorlink/internal/core/request/durable_job.py
+++ b/src/camphorlink/internal/core/request/durable_job.py
@@ -3,6 +3,13 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from camphorlink.errors import Fault, JobError
+
+#: Longest specification of a job, in bytes: the platform's bound.
+MAX_SPEC_BYTES = 4000
+#: Characters of a faulty value that are shown.
+MAX_FOUND = 60
+
 
 class Resources(NamedTuple):
     """What a task takes of a back end, or what a back end has.
@@ -117,3 +124,44 @@
         TaskKey(job.job_id, step, number)
         for number in range(job.steps[step].width)
     )
+
+
+def check_job(job: DurableJob) -> DurableJob:
+    """Returns a job whose fields are of the right types and ranges.
+
+    Raises:
+        JobError: With every fault found.
+    """
+    faults: list[Fault] = []
+    if not isinstance(job.spec, str) or len(job.spec.encode()) > MAX_SPEC_BYTES:
+        expected = f'a text of at most {MAX_SPEC_BYTES} bytes'
+        faults.append(Fault('$.spec', repr(job.spec)[:MAX_FOUND], expected))
+    if not job.steps:
+        faults.append(Fault('$.steps', 'no step', 'one step at least'))
+    for number, step in enumerate(job.steps):
+        faults.extend(_step_faults(step, number))
+    if faults:
+        raise JobError(faults)
+    return job
+
+
+def _step_faults(step: Step, number: int) -> Iterator[Fault]:
+    path = f'$.steps[{number}]'
+    whole = {
+        'tasks': step.width,
+        'estimate_ms': step.estimate_ms,
+        'max_per_backend': step.max_per_backend,
+        **step.needs._asdict(),
+    }
+    for name, found in whole.items():
+        least = 1 if name == 'tasks' else 0
+        if type(found) is not int or found < least:  # noqa: WPS516
+            expected = f'a whole number, {least} or more'
+            yield Fault(f'{path}.{name}', repr(found)[:MAX_FOUND], expected)
+    for name, text in (('label', step.label), ('rack', step.rack)):
+        if not isinstance(text, str):
+            yield Fault(f'{path}.{name}', repr(text)[:MAX_FOUND], 'a text')
+    for prior in step.after:
+        if type(prior) is not int or not 0 <= prior < number:  # noqa: WPS516
+            expected = 'numbers of earlier steps'
+            yield Fault(f'{path}.after', repr(prior)[:MAX_FOUND], expected)
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/node_operators.py
@@ -0,0 +1,146 @@
+"""What operators and probes see of a VM that runs durable jobs."""
+
+from collections import Counter as Counts
+from http import HTTPStatus
+from typing import Any
+
+import orjson
+from aiohttp import web
+from aioprometheus import Counter, Gauge, Registry, render
+
+from camphorlink.internal.core.connection.backend_runs import BackendRuns
+from camphorlink.internal.core.connection.run_speeds import RunSpeeds
+from camphorlink.internal.core.process.cell import Cell
+from camphorlink.internal.core.request.task_placement import speed_now
+from camphorlink.internal.shell.process.job_node import JobNode
+from camphorlink.internal.shell.process.steady_clock import now_s
+
+
+class NodeOperators:
+    """Handlers of metrics, readiness and the state of cells."""
+
+    def __init__(self, node: JobNode) -> None:
+        """Shows one VM."""
+        self._node = node
+
+    def add_routes(self, app: web.Application) -> None:
+        """Adds the routes to an application."""
+        app.add_routes(
+            [
+                web.get('/metrics', self.show_metrics),
+                web.get('/readyz', self.tell_ready),
+                web.get('/v1/cells', self.show_cells),
+            ],
+        )
+
+    async def tell_ready(self, request: web.Request) -> web.Response:
+        """Answers 200 while new callers are welcome."""
+        is_ready = self._node.is_ready
+        status = HTTPStatus.OK if is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        return web.Response(status=status)
+
+    async def show_metrics(self, request: web.Request) -> web.Response:
+        """Writes all counters and gauges."""
+        content, headers = render(
+            self._build_registry(),
+            request.headers.getall('Accept', []),
+        )
+        return web.Response(body=content, headers=headers)
+
+    async def show_cells(self, request: web.Request) -> web.Response:
+        """Tells who owns which cell, and the back ends of our own."""
+        now = now_s()
+        owners = self._node.table.owner_by_cell
+        hosts = self._node.cells.host_by_cell
+        document = {
+            'owners': {
+                cell: {'term': owner.term, 'member': owner.member}
+                for cell, owner in owners.items()
+            },
+            'cells': {
+                cell: _describe_cell(host.cell, now)
+                for cell, host in hosts.items()
+            },
+            'store_age_s': now - self._node.job_log.answered_s,
+            'confirmed_age_s': now - self._node.job_log.confirmed_s,
+        }
+        return web.Response(
+            body=orjson.dumps(document),
+            content_type='application/json',
+        )
+
+    def _build_registry(self) -> Registry:
+        node = self._node
+        registry = Registry()
+        _add_counter(registry, 'log', node.job_log.counts)
+        _add_counter(registry, 'appends', node.job_log.appender.counts)
+        _add_counter(registry, 'messages_not_sent', node.peers.counts)
+        families: dict[str, Counts[str]] = {}
+        for (family, reason), count in node.counts.items():
+            families.setdefault(family, Counts())[reason] = count
+        for family, counts in families.items():
+            _add_counter(registry, family, counts)
+        _add_gauges(registry, node)
+        return registry
+
+
+def _add_gauges(registry: Registry, node: JobNode) -> None:
+    hosts = node.cells.host_by_cell.values()
+    reading_by_name = {
+        'live_jobs': len(node.table.live_by_id),
+        'remembered_jobs': len(node.table.ended_by_id),
+        'owned_cells': len(hosts),
+        'waiting_tasks': sum(len(host.cell.waiting) for host in hosts),
+        'store_age_seconds': now_s() - node.job_log.answered_s,
+    }
+    for name, reading in reading_by_name.items():
+        gauge = Gauge(f'camphorlink_{name}', name, registry=registry)
+        gauge.set({}, reading)
+
+
+def _add_counter(registry: Registry, name: str, counts: Counts[str]) -> None:
+    counter = Counter(
+        f'camphorlink_{name}_total',
+        f'{name} by reason.',
+        registry=registry,
+    )
+    for reason, count in counts.items():
+        counter.set({'reason': reason}, count)
+
+
+def _describe_cell(cell: Cell, now: float) -> dict[str, Any]:
+    return {
+        'term': cell.term,
+        'waiting_tasks': len(cell.waiting),
+        'back_ends': {
+            backend_id: _describe_backend(runs, cell.speeds, now)
+            for backend_id, runs in cell.ledger.runs_by_backend.items()
+        },
+    }
+
+
+def _describe_backend(
+    runs: BackendRuns,
+    speeds: RunSpeeds,
+    now: float,
+) -> dict[str, Any]:
+    return {
+        'runs': len(runs.run_by_task),
+        'free_cpu_milli': runs.free.cpu_milli,
+        'speed': round(speed_now(runs, speeds, now), 2),
+        'avoided_because': _why_avoided(runs, now),
+    }
+
+
+def _why_avoided(runs: BackendRuns, now: float) -> str:
+    if not runs.is_heard:
+        return 'has not listed its runs yet'
+    if runs.silent_since_s is not None:
+        return 'does not answer'
+    if runs.listed.is_draining:
+        return 'is draining'
+    if not runs.is_listed:
+        return 'is not listed by the platform'
+    if runs.pause_until_s > now:
+        return 'failed or rejected tasks'
+    return ''
--- /dev/null
+++ b/src/camphorlink/internal/shell/request/jobs_api.py
@@ -0,0 +1,257 @@
+"""The product's own interface to durable jobs: ``/v1/jobs/{queue}/{id}``."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from http import HTTPStatus
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from camphorlink.errors import Fault, JobError, JobSyntaxError
+from camphorlink.internal.core.request.durable_job import (
+    DurableJob,
+    Resources,
+    Step,
+    check_job,
+)
+from camphorlink.internal.shell.ports import Queue
+from camphorlink.internal.shell.process.job_node import JobNode
+from camphorlink.internal.shell.process.steady_clock import wall_ms
+from camphorlink.internal.shell.request.job_desk import (
+    DeskAnswer,
+    JobDesk,
+    Verdict,
+)
+
+#: How long a request waits for the store, in seconds.
+WAIT_S = 5.0
+PROBLEM_TYPE = 'application/problem+json'
+_STATUS_BY_VERDICT = {
+    Verdict.DONE: HTTPStatus.OK,
+    Verdict.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Verdict.UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+    Verdict.NO_SUCH_JOB: HTTPStatus.GONE,
+}
+_NEXT_STEP_BY_VERDICT = {
+    Verdict.REFUSED: 'submit it again after the given delay: it has not run',
+    Verdict.UNKNOWN: 'submit it again under the same identifier',
+    Verdict.NO_SUCH_JOB: 'submit the job first, or check its identifier',
+}
+_JOB_KEYS = frozenset(('spec', 'steps', 'transient'))
+_STEP_KEYS = frozenset(
+    (
+        'tasks',
+        'cpu_milli',
+        'memory_mb',
+        'accelerators',
+        'estimate_ms',
+        'after',
+        'label',
+        'rack',
+        'max_per_backend',
+        'checkpoints',
+    ),
+)
+
+
+class JobsApi:
+    """Handlers of submitting, reading, cancelling and counting jobs."""
+
+    def __init__(self, node: JobNode, desk: JobDesk) -> None:
+        """Serves with one VM."""
+        self._node = node
+        self._desk = desk
+
+    def add_routes(self, app: web.Application) -> None:
+        """Adds the routes to an application."""
+        path = '/v1/jobs/{queue}/{id:[0-9a-f]{16}}'
+        app.add_routes(
+            [
+                web.put(path, self._with_queue(self.submit)),
+                web.get(path, self._with_queue(self.read)),
+                web.delete(path, self._with_queue(self.cancel)),
+                web.get('/v1/jobs/{queue}', self._with_queue(self.count)),
+            ],
+        )
+
+    async def submit(self, request: web.Request, queue: Queue) -> web.Response:
+        """Stores a job, or runs a transient one to its end."""
+        job_id = request.match_info['id']
+        try:
+            document = read_document(await request.read())
+            job = read_job(document, queue, job_id)
+        except JobError as exc:
+            return _faults(exc)
+        if document.get('transient'):
+            return _answer(await self._desk.run(job, WAIT_S))
+        return _answer(await self._desk.submit(job, WAIT_S))
+
+    async def read(self, request: web.Request, queue: Queue) -> web.Response:
+        """Tells the state of a job."""
+        return _answer(await self._desk.read(request.match_info['id']))
+
+    async def cancel(self, request: web.Request, queue: Queue) -> web.Response:
+        """Cancels a job."""
+        job_id = request.match_info['id']
+        return _answer(await self._desk.cancel(job_id, WAIT_S))
+
+    async def count(self, request: web.Request, queue: Queue) -> web.Response:
+        """Counts the jobs of a queue of which no task has started."""
+        pending = self._node.pending_jobs(queue.name)
+        return _json(HTTPStatus.OK, {'pending': pending})
+
+    def _with_queue(
+        self,
+        handle: Callable[[web.Request, Queue], Awaitable[web.Response]],
+    ) -> Callable[[web.Request], Awaitable[web.Response]]:
+        async def find(request: web.Request) -> web.Response:  # noqa: WPS430
+            config = self._node.published.config
+            name = request.match_info['queue']
+            for queue in () if config is None else config.queues:
+                if queue.name == name:
+                    return await handle(request, queue)
+            return _problem(
+                HTTPStatus.NOT_FOUND,
+                'unknown-queue',
+                'name a queue of the configuration in force',
+            )
+
+        return find
+
+
+def read_document(body: bytes) -> dict[str, Any]:
+    """Decodes the body of a submission.
+
+    Raises:
+        JobSyntaxError: If it is no JSON object.
+    """
+    try:
+        document = orjson.loads(body)
+    except orjson.JSONDecodeError as exc:
+        fault = Fault('$', f'{len(body)} bytes that are no JSON', str(exc))
+        raise JobSyntaxError([fault]) from exc
+    if not isinstance(document, dict):
+        raise JobSyntaxError([Fault('$', repr(document)[:60], 'an object')])
+    return document
+
+
+def read_job(
+    document: Mapping[str, Any],
+    queue: Queue,
+    job_id: str,
+) -> DurableJob:
+    """Checks a submitted job.
+
+    Raises:
+        JobError: With every fault found.
+    """
+    steps = document.get('steps')
+    faults = _unknown_keys(document, _JOB_KEYS, '$')
+    if not isinstance(steps, list):
+        faults.append(Fault('$.steps', repr(steps)[:60], 'a list of steps'))
+        raise JobError(faults)
+    for number, entry in enumerate(steps):
+        path = f'$.steps[{number}]'
+        if isinstance(entry, dict):
+            faults.extend(_unknown_keys(entry, _STEP_KEYS, path))
+        else:
+            faults.append(Fault(path, repr(entry)[:60], 'an object'))
+    if faults:
+        raise JobError(faults)
+    return check_job(
+        DurableJob(
+            job_id=job_id,
+            queue=queue.name,
+            service=queue.service,
+            spec=document.get('spec', ''),
+            steps=tuple(map(_read_step, steps)),
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            slack_factor=queue.slack_factor,
+            target_ms=queue.target_ms,
+            accepted_ms=wall_ms(),
+        ),
+    )
+
+
+def _read_step(entry: Mapping[str, Any]) -> Step:
+    after = entry.get('after', [])
+    return Step(
+        width=entry.get('tasks', 0),
+        needs=Resources(
+            entry.get('cpu_milli', 0),
+            entry.get('memory_mb', 0),
+            entry.get('accelerators', 0),
+        ),
+        estimate_ms=entry.get('estimate_ms', 0),
+        after=tuple(after) if isinstance(after, list) else (-1,),
+        label=entry.get('label', ''),
+        rack=entry.get('rack', ''),
+        max_per_backend=entry.get('max_per_backend', 0),
+        checkpoints=entry.get('checkpoints', False),
+    )
+
+
+def _unknown_keys(
+    document: Mapping[str, Any],
+    known: frozenset[str],
+    path: str,
+) -> list[Fault]:
+    return [
+        Fault(f'{path}.{key}', 'a key', 'remove it: it is not known here')
+        for key in document
+        if key not in known
+    ]
+
+
+def _answer(answer: DeskAnswer) -> web.Response:
+    status = _STATUS_BY_VERDICT[answer.verdict]
+    if status == HTTPStatus.OK:
+        state = None if answer.state is None else answer.state.value
+        return _json(status, {'state': state})
+    response = _problem(
+        status,
+        answer.reason or answer.verdict.value,
+        _NEXT_STEP_BY_VERDICT[answer.verdict],
+    )
+    if answer.retry_after_s:
+        response.headers['Retry-After'] = str(round(answer.retry_after_s + 0.5))
+    return response
+
+
+def _faults(exc: JobError) -> web.Response:
+    faults = [fault._asdict() for fault in exc.faults]
+    return _problem(
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+        exc.reason,
+        'correct the job as the faults say, then submit it',
+        faults,
+    )
+
+
+def _problem(
+    status: int,
+    reason: str,
+    next_step: str,
+    faults: list[dict[str, Any]] | None = None,
+) -> web.Response:
+    document = {
+        'title': reason,
+        'status': int(status),
+        'reason': reason,
+        'next_step': next_step,
+        'faults': faults or [],
+    }
+    return _json(status, document, PROBLEM_TYPE)
+
+
+def _json(
+    status: int,
+    document: Any,
+    content_type: str = 'application/json',
+) -> web.Response:
+    return web.Response(
+        status=status,
+        body=orjson.dumps(document),
+        content_type=content_type,
+    )
--- a/src/camphorlink/platform/ingress.py
+++ b/src/camphorlink/platform/ingress.py
@@ -8,11 +8,12 @@
 import orjson
 from aiohttp import web
 
-from camphorlink.errors import CamphorlinkError
+from camphorlink.errors import CamphorlinkError, JobError
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     Resources,
     Step,
+    check_job,
 )
 from camphorlink.internal.shell.ports import JobConfig, Queue
 from camphorlink.internal.shell.process.job_node import JobNode
@@ -28,7 +29,8 @@
 DEFAULT_DEADLINE_MS = 1500
 #: Part of the caller's time that is left for the answer's way, in ms.
 ANSWER_MARGIN_MS = 60
-MAX_SPEC_BYTES = 4000
+#: What decoding and checking a job may raise.
+_BAD_JOB = (JobError, LookupError, TypeError, ValueError)
 _JOB_ID = re.compile('[0-9a-f]{16}')
 _RETRY_WITHOUT_CONFIG_S = 1.0
 #: A later release may support it: an hour, in seconds.
@@ -124,7 +126,7 @@
                 _RETRY_UNSUPPORTED_S,
                 str(exc),
             )
-        except (LookupError, TypeError, ValueError) as exc:
+        except _BAD_JOB as exc:
             return _problem(HTTPStatus.BAD_REQUEST, 'bad-job', 0, str(exc))
         if document.get('best_effort'):
             # Need not be stored: the answer is the end of the job.
@@ -151,26 +153,21 @@
     """Checks a submitted job.
 
     Raises:
+        JobError: If a field is of another type or out of range.
         LookupError: If a field is missing.
-        TypeError: If a field is of another type.
-        ValueError: If a value is out of range.
+        TypeError: If the document is no object, or a list is none.
+        UnsupportedJobError: If it asks for what is not built.
     """
-    spec = document['spec']
-    if not isinstance(spec, str) or len(spec) > MAX_SPEC_BYTES:
-        raise ValueError('spec')
+    if not isinstance(document, dict):
+        raise TypeError('no object')
     if queue.needs_advice or document.get('repetitions'):
         raise UnsupportedJobError('advice or repetitions')
-    steps = tuple(
-        _read_step(entry, number)
-        for number, entry in enumerate(document['steps'])
-    )
-    if not steps:
-        raise ValueError('no steps')
-    return DurableJob(
+    steps = tuple(_read_step(entry) for entry in document['steps'])
+    job = DurableJob(
         job_id=job_id,
         queue=queue.name,
         service=queue.service,
-        spec=spec,
+        spec=document['spec'],
         steps=steps,
         priority=queue.priority,
         max_attempts=queue.max_attempts,
@@ -178,32 +175,27 @@
         target_ms=queue.target_ms,
         accepted_ms=wall_ms(),
     )
+    return check_job(job)
 
 
-def _read_step(entry: dict[str, Any], number: int) -> Step:
+def _read_step(entry: dict[str, Any]) -> Step:
     wanted = [name for name in _UNSUPPORTED if entry.get(name)]
     if wanted:
         raise UnsupportedJobError(', '.join(wanted))
-    after = tuple(int(prior) for prior in entry.get('after', ()))
-    if any(not 0 <= prior < number for prior in after):
-        raise ValueError('after')
-    step = Step(
-        width=int(entry['count']),
+    return Step(
+        width=entry['count'],
         needs=Resources(
-            int(entry.get('cpu', 0)),
-            int(entry.get('mem_mb', 0)),
-            int(entry.get('gpu', 0)),
+            entry.get('cpu', 0),
+            entry.get('mem_mb', 0),
+            entry.get('gpu', 0),
         ),
-        estimate_ms=int(entry.get('estimate_ms', 0)),
-        after=after,
-        label=str(entry.get('constraints', '')),
-        rack=str(entry.get('affinity', '')),
-        max_per_backend=int(entry.get('anti_affinity', 0)),
+        estimate_ms=entry.get('estimate_ms', 0),
+        after=tuple(entry.get('after', ())),
+        label=entry.get('constraints', ''),
+        rack=entry.get('affinity', ''),
+        max_per_backend=entry.get('anti_affinity', 0),
         checkpoints=bool(entry.get('checkpointing', False)),
     )
-    if step.width < 1 or min(step.needs) < 0:
-        raise ValueError('width or needs')
-    return step
 
 
 def _wait_s(request: web.Request) -> float:
--- a/src/camphorlink/platform/program.py
+++ b/src/camphorlink/platform/program.py
@@ -17,8 +17,10 @@
 from camphorlink.internal.shell.connection.mesh import Address
 from camphorlink.internal.shell.process.job_node import JobNode, Platform
 from camphorlink.internal.shell.process.logs import PartLog, start_logs
+from camphorlink.internal.shell.process.node_operators import NodeOperators
 from camphorlink.internal.shell.process.programs import run_until_stopped
 from camphorlink.internal.shell.request.job_desk import JobDesk
+from camphorlink.internal.shell.request.jobs_api import JobsApi
 from camphorlink.platform.backends import RunnerClient
 from camphorlink.platform.directory import Directory
 from camphorlink.platform.ingress import Ingress
@@ -50,7 +52,8 @@
             self.settings.node,
             Platform(store, runners, Directory()),
         )
-        ingress = Ingress(self.node, JobDesk(self.node))
+        desk = JobDesk(self.node)
+        ingress = Ingress(self.node, desk)
         readiness = await self._serve(
             ingress.build_readiness_app(),
             self.settings.readiness,
@@ -62,8 +65,14 @@
         )
         app = ingress.build_app()
         app.on_response_prepare.append(self._close_while_leaving)
-        callers = await self._serve(app, self.settings.callers)
-        addresses = {'callers': callers, 'readiness': readiness}
+        own = web.Application()
+        NodeOperators(self.node).add_routes(own)
+        JobsApi(self.node, desk).add_routes(own)
+        addresses = {
+            'callers': await self._serve(app, self.settings.callers),
+            'readiness': readiness,
+            'operators': await self._serve(own, self.settings.operators),
+        }
         click.echo(orjson.dumps(addresses))
         sys.stdout.flush()
         return self
--- a/src/camphorlink/platform/settings.py
+++ b/src/camphorlink/platform/settings.py
@@ -20,6 +20,7 @@
         node: What the VM needs to know of itself.
         callers: Where callers are served.
         readiness: Where the balancer asks whether this VM is ready.
+        operators: Where operators and the product's own interface are served.
         store_address: IP number and port of the platform's store.
         grace_s: Time between the order to stop and the kill, in seconds.
     """
@@ -27,6 +28,7 @@
     node: NodeSettings
     callers: Address
     readiness: Address
+    operators: Address
     store_address: str
     grace_s: float
 
@@ -63,6 +65,10 @@
             ),
             callers=_address(listen['frontend_addr']),
             readiness=_address(listen['readiness_addr']),
+            operators=Address(
+                str(document['ip']),
+                int(ports[0]) and int(ports[0]) + 1,
+            ),
             store_address=str(document['platform']['address']),
             grace_s=float(document['bounds']['grace_s']),
         )
