Starts and ends without an answer are looked for within 0.1 s

Change: a start without an answer is looked for after 0.04 s; a run that should have ended is looked for when nothing was listed for 0.1 s; a rejected start is over whatever was thought of it.

--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -115,6 +115,7 @@
         free: Capacity that no run takes.
         is_listed: Whether the platform's directory shows it.
         hold_number: Number of the waiting hold, 0 for none.
+        looked_s: When its runs were last listed or asked for at once.
         hold_due_s: When the next hold is to be sent.
         pause_until_s: Until when it gets no starts.
         is_heard: Whether it has listed its runs under this owner's term.
@@ -136,6 +137,7 @@
         self.clock: Clock | None = None
         self.is_listed = True
         self.hold_number = 0
+        self.looked_s = now
         self.hold_due_s = now
         self.pause_until_s = -math.inf
         self._stored: set[int] = set()
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -147,7 +147,8 @@
                 run.turn(RunState.RUNNING, now)
             return
         self._note_rejection(runs, answer.verdict, now)
-        if run.state is RunState.ORDERED or not run.wants_retry:
+        if run.state is not RunState.RUNNING:
+            # Nothing else orders this run: it is not there, nor will it be.
             self._lose(runs, run)
 
     def _note_rejection(
@@ -242,6 +243,7 @@
         if runs.silent_since_s is not None:
             self.ledger.note('Back end answers again.', runs.listed)
         runs.note_answer(answer.clock_ms, now)
+        runs.looked_s = now
         if answer.finished:
             runs.skip_to(answer.finished[0].number)
         for end in runs.new_ends(answer):
--- a/src/camphorlink/internal/core/process/lease_watch.py
+++ b/src/camphorlink/internal/core/process/lease_watch.py
@@ -13,6 +13,14 @@
 
 #: Time without an answer after which a stop is sent again.
 STOP_RETRY_S = 0.25
+#: Time without an answer to a start after which its run is looked for, in
+#: seconds: answers take 1 to 3 ms, and the goal of a short job is 150 ms.
+START_DOUBT_S = 0.04
+#: A run that should have ended is looked for when its back end has listed
+#: nothing for this long, in seconds: the answer to a hold may be lost.
+OVERDUE_LOOK_S = 0.1
+#: Times that a run may take of what was expected before that.
+OVERDUE_RATIO = 1.3
 #: A silent back end's runs are over after this long, whatever was ordered:
 #: no order is carried out later, and a lease from then on has lapsed.
 PRESUMED_OVER_S = LATE_ORDER_S + LEASE_S + 1.0
@@ -40,17 +48,34 @@
         for runs in list(self._ledger.runs_by_backend.values()):
             if runs.hold_number == 0 and runs.hold_due_s <= now:
                 self._ledger.hold(runs, now, may_renew)
-            self._repeat_stops(runs, now)
+            self._tend_runs(runs, now)
             if runs.silent_since_s is not None:
                 self._note_lapse(runs, now)
 
-    def _repeat_stops(self, runs: BackendRuns, now: float) -> None:
+    def _tend_runs(self, runs: BackendRuns, now: float) -> None:
+        """Looks for runs in doubt, and repeats stops."""
+        is_in_doubt = False
         for run in runs.run_by_task.values():
-            if now - run.since_s < STOP_RETRY_S:
-                continue
-            if run.state is RunState.STOPPING:
+            age_s = now - run.since_s
+            if run.state is RunState.ORDERED and age_s > START_DOUBT_S:
+                run.turn(RunState.UNCERTAIN, now)
+                self._ledger.count('doubted_starts', 'no-answer')
+                is_in_doubt = True
+            elif run.state is RunState.STOPPING and age_s > STOP_RETRY_S:
                 run.turn(RunState.STOPPING, now)
                 self._ledger.send_stop(runs, run.task, run.number)
+        if is_in_doubt or self._has_unseen_end(runs, now):
+            self._ledger.look(runs, now)
+
+    def _has_unseen_end(self, runs: BackendRuns, now: float) -> bool:
+        """Tells whether an end may have been listed in a lost answer."""
+        if now - runs.looked_s < OVERDUE_LOOK_S:
+            return False
+        return any(
+            run.expected_s
+            and now - run.started_s > OVERDUE_RATIO * run.expected_s
+            for run in runs.run_by_task.values()
+        )
 
     def _note_lapse(self, runs: BackendRuns, now: float) -> None:
         silent_since_s = runs.silent_since_s or now
--- a/src/camphorlink/internal/core/process/run_ledger.py
+++ b/src/camphorlink/internal/core/process/run_ledger.py
@@ -142,6 +142,7 @@
 
     def look(self, runs: BackendRuns, now: float) -> None:
         """Asks for the runs of a back end at once."""
+        runs.looked_s = now
         self._send_hold(runs, None, 0, now)
 
     def take_sent_s(self, order: Hold) -> float:
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -154,3 +154,25 @@
     rig.run_for(3)
     assert rig.table.ended_by_id['a' * 16].state is JobState.COMPLETED
     assert len(starts_of(takers)) == 6
+
+
+def test_a_start_without_an_answer_is_looked_for_soon():
+    rig, takers = make_rig()
+    for taker in takers:
+        taker.loses_starts = True
+    rig.submit(make_job(count=1))
+    for taker in takers:
+        taker.loses_starts = False
+    rig.run_for(0.25)
+    assert not rig.overlapping_runs()
+    assert len(rig.done_tasks()) == 1
+
+
+def test_an_end_in_a_lost_answer_is_looked_for_soon():
+    rig, takers = make_rig(run_s=0.1)
+    rig.submit(make_job(estimate_ms=100))
+    rig.run_for(0.05)
+    for taker in takers:
+        taker.loses_waiting_holds = True
+    rig.run_for(0.3)
+    assert len(rig.done_tasks()) == 1
--- a/tests/order_takers.py
+++ b/tests/order_takers.py
@@ -91,6 +91,8 @@
         self.starts = []
         self.is_silent = False
         self.loses_answers = False
+        self.loses_starts = False
+        self.loses_waiting_holds = False
         self.fails = False
         self.stands_still = False
 
@@ -226,11 +228,16 @@
     def _call(self, order):
         taker = self.taker_by_id[order.backend.backend_id]
         sent_s = self.now
-        if taker.is_silent:
+        is_lost = taker.is_silent or (
+            taker.loses_starts and isinstance(order, StartRun)
+        )
+        if is_lost:
             self._answer_later(TIMEOUT_S, order, None, sent_s)
             return
         answer = taker.take(order, self.now)
-        if taker.loses_answers:
+        if taker.loses_waiting_holds and getattr(order, 'wait_ms', 0):
+            self._answer_later(TIMEOUT_S * 3, order, None, sent_s)
+        elif taker.loses_answers:
             self._answer_later(TIMEOUT_S, order, None, sent_s)
         else:
             wait_s = CALL_S
