--- a/src/camphorlink/internal/shell/process/job_log.py
+++ b/src/camphorlink/internal/shell/process/job_log.py
@@ -7,9 +7,7 @@
 
 import asyncio
 import collections
-import contextlib
 from collections.abc import Sequence
-from types import TracebackType
 from typing import Protocol, Self
 
 from camphorlink.internal.core.process.job_snapshot import (
@@ -25,6 +23,7 @@
 from camphorlink.internal.shell.ports import LogPort
 from camphorlink.internal.shell.process.job_appender import JobAppender
 from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.stack_owner import StackOwner
 from camphorlink.internal.shell.process.steady_clock import now_s
 from camphorlink.store_errors import (
     JobRecordError,
@@ -62,7 +61,7 @@
         """Tells peers of records that were appended here."""
 
 
-class JobLog:
+class JobLog(StackOwner):
     """Keeps the job table true to the job log.
 
     Attributes:
@@ -79,6 +78,7 @@
         listener: JobLogListener,
     ) -> None:
         """Takes the store, this process's name, and who gets the news."""
+        super().__init__()
         self.table = JobTable()
         self.confirmed_s = float('-inf')
         self.answered_s = float('-inf')
@@ -90,7 +90,6 @@
         self._gap_timer: asyncio.TimerHandle | None = None
         self._read_lock = asyncio.Lock()
         self._part = PartLog('job-log')
-        self._stack = contextlib.AsyncExitStack()
         self._gap_read: asyncio.Task[bool] | None = None
 
     async def __aenter__(self) -> Self:
@@ -100,15 +99,6 @@
         self._stack.callback(poll.cancel)
         return self
 
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stops both."""
-        await self._stack.aclose()
-
     @property
     def is_caught_up(self) -> bool:
         """Whether the log was ever read to its end."""
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import collections
-import contextlib
 import functools
 from collections.abc import Sequence
-from types import TracebackType
 from typing import NamedTuple, Self
 
 from camphorlink.internal.core.connection.node_messages import (
@@ -41,6 +39,7 @@
 from camphorlink.internal.shell.process.node_inbox import NodeInbox
 from camphorlink.internal.shell.process.peers import NodeSettings, Peers
 from camphorlink.internal.shell.process.published import Published
+from camphorlink.internal.shell.process.stack_owner import StackOwner
 from camphorlink.internal.shell.process.steady_clock import now_s, wall_ms
 
 #: Period of heartbeats to peers, in seconds: several fit into the time after
@@ -67,7 +66,7 @@
     directory: DirectoryPort
 
 
-class JobNode:
+class JobNode(StackOwner):
     """Stores jobs, follows the log, and owns cells when it is its turn.
 
     Attributes:
@@ -77,13 +76,13 @@
 
     def __init__(self, settings: NodeSettings, platform: Platform) -> None:
         """Takes settings and platform; nothing starts before the context."""
+        super().__init__()
         self.is_leaving = False
         self.counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
         self._zone = settings.zone
         self._log = PartLog('node', settings.name)
-        self._stack = contextlib.AsyncExitStack()
         self._waiting_by_cell: dict[str, dict[str, int]] = {}
         speeds = RunSpeeds()
         self._speeds = speeds
@@ -152,15 +151,6 @@
             self._stack.callback(task.cancel)
         return self
 
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Gives up all cells and stops all parts."""
-        await self._stack.aclose()
-
     async def leave(self, grace_s: float) -> None:
         """Leaves the balancer, lets peers take the cells, answers the rest.
 
--- a/src/camphorlink/internal/shell/process/peers.py
+++ b/src/camphorlink/internal/shell/process/peers.py
@@ -5,9 +5,7 @@
 
 import asyncio
 import collections
-import contextlib
 from collections.abc import Callable
-from types import TracebackType
 from typing import NamedTuple, Self
 
 import cbor2
@@ -20,6 +18,7 @@
 from camphorlink.internal.shell.connection.mesh import Address, Mesh
 from camphorlink.internal.shell.ports import KeyedRecord, LogPort
 from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.stack_owner import StackOwner
 from camphorlink.internal.shell.process.steady_clock import now_s, wall_ms
 from camphorlink.store_errors import StoreError
 
@@ -51,7 +50,7 @@
     mesh: Address
 
 
-class Peers:
+class Peers(StackOwner):
     """All other entry VMs.
 
     Attributes:
@@ -75,6 +74,7 @@
             on_lost: Gets a member that is gone, and for how many seconds
                 nothing was heard of it.
         """
+        super().__init__()
         self.member = f'{settings.name}#{wall_ms():x}'
         self.counts: collections.Counter[str] = collections.Counter()
         self._settings = settings
@@ -94,7 +94,6 @@
             False,
             {},
         )
-        self._stack = contextlib.AsyncExitStack()
         self._mesh = Mesh(
             settings.mesh,
             self,
@@ -108,15 +107,6 @@
         self._stack.callback(follow.cancel)
         return self
 
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Closes all channels."""
-        await self._stack.aclose()
-
     @property
     def views(self) -> list[PeerView]:
         """What is known of each peer that was heard lately."""
--- a/src/camphorlink/internal/shell/request/job_desk.py
+++ b/src/camphorlink/internal/shell/request/job_desk.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from http import HTTPStatus
 from typing import NamedTuple
 
 from camphorlink.internal.core.process.job_table import JobState
@@ -29,6 +30,16 @@
     NO_SUCH_JOB = 'no-such-job'
 
 
+#: HTTP status of each answer: 503 always means *not run*, 504 that nobody can
+#: tell yet.
+STATUS_BY_VERDICT = {
+    Verdict.DONE: HTTPStatus.OK,
+    Verdict.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,
+    Verdict.UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+    Verdict.NO_SUCH_JOB: HTTPStatus.GONE,
+}
+
+
 class DeskAnswer(NamedTuple):
     """Answer to a caller.
 
--- a/src/camphorlink/internal/shell/request/jobs_api.py
+++ b/src/camphorlink/internal/shell/request/jobs_api.py
@@ -18,6 +18,7 @@
 from camphorlink.internal.shell.process.job_node import JobNode
 from camphorlink.internal.shell.process.steady_clock import wall_ms
 from camphorlink.internal.shell.request.job_desk import (
+    STATUS_BY_VERDICT,
     DeskAnswer,
     JobDesk,
     Verdict,
@@ -26,12 +27,6 @@
 #: How long a request waits for the store, in seconds.
 WAIT_S = 5.0
 PROBLEM_TYPE = 'application/problem+json'
-_STATUS_BY_VERDICT = {
-    Verdict.DONE: HTTPStatus.OK,
-    Verdict.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,
-    Verdict.UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
-    Verdict.NO_SUCH_JOB: HTTPStatus.GONE,
-}
 _NEXT_STEP_BY_VERDICT = {
     Verdict.REFUSED: 'submit it again after the given delay: it has not run',
     Verdict.UNKNOWN: 'submit it again under the same identifier',
@@ -205,7 +200,7 @@
 
 
 def _answer(answer: DeskAnswer) -> web.Response:
-    status = _STATUS_BY_VERDICT[answer.verdict]
+    status = STATUS_BY_VERDICT[answer.verdict]
     if status == HTTPStatus.OK:
         state = None if answer.state is None else answer.state.value
         return _json(status, {'state': state})
--- a/src/camphorlink/platform/ingress.py
+++ b/src/camphorlink/platform/ingress.py
@@ -19,9 +19,9 @@
 from camphorlink.internal.shell.process.job_node import JobNode
 from camphorlink.internal.shell.process.steady_clock import wall_ms
 from camphorlink.internal.shell.request.job_desk import (
+    STATUS_BY_VERDICT,
     DeskAnswer,
     JobDesk,
-    Verdict,
 )
 
 _DEADLINE_HEADER = 'Camphorlink-Deadline-Ms'
@@ -45,12 +45,6 @@
     'target_ms',
     'max_unavailable',
 )
-_STATUS_BY_VERDICT = {
-    Verdict.DONE: HTTPStatus.OK,
-    Verdict.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,
-    Verdict.UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
-    Verdict.NO_SUCH_JOB: HTTPStatus.GONE,
-}
 
 
 class UnsupportedJobError(CamphorlinkError):
@@ -205,7 +199,7 @@
 
 
 def _answer(answer: DeskAnswer) -> web.Response:
-    status = _STATUS_BY_VERDICT[answer.verdict]
+    status = STATUS_BY_VERDICT[answer.verdict]
     if status == HTTPStatus.OK:
         body = {} if answer.state is None else {'state': answer.state.value}
         return _json(status, body)
--- a/src/camphorlink/platform/standin/site.py
+++ b/src/camphorlink/platform/standin/site.py
@@ -1,14 +1,13 @@
 """A whole stand-in platform in one process: a store, runners, a config."""
 
 import asyncio
-import contextlib
 import itertools
-from types import TracebackType
 from typing import Any, Self
 
 import orjson
 from aiohttp import web
 
+from camphorlink.internal.shell.process.stack_owner import StackOwner
 from camphorlink.platform.standin.runner import (
     RunnerSettings,
     RunnerStandin,
@@ -59,7 +58,7 @@
 }
 
 
-class StandinSite:
+class StandinSite(StackOwner):
     """Store and runners on loopback.
 
     Attributes:
@@ -70,6 +69,7 @@
 
     def __init__(self, zones: tuple[str, ...], runners_per_zone: int) -> None:
         """Takes the zones and how many runners each has."""
+        super().__init__()
         self.store = StoreStandin()
         self.store_address = ''
         self.runners = [
@@ -77,7 +77,6 @@
             for zone in zones
             for number in range(runners_per_zone)
         ]
-        self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
         """Starts all servers, publishes the config, registers runners."""
@@ -101,15 +100,6 @@
                 self._stack.callback(task.cancel)
         return self
 
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stops all servers."""
-        await self._stack.aclose()
-
     async def set_faults(self, request: web.Request) -> web.Response:
         """Switches faults of the store on and off."""
         document = orjson.loads(await request.read())
