A job sent again starts nothing beside a run that nobody has asked for yet

Cause: in the first 0.6 s of a term a new owner lets runs of unknown tasks go on; a caller's repeated job named such a task as new, and it was started. Change: such a task waits until its run is listed again, or is gone. A VM that stops takes itself off the list of members. Test: fails before, passes after.

--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -167,7 +167,7 @@
         for task in fresh:
             if self._ends.claim(live, task, now):
                 continue
-            if given.may_have_run:
+            if given.may_have_run or task in self.ledger.stray_tasks:
                 self._old_tasks.add(live, task, now)
             else:
                 self._enqueue(live, task)
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -290,6 +290,8 @@
         if needs is None or entry.task in self.ledger.backend_by_task:
             if self._owner.is_handed_over(now):
                 self.ledger.send_stop(runs, entry.task, entry.run)
+            else:
+                self.ledger.stray_tasks.add(entry.task)
             return
         found = Run(entry.task, entry.run, needs, now)
         found.is_ordered = False
--- a/src/camphorlink/internal/core/process/run_ledger.py
+++ b/src/camphorlink/internal/core/process/run_ledger.py
@@ -36,6 +36,8 @@
         term: Fencing token.
         runs_by_backend: What is known of each back end.
         backend_by_task: Where each task has a run that is not over.
+        stray_tasks: Tasks with a run that nobody has asked for yet, as listed
+            in the first moments of the term.
     """
 
     def __init__(self, term: int, effects: list[CellEffect]) -> None:
@@ -43,6 +45,7 @@
         self.term = term
         self.runs_by_backend: dict[str, BackendRuns] = {}
         self.backend_by_task: dict[TaskKey, str] = {}
+        self.stray_tasks: set[TaskKey] = set()
         self._effects = effects
         self._runs = 0
         self._holds = 0
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -161,6 +161,7 @@
         self._log.info('leaving')
         self._beat()
         await asyncio.sleep(min(BALANCER_S, grace_s * GRACE_SHARE))
+        await self.peers.withdraw()
 
     def choose_cells(self, job: DurableJob) -> tuple[str, ...] | None:
         """Chooses the cell of each step: this zone's, if it can run it.
@@ -178,6 +179,10 @@
             chosen.append(self._zone if self._zone in owned else min(owned))
         return tuple(chosen)
 
+    def count_refusal(self, reason: str) -> None:
+        """Counts a request that is refused."""
+        self._count('refusals', reason)
+
     def pending_jobs(self, queue: str) -> int:
         """Returns how many accepted jobs of a queue no task of has started."""
         return sum(
--- a/src/camphorlink/internal/shell/process/peers.py
+++ b/src/camphorlink/internal/shell/process/peers.py
@@ -222,6 +222,17 @@
             STORE_TIMEOUT_S,
         )
 
+    async def withdraw(self) -> None:
+        """Takes this VM off the list of members, if the store allows it."""
+        try:
+            await self._store.append(
+                MEMBERS_TOPIC,
+                [self._store.keyed(self._settings.name, b'')],
+                STORE_TIMEOUT_S,
+            )
+        except StoreError as exc:
+            self._log.info('still on the list', extra={'error': str(exc)})
+
     async def _read_members(self) -> None:
         while True:
             items, offset = await self._store.newest(
--- a/src/camphorlink/internal/shell/request/job_desk.py
+++ b/src/camphorlink/internal/shell/request/job_desk.py
@@ -175,5 +175,5 @@
         return JobState.IN_PROGRESS if live.has_begun else JobState.QUEUED
 
     def _refuse(self, answer: DeskAnswer) -> DeskAnswer:
-        self._node.counts['refusals', answer.reason] += 1
+        self._node.count_refusal(answer.reason)
         return answer
--- a/src/camphorlink/platform/ingress.py
+++ b/src/camphorlink/platform/ingress.py
@@ -80,11 +80,7 @@
         """Answers one request of a client."""
         config = self._node.published.config
         if config is None:
-            return _problem(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                'no-config',
-                _RETRY_WITHOUT_CONFIG_S,
-            )
+            return self._refuse('no-config', _RETRY_WITHOUT_CONFIG_S)
         queue = find_queue(config, request.host, request.path)
         if queue is None:
             return _problem(HTTPStatus.NOT_FOUND, 'unknown-queue')
@@ -103,6 +99,16 @@
             return _answer(await self._desk.cancel(job_id, wait_s))
         return _problem(HTTPStatus.METHOD_NOT_ALLOWED, 'wrong-method')
 
+    def _refuse(
+        self,
+        reason: str,
+        retry_after_s: float,
+        detail: str = '',
+    ) -> web.Response:
+        self._node.count_refusal(reason)
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        return _problem(status, reason, retry_after_s, detail)
+
     async def _submit(
         self,
         request: web.Request,
@@ -114,8 +120,7 @@
             document = orjson.loads(await request.read())
             job = read_job(document, queue, job_id)
         except UnsupportedJobError as exc:
-            return _problem(
-                HTTPStatus.SERVICE_UNAVAILABLE,
+            return self._refuse(
                 'unsupported-job',
                 _RETRY_UNSUPPORTED_S,
                 str(exc),
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -193,3 +193,17 @@
     before = len(starts_of(takers))
     rig.store(Ended('z', rig.cell.term, (End(task, 1, False),)))
     assert len(starts_of(takers)) == before
+
+
+def test_a_job_that_is_sent_again_starts_nothing_beside_its_earlier_run():
+    rig, takers = make_rig(run_s=0.5)
+    job = make_job(count=2)
+    rig.submit(job, coordinator='c#1')
+    rig.run_for(0.1)
+    rig.take_over('m#2')
+    rig.run_for(0.05)
+    rig.submit(job, coordinator='c#2')
+    for _ in range(40):
+        assert not rig.overlapping_runs()
+        rig.run_for(0.05)
+    assert len(rig.done_tasks()) == 2
--- a/tests/core/test_purity.py
+++ b/tests/core/test_purity.py
@@ -45,3 +45,24 @@
                 owner = node.func.value
                 is_random = isinstance(owner, ast.Name) and owner.id == 'random'
                 assert not is_random, f'{path}: random.{node.func.attr}'
+
+
+PLATFORM_NAMES = (
+    'run-start', 'run_start', 'run-stop', 'frontend_addr', 'log-append',
+    'log-read', 'log-newest', 'Camphorlink-Fencing', 'Camphorlink-Expect',
+    'cold_remaining_ms', 'host_machine', 'fencing_token', 'keyed.op',
+    'keyed.servers', 'best_effort', "slack_factor'", 'listen_addrs',
+    'path_prefix',
+)  # fmt: skip
+
+
+def test_the_platforms_names_stand_in_its_folder_alone():
+    package = Path(core.__file__).parents[2]
+    offences = [
+        f'{path.relative_to(package)}: {name}'
+        for path in sorted(package.rglob('*.py'))
+        if 'platform' not in path.relative_to(package).parts
+        for name in PLATFORM_NAMES
+        if name in path.read_text()
+    ]
+    assert offences == []
