--- a/src/camphorlink/internal/shell/process/peers.py
+++ b/src/camphorlink/internal/shell/process/peers.py
@@ -32,6 +32,8 @@
 MEMBERS_WAIT_S = 5.0
 STORE_TIMEOUT_S = 1.5
 STORE_RETRY_S = 0.3
+#: Time for the last call of a VM that stops, in seconds: its grace is short.
+WITHDRAW_TIMEOUT_S = 0.4
 
 
 class NodeSettings(NamedTuple):
@@ -228,7 +230,7 @@
             await self._store.append(
                 MEMBERS_TOPIC,
                 [self._store.keyed(self._settings.name, b'')],
-                STORE_TIMEOUT_S,
+                WITHDRAW_TIMEOUT_S,
             )
         except StoreError as exc:
             self._log.info('still on the list', extra={'error': str(exc)})
--- a/src/camphorlink/platform/program.py
+++ b/src/camphorlink/platform/program.py
@@ -32,6 +32,9 @@
 from camphorlink.platform.store import StoreClient
 
 EXIT_BAD_SETTINGS = 2
+#: Time for open requests once this VM has left, in seconds: it has waited for
+#: them before, and a part of the grace is left for the rest.
+SHUTDOWN_TIMEOUT_S = 0.5
 
 
 class PlatformNode:
@@ -102,6 +105,7 @@
             app,
             access_log=None,
             handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
