--- a/src/camphorlink/bench/capacity_figures.py
+++ b/src/camphorlink/bench/capacity_figures.py
@@ -10,6 +10,7 @@
     percent,
     sharing_figures,
 )
+from camphorlink.bench.capacity_jobs import job_figures
 from camphorlink.internal.core.process.audit_batch import (
     MAX_BATCH,
     MAX_BUFFERED,
@@ -89,6 +90,7 @@
         **_audit_figures(median),
         **control_figures(control),
         **sharing_figures(site.vms, median),
+        **job_figures(STARTS_PER_S, site.jobs * site.vms, ZONES, median),
         'slope_table': _slope_table(slopes),
         'control_table': control_table(control),
     }
--- /dev/null
+++ b/src/camphorlink/bench/capacity_jobs.py
@@ -0,0 +1,47 @@
+"""Figures of durable and transient jobs for docs/CAPACITY.md."""
+
+from collections.abc import Callable
+
+from camphorlink.internal.shell.process.job_node import LOAD_PERIOD_S
+
+US_PER_S = 1_000_000
+BYTES_PER_MB = 1_000_000
+BYTES_PER_KB = 1000
+PERCENT = 100
+#: Time that a durable job is live, in seconds, for the memory of the table.
+LIVE_S = 1.0
+
+
+def job_figures(
+    starts_per_s: float,
+    jobs_per_s: float,
+    zones: int,
+    median: Callable[[str], float],
+) -> dict[str, str]:
+    """Returns the figures of cells and of the job log, ready to print.
+
+    Args:
+        starts_per_s: Task starts a second in all zones.
+        jobs_per_s: Jobs a second in all zones.
+        zones: Number of zones, and so of cells.
+        median: Returns the median of a slope.
+    """
+    starts = starts_per_s / zones
+    start_share = starts * median('cell_start_us') / US_PER_S
+    fold_share = jobs_per_s * median('record_fold_us') / US_PER_S
+    record_bytes = jobs_per_s * median('accepted_record_bytes')
+    live_bytes = jobs_per_s * LIVE_S * median('live_job_bytes')
+    loads = zones / LOAD_PERIOD_S
+    load_bytes = loads * median('load_message_bytes')
+    return {
+        'cell_starts_s': f'{starts:,.0f}',
+        'cell_start_us': f'{median("cell_start_us"):.0f}',
+        'cell_start_percent': f'{start_share * PERCENT:.0f}',
+        'full_pass_ms': f'{median("cell_full_pass_us") / 1000:.1f}',
+        'fold_percent': f'{fold_share * PERCENT:.0f}',
+        'job_log_kb_s': f'{record_bytes / BYTES_PER_KB:,.0f}',
+        'live_jobs_mb': f'{live_bytes / BYTES_PER_MB:.1f}',
+        'load_bytes': f'{median("load_message_bytes"):,.0f}',
+        'loads_s': f'{loads:,.0f}',
+        'loads_kb_s': f'{load_bytes / BYTES_PER_KB:,.0f}',
+    }
