A waiting task stays queued when the end of an old run of it is listed

Cause, found by the state machine of a cell (now a test that failed before): the listed end of a run that was taken as over earlier took its task off the queue, and nothing put it back; a transient job then waited until its caller left. Change: an end takes a task off the queue only when it is final or stored.

--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -109,6 +109,7 @@
                 name,
                 table,
                 self.transient,
+                self.waiting,
                 self.ledger,
                 speeds,
                 trust,
@@ -258,7 +259,6 @@
         now: float,
     ) -> EndFate:
         """Takes a listed end, of a known run or of another term's."""
-        self.waiting.discard(end.task)
         return self._ends.take_end(runs, end, run, now)
 
     def take_lost(self, runs: BackendRuns, run: Run) -> None:
--- a/src/camphorlink/internal/core/process/end_desk.py
+++ b/src/camphorlink/internal/core/process/end_desk.py
@@ -32,6 +32,7 @@
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.job_records import End, Ended
 from camphorlink.internal.core.request.task_placement import kind_of
+from camphorlink.internal.core.request.waiting_tasks import WaitingTasks
 
 #: Time in which coordinators send the tasks that they had given to an earlier
 #: owner, in seconds: until then runs of unknown tasks go on.
@@ -47,6 +48,7 @@
     cell: str
     table: JobTable
     transient: TransientWork
+    waiting: WaitingTasks
     ledger: RunLedger
     speeds: RunSpeeds
     trust: BackendTrust
@@ -102,6 +104,7 @@
                 self._tools.enqueue(live, task)
             return EndFate.ACKNOWLEDGE
         self._learn(runs, run, end, live, now)
+        self._tools.waiting.discard(task)
         self.being_stored.add(task)
         key = (task, end.run)
         self._listed_by_run[key] = (runs.listed.backend_id, end.number)
@@ -176,6 +179,7 @@
         self._report(task, is_done)
 
     def _report(self, task: TaskKey, is_done: bool) -> None:
+        self._tools.waiting.discard(task)
         report = self._tools.transient.end_task(task, is_done)
         if report is not None:
             self._tools.effects.append(report)
--- a/tests/core/test_machine_cell.py
+++ b/tests/core/test_machine_cell.py
@@ -170,3 +170,15 @@
         machine.take_over()
         machine.no_task_runs_twice_at_once()
     machine.teardown()
+
+
+def test_a_task_that_waits_stays_when_an_old_run_of_it_is_listed():
+    """Found by the machine: the end of its lapsed run took it off the queue."""
+    machine = CellMachine()
+    machine.start()
+    machine.stand_still(0, True)
+    machine.submit_transient(1)
+    for number in range(BACKENDS):
+        machine.lose_answers(number, True)
+    machine.wait(1.2)
+    machine.teardown()
