--- /dev/null
+++ b/tests/cover/test_job_appender.py
@@ -0,0 +1,121 @@
+"""Appends happen once, and a refusal is true, whatever the store does."""
+
+import asyncio
+
+import pytest
+
+from camphorlink.internal.shell.process.job_appender import JobAppender
+from camphorlink.store_errors import (
+    JobNotStoredError,
+    StoreRefusedError,
+    StoreUnansweredError,
+)
+
+
+class ScriptedStore:
+    """Takes appends as a script of outcomes says, then all of them."""
+
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+        self.records = []
+        self.offset_by_sequence = {}
+        self.calls = []
+
+    async def append(self, topic, records, timeout_s, stamp=None):
+        self.calls.append((stamp.sequence, tuple(records)))
+        outcome = self.outcomes.pop(0) if self.outcomes else 'done'
+        if outcome == 'refused':
+            raise StoreRefusedError('busy')
+        if outcome == 'lost-before':
+            raise StoreUnansweredError('no answer')
+        if stamp.sequence not in self.offset_by_sequence:
+            self.offset_by_sequence[stamp.sequence] = len(self.records)
+            self.records.extend(records)
+        if outcome == 'lost-after':
+            raise StoreUnansweredError('no answer')
+        return self.offset_by_sequence[stamp.sequence]
+
+
+def run(store, scenario):
+    async def body():
+        appended = []
+        appender = JobAppender(
+            store,
+            'topic',
+            'me',
+            lambda offset, records: appended.append((offset, list(records))),
+        )
+        async with appender:
+            await asyncio.wait_for(scenario(appender), 5)
+        return appended
+
+    return asyncio.run(body())
+
+
+def test_records_that_come_meanwhile_share_an_append():
+    store = ScriptedStore()
+
+    async def scenario(appender):
+        offsets = await asyncio.gather(
+            *(appender.append(bytes((n,)), is_durable=True) for n in range(5)),
+        )
+        assert offsets == [0, 1, 2, 3, 4]
+
+    run(store, scenario)
+    assert len(store.calls) == 1
+
+
+@pytest.mark.parametrize('lost', ['lost-before', 'lost-after'])
+def test_an_append_without_an_answer_is_repeated_under_its_number(lost):
+    store = ScriptedStore(lost, lost)
+
+    async def scenario(appender):
+        assert await appender.append(b'a', is_durable=False) == 0
+
+    appended = run(store, scenario)
+    assert store.records == [b'a']
+    assert {sequence for sequence, _ in store.calls} == {1}
+    assert appended == [(0, [b'a'])]
+
+
+def test_what_the_store_refused_each_time_is_not_stored():
+    store = ScriptedStore('refused')
+
+    async def scenario(appender):
+        with pytest.raises(JobNotStoredError):
+            await appender.append(b'a', is_durable=False)
+        assert await appender.append(b'b', is_durable=False) == 0
+
+    run(store, scenario)
+    assert store.records == [b'b']
+
+
+def test_what_may_have_landed_is_never_called_refused():
+    store = ScriptedStore('lost-after', 'refused', 'refused')
+
+    async def scenario(appender):
+        assert await appender.append(b'a', is_durable=False) == 0
+
+    run(store, scenario)
+    assert store.records == [b'a']
+
+
+def test_a_durable_record_outlasts_refusals():
+    store = ScriptedStore('refused', 'refused')
+
+    async def scenario(appender):
+        assert await appender.append(b'a', is_durable=True) == 0
+
+    run(store, scenario)
+
+
+def test_new_work_is_refused_at_once_while_appends_fail():
+    store = ScriptedStore(*['lost-before'] * 30)
+
+    async def scenario(appender):
+        appender.append(b'a', is_durable=True)
+        while not appender.is_stalled:
+            await asyncio.sleep(0.05)
+        assert appender.counts['unanswered'] > 1
+
+    run(store, scenario)
