A planned stop answers what it took and refuses what comes late

The change before cut open requests 0.5 s after 3.5 s, and took the VM off the list of members first, so that peers closed the channel on which its jobs' ends come. Change: it takes jobs for 3 s, then refuses them as not run (vm-leaving), waits for the answers due until 0.7 s before the end of the grace, and takes itself off the list last.

--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -77,6 +77,11 @@
             < LOAD_FRESH_S
         ]
 
+    @property
+    def open_jobs(self) -> int:
+        """Number of jobs whose callers wait."""
+        return len(self._over_by_id)
+
     def __contains__(self, job_id: str) -> bool:
         """Tells whether a job is open here."""
         return job_id in self._jobs
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -50,11 +50,15 @@
 #: Period of telling the load of owned cells, in seconds: about the time
 #: between two jobs of a busy installation.
 LOAD_PERIOD_S = 0.02
-#: Time in which the balancer notices that a VM is not ready, and callers'
-#: channels get their last answer, in seconds: two questions, one a second.
-BALANCER_S = 3.5
-#: Part of the grace that is spent on that, at most.
-GRACE_SHARE = 0.6
+#: Time for which a VM that stops still takes jobs, in seconds: the balancer
+#: notices within two questions, one a second, that it is not ready.
+LAST_ADMISSION_S = 3.0
+#: Part of the grace that is spent on that, at most; the rest is for answers.
+ADMISSION_SHARE = 0.5
+#: Part of the grace that is left for closing connections, in seconds.
+STOP_MARGIN_S = 0.7
+#: Period of looking whether all answers are out, in seconds.
+ANSWERS_POLL_S = 0.02
 #: Time that ended jobs are remembered, in seconds: the platform's bound for
 #: reading a job's state, and some.
 REMEMBERED_S = 130.0
@@ -73,6 +77,7 @@
 
     Attributes:
         is_leaving: Whether it is about to stop.
+        is_closed: Whether it takes no more jobs.
         counts: Events by family and reason.
         end_waiters: Callers who wait for a durable job to end.
     """
@@ -81,6 +86,7 @@
         """Takes settings and platform; nothing starts before the context."""
         super().__init__()
         self.is_leaving = False
+        self.is_closed = False
         self.counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -164,7 +170,15 @@
         self.is_leaving = True
         self._log.info('leaving')
         self._beat()
-        await asyncio.sleep(min(BALANCER_S, grace_s * GRACE_SHARE))
+        started_s = now_s()
+        await asyncio.sleep(min(LAST_ADMISSION_S, grace_s * ADMISSION_SHARE))
+        self.is_closed = True
+        while self.coordinator.open_jobs:
+            if now_s() - started_s > grace_s - STOP_MARGIN_S:
+                self._log.warning('leaves jobs unanswered')
+                return
+            await asyncio.sleep(ANSWERS_POLL_S)
+        # Not before: peers close their channels to who is off the list.
         await self.peers.withdraw()
 
     def choose_cells(
--- a/src/camphorlink/internal/shell/request/job_desk.py
+++ b/src/camphorlink/internal/shell/request/job_desk.py
@@ -71,6 +71,12 @@
     reason='no-back-end',
     retry_after_s=STORE_AWAY_RETRY_S,
 )
+#: This VM stops; another channel leads to another VM.
+LEAVING = DeskAnswer(
+    Verdict.REFUSED,
+    reason='vm-leaving',
+    retry_after_s=1.0,
+)
 
 
 class JobDesk:
@@ -89,6 +95,8 @@
         """
         if self._is_known(job.job_id):
             return DONE
+        if self._node.is_closed:
+            return self._refuse(LEAVING)
         if not self._is_up():
             return self._refuse(STORE_AWAY)
         admission = self._node.coordinator.planner.admit(job)
@@ -116,6 +124,8 @@
             job: The job.
             wait_s: How long the caller waits.
         """
+        if self._node.is_closed:
+            return self._refuse(LEAVING)
         over = await self._node.coordinator.run(job, wait_s)
         if isinstance(over, JobRefused):
             return self._refuse_for_load(over.retry_after_s)
--- a/src/camphorlink/platform/program.py
+++ b/src/camphorlink/platform/program.py
@@ -34,7 +34,7 @@
 EXIT_BAD_SETTINGS = 2
 #: Time for open requests once this VM has left, in seconds: it has waited for
 #: them before, and a part of the grace is left for the rest.
-SHUTDOWN_TIMEOUT_S = 0.5
+SHUTDOWN_TIMEOUT_S = 0.3
 
 
 class PlatformNode:
--- a/src/camphorlink/platform/standin/runner.py
+++ b/src/camphorlink/platform/standin/runner.py
@@ -43,6 +43,9 @@
 
 #: Tasks whose spec begins so fail whenever they run.
 FAILING_SPEC = 'fail'
+#: Tasks whose spec begins so take this much longer, in ms.
+SLOW_SPEC = 'slow'
+SLOW_MS = 1500
 #: What a task takes; the stand-in is not told, so it takes this for all.
 TASK_CPU = 14_000
 
@@ -128,12 +131,16 @@
         self.starts.append((task, run_id))
         self._active[task] = _Active(
             run_id,
-            _clock_ms() + self.settings.run_ms,
+            _clock_ms() + self._run_ms(order['spec']),
             TASK_CPU,
             order['spec'].startswith(FAILING_SPEC),
         )
         return self._answer(200)
 
+    def _run_ms(self, spec: str) -> int:
+        extra_ms = SLOW_MS if spec.startswith(SLOW_SPEC) else 0
+        return self.settings.run_ms + extra_ms
+
     async def stop(self, request: web.Request) -> web.Response:
         """Stops a run, and makes sure that it never starts."""
         order = orjson.loads(await request.read())
--- a/tests/core/test_backend_trust.py
+++ b/tests/core/test_backend_trust.py
@@ -90,7 +90,7 @@
     assert 0.24 < expected_s < 0.34
 
 
-def test_a_back_end_that_was_slow_for_a_while_gets_its_good_name_back():
+def test_a_back_end_that_was_slow_is_rated_by_its_kind_again():
     speeds = RunSpeeds()
     for _ in range(30):
         speeds.note(RunTime('q', 'a', 'i-1', 0.1, 0.6))
