--- a/tests/core/test_machine_cell.py
+++ b/tests/core/test_machine_cell.py
@@ -76,6 +76,10 @@
         taker.__init__(entry, taker.run_s)
         self.rig.list_backends()
 
+    @rule(number=backends, is_late=st.booleans())
+    def be_late(self, number, is_late):
+        self.takers[number].is_late = is_late
+
     @rule(number=backends, fails=st.booleans())
     def fail(self, number, fails):
         self.takers[number].fails = fails
@@ -121,6 +125,7 @@
             taker.loses_answers = False
             taker.stands_still = False
             taker.fails = False
+            taker.is_late = False
         for _ in range(int(SETTLED_S)):
             self.rig.run_for(1)
             assert not self.rig.overlapping_runs()
--- a/tests/order_takers.py
+++ b/tests/order_takers.py
@@ -76,6 +76,17 @@
     )
 
 
+LATE_S = 2.5
+
+
+def _shifted(order, shift_ms):
+    if getattr(order, 'lease_until_clock_ms', None):
+        return order._replace(
+            lease_until_clock_ms=order.lease_until_clock_ms + shift_ms
+        )
+    return order
+
+
 class OrderTaker:
     """One back end: keeps leases, fences, and numbers its ends."""
 
@@ -90,6 +101,7 @@
         self.highest_stopped = {}
         self.starts = []
         self.is_silent = False
+        self.is_late = False
         self.loses_answers = False
         self.loses_starts = False
         self.loses_waiting_holds = False
@@ -176,6 +188,7 @@
         self.counts = []
         self.may_renew = True
         self._calls = []
+        self._late = []
         self._numbers = itertools.count()
         self.take_over(member)
 
@@ -241,6 +254,13 @@
         if is_lost:
             self._answer_later(TIMEOUT_S, order, None, sent_s)
             return
+        if taker.is_late:
+            shift_ms = int((LATE_S) * 1000)
+            self._late.append(
+                (self.now + LATE_S, taker, _shifted(order, shift_ms))
+            )
+            self._answer_later(TIMEOUT_S, order, None, sent_s)
+            return
         answer = taker.take(order, self.now)
         if taker.loses_waiting_holds and getattr(order, 'wait_ms', 0):
             self._answer_later(TIMEOUT_S * 3, order, None, sent_s)
@@ -276,6 +296,10 @@
             self.now += TICK_S / 4
             for taker in self.taker_by_id.values():
                 taker.advance(self.now)
+            for entry in list(self._late):
+                if entry[0] <= self.now:
+                    self._late.remove(entry)
+                    entry[1].take(entry[2], self.now)
             while self._calls and self._calls[0][0] <= self.now:
                 _, _, order, answer, sent_s = heapq.heappop(self._calls)
                 self._deliver(order, answer, sent_s)
