Four leftovers of this change that nothing uses are gone

An error type that nobody raises, a time that nobody reads, an iterator that nobody runs, and the description of a field that is not there. Behaviour stays as it is; lint, the core and shell tests of durable jobs and the whole path on the stand-ins pass.

--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -133,7 +133,6 @@
         self.silent_since_s: float | None = None
         self.lease_end_s = -math.inf
         self.acknowledged = 0
-        self.first_seen_s = now
         self.clock: Clock | None = None
         self.is_listed = True
         self.hold_number = 0
--- a/src/camphorlink/internal/core/process/transient_work.py
+++ b/src/camphorlink/internal/core/process/transient_work.py
@@ -5,7 +5,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from camphorlink.internal.core.process.job_table import LiveJob
@@ -57,10 +57,6 @@
         self._job_by_id: dict[str, TransientJob] = {}
         self._ended: OrderedDict[TaskKey, bool] = OrderedDict()
 
-    def __iter__(self) -> Iterator[TransientJob]:
-        """Goes through the jobs."""
-        return iter(self._job_by_id.values())
-
     def get(self, job_id: str) -> TransientJob | None:
         """Returns a job, if it has open tasks here."""
         return self._job_by_id.get(job_id)
--- a/src/camphorlink/internal/shell/ports.py
+++ b/src/camphorlink/internal/shell/ports.py
@@ -23,7 +23,6 @@
     Attributes:
         records: In order, from the offset asked for.
         end_offset: Offset of the next record to come.
-        size: Bytes read.
     """
 
     records: tuple[bytes, ...]
--- a/src/camphorlink/store_errors.py
+++ b/src/camphorlink/store_errors.py
@@ -34,7 +34,3 @@
 
 class JobNotStoredError(CamphorlinkError):
     """A record was never handed to the store, and never will be."""
-
-
-class JobUncertainError(CamphorlinkError):
-    """It can't be told yet whether the store has taken a record."""
