A new task waits for back ends that a new owner has not heard yet

After a takeover a job that its caller sent again came as new, and its task started beside the run of the first attempt on a back end that had not answered the new owner: only tasks marked as possibly begun waited for such back ends. Ruled out: a late start of the earlier owner (its term is shut out by the first answer), a task known as stray (its back end had listed nothing).

Change: in the first 1.2 s of a term (a lease on a clock 2% slow, and a margin) new tasks wait until each lifetime that the log names has answered. Longer, one crashed back end would stop its zone.

Before: the new test starts the task beside its run. After: it waits and is done once.

--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -166,11 +166,10 @@
         if live.due_s is None:
             live.due_s = now + given.goal_s
         for task in fresh:
+            is_old = given.may_have_run or task in self.ledger.stray_tasks
             if self._ends.claim(live, task, now):
                 continue
-            if given.may_have_run or task in self.ledger.stray_tasks:
-                self._old_tasks.add(live, task, now)
-            else:
+            if not self._old_tasks.keeps(live, task, now, is_old):
                 self._enqueue(live, task)
 
     def drop_transient(self, job_id: str, now: float) -> None:
--- a/src/camphorlink/internal/core/process/predecessor.py
+++ b/src/camphorlink/internal/core/process/predecessor.py
@@ -23,6 +23,11 @@
 #: Time in which each back end lists its runs again, in seconds: the wait of a
 #: hold, its time-out, and a margin.
 RELIST_S = 0.6
+#: Time from the takeover in which a new task waits for back ends that have not
+#: answered, in seconds: its caller may have sent it before.  A run that the
+#: earlier owner renews no more lapses within a lease, on a clock that may be
+#: 2% slow; longer, one silent back end would hold up its whole zone.
+UNSEEN_RUNS_S = LEASE_S * 1.02 + 0.18
 
 
 class Predecessor:
@@ -36,6 +41,7 @@
         """Takes what the log says that the earlier owner commanded."""
         self.unheard_by_id = dict(commanded)
         self._until_s = now + ORDERS_OVER_S
+        self._unseen_until_s = now + UNSEEN_RUNS_S
 
     def note_heard(self, backend_id: str, born_ms: int) -> None:
         """Notes that a lifetime, or a later one, has listed its runs."""
@@ -50,6 +56,15 @@
         """Tells whether nothing unseen of the earlier owner can run."""
         return not self.unheard_by_id or now > self._until_s
 
+    def may_run_unseen(self, now: float) -> bool:
+        """Tells whether a silent back end may run what comes as new.
+
+        Answers a caller that sends its job again, to another VM, in the first
+        moments of a term: the run of its first attempt may go on where no
+        answer has come from.
+        """
+        return bool(self.unheard_by_id) and now < self._unseen_until_s
+
 
 class OldTasks:
     """Tasks that an earlier owner may have started, until that is known."""
@@ -59,25 +74,52 @@
         self._predecessor = predecessor
         self._due_s = now
         self._tasks: list[tuple[LiveJob, TaskKey]] = []
+        self._new_tasks: list[tuple[LiveJob, TaskKey]] = []
 
     def add_stored(self, live: LiveJob, task: TaskKey) -> None:
         """Adds a task of a durable job, which was known from the start."""
         self._tasks.append((live, task))
 
-    def add(self, live: LiveJob, task: TaskKey, now: float) -> None:
-        """Adds a task whose coordinator has sent it only now.
-
-        Back ends may have listed its run when nobody knew it: each lists its
-        runs once more before the task is released.
+    def keeps(
+        self,
+        live: LiveJob,
+        task: TaskKey,
+        now: float,
+        may_have_run: bool,
+    ) -> bool:
+        """Keeps a task whose coordinator sent it only now, if it must wait.
+
+        Back ends may have listed the run of one that an earlier owner had
+        when nobody knew it: each lists its runs once more before the task is
+        released.  One that came as new waits for silent back ends, for a
+        while.
+
+        Args:
+            live: The job.
+            task: The task.
+            now: Time in seconds.
+            may_have_run: Whether an earlier owner may have begun it.
+
+        Returns:
+            Whether it is kept; else it may start at once.
         """
-        self._due_s = now + RELIST_S
-        self._tasks.append((live, task))
+        if may_have_run:
+            self._due_s = now + RELIST_S
+            self._tasks.append((live, task))
+            return True
+        if self._predecessor.may_run_unseen(now):
+            self._new_tasks.append((live, task))
+            return True
+        return False
 
     def take_due(self, now: float) -> list[tuple[LiveJob, TaskKey]]:
         """Returns the tasks whose runs would be known by now, once."""
+        due: list[tuple[LiveJob, TaskKey]] = []
+        if self._new_tasks and not self._predecessor.may_run_unseen(now):
+            due += self._new_tasks
+            self._new_tasks = []
         is_due = now >= self._due_s and self._predecessor.is_over(now)
-        if not self._tasks or not is_due:
-            return []
-        tasks = self._tasks
-        self._tasks = []
-        return tasks
+        if self._tasks and is_due:
+            due += self._tasks
+            self._tasks = []
+        return due
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -207,3 +207,38 @@
         assert not rig.overlapping_runs()
         rig.run_for(0.05)
     assert len(rig.done_tasks()) == 2
+
+
+def test_a_new_task_waits_for_back_ends_that_have_not_answered_the_owner():
+    rig, takers = make_rig(run_s=0.7)
+    job = make_job(estimate_ms=700)
+    rig.submit(job, coordinator='c#1')
+    rig.run_for(0.1)
+    holder = next(taker for taker in takers if taker.active)
+    holder.is_silent = True
+    rig.take_over('m#2')
+    rig.run_for(0.02)
+    rig.submit(job, coordinator='c#2')
+    for _ in range(60):
+        assert not rig.overlapping_runs()
+        rig.run_for(0.05)
+    assert len(rig.done_tasks()) == 1
+
+
+def test_a_silent_back_end_holds_new_tasks_up_for_a_lease_at_most():
+    rig, takers = make_rig()
+    takers[0].is_silent = True
+    rig.take_over('m#2')
+    rig.run_for(0.02)
+    rig.submit(make_job())
+    assert not takers[1].starts
+    rig.run_for(1.25)
+    assert len(starts_of(takers)) == 1
+
+
+def test_a_new_task_waits_for_nothing_when_all_back_ends_have_answered():
+    rig, takers = make_rig()
+    rig.take_over('m#2')
+    rig.run_for(0.02)
+    rig.submit(make_job())
+    assert len(starts_of(takers)) == 1
