--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -121,6 +121,7 @@
         is_heard: Whether it has listed its runs under this owner's term.
         silent_since_s: Since when no call was answered, or ``None``.
         lease_end_s: When all its runs are over unless the lease is renewed.
+        is_confirmation_asked: Whether the log is being read since that time.
         acknowledged: Ends up to this number are stored or need no storing.
     """
 
@@ -132,6 +133,7 @@
         self.is_heard = False
         self.silent_since_s: float | None = None
         self.lease_end_s = -math.inf
+        self.is_confirmation_asked = False
         self.acknowledged = 0
         self.clock: Clock | None = None
         self.is_listed = True
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -36,7 +36,11 @@
     OwnerChanged,
     TasksDue,
 )
-from camphorlink.internal.core.process.predecessor import OldTasks, Predecessor
+from camphorlink.internal.core.process.predecessor import (
+    OldTasks,
+    Predecessor,
+    is_confirmed,
+)
 from camphorlink.internal.core.process.task_starter import TaskStarter
 from camphorlink.internal.core.process.transient_work import TransientWork
 from camphorlink.internal.core.request.durable_job import (
@@ -113,7 +117,7 @@
                 self.ledger,
                 speeds,
                 trust,
-                self._enqueue,
+                self._requeue,
                 self._effects,
             ),
             now,
@@ -266,20 +270,21 @@
         if live is not None and run.checkpoint:
             live.checkpoint_by_task[run.task] = run.checkpoint
         if run.wants_retry and live is not None:
-            self._enqueue(live, run.task)
+            self._requeue(live, run)
 
     # Time and placement.
 
-    def tick(self, now: float, may_renew: bool) -> None:
+    def tick(self, now: float, confirmed_s: float) -> None:
         """Does what is due.
 
         Args:
             now: Time in seconds.
-            may_renew: Whether this owner was confirmed lately enough to renew
-                leases and to start tasks.
+            confirmed_s: When the store last confirmed this owner: leases are
+                renewed and tasks are started for a while after that.
         """
         self._now = now
-        self.commander.tick(now, may_renew)
+        may_renew = is_confirmed(confirmed_s, now)
+        self.commander.tick(now, confirmed_s)
         self._ends.tick(now)
         if may_renew:
             for live, task in self._old_tasks.take_due(now):
@@ -298,8 +303,19 @@
             return transient.live
         return self._table.live_by_id.get(job_id)
 
+    def _requeue(self, live: LiveJob, run: Run) -> None:
+        """Lets a task run again, once nothing unseen can run it.
+
+        Of a run that was found, an earlier owner may have ordered another
+        since, at a back end that has not answered yet.
+        """
+        if run.is_ordered or self._predecessor.is_over(self._now):
+            self._enqueue(live, run.task)
+        else:
+            self._old_tasks.add_stored(live, run.task)
+
     def _enqueue(self, live: LiveJob, task: TaskKey) -> None:
-        if task in self.ledger.backend_by_task:
+        if task in self.ledger.backends_by_task:
             return
         if live.is_task_done(task) or task in self._ends.being_stored:
             return
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -287,7 +287,7 @@
             run.percent_s = now
             return
         needs = self._owner.needs_of(entry.task)
-        if needs is None or entry.task in self.ledger.backend_by_task:
+        if needs is None or run is not None:
             if self._owner.is_handed_over(now):
                 self.ledger.send_stop(runs, entry.task, entry.run)
             else:
@@ -296,7 +296,14 @@
         found = Run(entry.task, entry.run, needs, now)
         found.is_ordered = False
         found.turn(RunState.RUNNING, now)
+        is_second = entry.task in self.ledger.backends_by_task
         self.ledger.add(runs, found)
+        if is_second:
+            # An earlier owner's order was carried out at a back end that had
+            # not answered this one yet: the task may not start anew before
+            # both runs are over.
+            self.ledger.count('second_runs', 'order-of-an-earlier-owner')
+            self.ledger.stop(runs, found, now)
 
     def _note_absent(
         self,
--- a/src/camphorlink/internal/core/process/end_desk.py
+++ b/src/camphorlink/internal/core/process/end_desk.py
@@ -38,8 +38,8 @@
 #: owner, in seconds: until then runs of unknown tasks go on.
 HANDOVER_S = 0.6
 
-#: Puts a task back into the queue of those that wait.
-Enqueue = Callable[[LiveJob, TaskKey], None]
+#: Puts the task of a run that is over back into the queue.
+Requeue = Callable[[LiveJob, Run], None]
 
 
 class EndTools(NamedTuple):
@@ -52,7 +52,7 @@
     ledger: RunLedger
     speeds: RunSpeeds
     trust: BackendTrust
-    enqueue: Enqueue
+    requeue: Requeue
     effects: list[CellEffect]
 
 
@@ -101,7 +101,7 @@
             return EndFate.ACKNOWLEDGE
         if not needs_storing(end):
             if run is not None and run.wants_retry:
-                self._tools.enqueue(live, task)
+                self._tools.requeue(live, run)
             return EndFate.ACKNOWLEDGE
         self._learn(runs, run, end, live, now)
         self._tools.waiting.discard(task)
@@ -174,7 +174,7 @@
             # Of a run that is not known here another may have followed: its
             # task waits until all back ends have listed theirs.
             if run is not None and run.wants_retry:
-                self._tools.enqueue(live, task)
+                self._tools.requeue(live, run)
             return
         self._report(task, is_done)
 
--- a/src/camphorlink/internal/core/process/lease_watch.py
+++ b/src/camphorlink/internal/core/process/lease_watch.py
@@ -9,6 +9,7 @@
     Run,
     RunState,
 )
+from camphorlink.internal.core.process.predecessor import is_confirmed
 from camphorlink.internal.core.process.run_ledger import RunLedger
 
 #: Time without an answer after which a stop is sent again.
@@ -42,15 +43,20 @@
         self._ledger = ledger
         self._lose = lose
 
-    def tick(self, now: float, may_renew: bool) -> None:
-        """Does what is due: holds, repeated stops, lapses."""
-        self.may_renew = may_renew
+    def tick(self, now: float, confirmed_s: float) -> None:
+        """Does what is due: holds, repeated stops, lapses.
+
+        Args:
+            now: Time in seconds.
+            confirmed_s: When the store last confirmed this owner.
+        """
+        self.may_renew = is_confirmed(confirmed_s, now)
         for runs in list(self._ledger.runs_by_backend.values()):
             if runs.hold_number == 0 and runs.hold_due_s <= now:
-                self._ledger.hold(runs, now, may_renew)
+                self._ledger.hold(runs, now, self.may_renew)
             self._tend_runs(runs, now)
             if runs.silent_since_s is not None:
-                self._note_lapse(runs, now)
+                self._note_lapse(runs, now, confirmed_s)
 
     def _tend_runs(self, runs: BackendRuns, now: float) -> None:
         """Looks for runs in doubt, and repeats stops."""
@@ -77,13 +83,32 @@
             for run in runs.run_by_task.values()
         )
 
-    def _note_lapse(self, runs: BackendRuns, now: float) -> None:
+    def _note_lapse(
+        self,
+        runs: BackendRuns,
+        now: float,
+        confirmed_s: float,
+    ) -> None:
+        """Takes runs as over, if this owner was confirmed since they lapsed.
+
+        A later owner that this one has not heard of may reach the back end
+        and renew the lease there.
+        """
         silent_since_s = runs.silent_since_s or now
-        if now - silent_since_s > PRESUMED_OVER_S:
-            for run in list(runs.run_by_task.values()):
+        is_over = confirmed_s - silent_since_s > PRESUMED_OVER_S
+        if not is_over and not runs.has_lapsed(confirmed_s):
+            self._ask_confirmation(runs, now)
+            return
+        runs.is_confirmation_asked = False
+        for run in list(runs.run_by_task.values()):
+            if is_over or run.is_confirmed:
+                self._ledger.count('lapsed_runs', 'back-end-silent')
                 self._lose(runs, run)
-        elif runs.has_lapsed(now):
-            for run in list(runs.run_by_task.values()):
-                if run.is_confirmed:
-                    self._ledger.count('lapsed_runs', 'back-end-silent')
-                    self._lose(runs, run)
+
+    def _ask_confirmation(self, runs: BackendRuns, now: float) -> None:
+        """Has the log read once when a lease has lapsed: a read takes 4 ms."""
+        if not runs.has_lapsed(now) or not runs.run_by_task:
+            return
+        if not runs.is_confirmation_asked:
+            runs.is_confirmation_asked = True
+            self._ledger.check_ownership()
--- a/src/camphorlink/internal/core/process/predecessor.py
+++ b/src/camphorlink/internal/core/process/predecessor.py
@@ -30,6 +30,11 @@
 UNSEEN_RUNS_S = LEASE_S * 1.02 + 0.18
 
 
+def is_confirmed(confirmed_s: float, now: float) -> bool:
+    """Tells whether the store confirmed an owner lately enough to go on."""
+    return now - confirmed_s < CONFIRMED_FOR_S
+
+
 class Predecessor:
     """Lifetimes that an earlier owner commanded and that were not heard yet.
 
--- a/src/camphorlink/internal/core/process/run_ledger.py
+++ b/src/camphorlink/internal/core/process/run_ledger.py
@@ -35,7 +35,8 @@
     Attributes:
         term: Fencing token.
         runs_by_backend: What is known of each back end.
-        backend_by_task: Where each task has a run that is not over.
+        backends_by_task: Where each task has runs that are not over: more than
+            one only while an earlier owner's late order is being undone.
         stray_tasks: Tasks with a run that nobody has asked for yet, as listed
             in the first moments of the term.
     """
@@ -44,7 +45,7 @@
         """Starts with no back end; orders are added to the effects."""
         self.term = term
         self.runs_by_backend: dict[str, BackendRuns] = {}
-        self.backend_by_task: dict[TaskKey, str] = {}
+        self.backends_by_task: dict[TaskKey, set[str]] = {}
         self.stray_tasks: set[TaskKey] = set()
         self._effects = effects
         self._runs = 0
@@ -73,12 +74,16 @@
     def add(self, runs: BackendRuns, run: Run) -> None:
         """Counts a run that was ordered or found."""
         runs.add(run)
-        self.backend_by_task[run.task] = runs.listed.backend_id
+        backends = self.backends_by_task.setdefault(run.task, set())
+        backends.add(runs.listed.backend_id)
 
     def drop(self, runs: BackendRuns, run: Run) -> None:
         """Forgets a run that is certainly over."""
         runs.drop(run.task)
-        self.backend_by_task.pop(run.task, None)
+        backends = self.backends_by_task.get(run.task, set())
+        backends.discard(runs.listed.backend_id)
+        if not backends:
+            self.backends_by_task.pop(run.task, None)
 
     def start(
         self,
@@ -109,14 +114,12 @@
         return run
 
     def stop_task(self, task: TaskKey, now: float) -> None:
-        """Stops the run of a task, if it has one; it won't run again."""
-        backend_id = self.backend_by_task.get(task)
-        if backend_id is None:
-            return
-        runs = self.runs_by_backend[backend_id]
-        run = runs.run_by_task[task]
-        run.wants_retry = False
-        self.stop(runs, run, now)
+        """Stops the runs of a task, if it has any; it won't run again."""
+        for backend_id in self.backends_by_task.get(task, ()):
+            runs = self.runs_by_backend[backend_id]
+            run = runs.run_by_task[task]
+            run.wants_retry = False
+            self.stop(runs, run, now)
 
     def stop(self, runs: BackendRuns, run: Run, now: float) -> None:
         """Orders to stop a run, unless that was done."""
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -21,7 +21,7 @@
     Store,
 )
 from camphorlink.internal.core.process.job_table import Change
-from camphorlink.internal.core.process.predecessor import CONFIRMED_FOR_S
+from camphorlink.internal.core.process.predecessor import is_confirmed
 from camphorlink.internal.core.process.transient_work import TaskReport
 from camphorlink.internal.core.request.transient_jobs import GiveTasks
 from camphorlink.internal.shell.ports import BackendPort
@@ -79,11 +79,6 @@
         self._calls.close()
         self._log.info('cell given up', extra={'term': self.cell.term})
 
-    @property
-    def may_renew(self) -> bool:
-        """Whether the store confirmed the ownership lately enough."""
-        return now_s() - self._job_log.confirmed_s < CONFIRMED_FOR_S
-
     def note_change(self, change: Change) -> None:
         """Takes a change of the job table."""
         self.cell.note_change(change, now_s())
@@ -116,12 +111,12 @@
 
     async def _tick(self) -> None:
         while True:
-            self.cell.tick(now_s(), self.may_renew)
+            self.cell.tick(now_s(), self._job_log.confirmed_s)
             self._flush()
             await asyncio.sleep(TICK_S)
 
     def _place(self) -> None:
-        if self.may_renew:
+        if is_confirmed(self._job_log.confirmed_s, now_s()):
             self.cell.place(now_s())
         self._flush()
 
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -1,5 +1,6 @@
 """Promises of a cell: each task runs, never twice at once, and is reported."""
 
+from camphorlink.internal.core.connection.backend_orders import StartRun
 from camphorlink.internal.core.process.job_table import JobState
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.job_records import (
@@ -125,7 +126,7 @@
 
 def test_no_start_without_a_confirmed_ownership():
     rig, takers = make_rig()
-    rig.may_renew = False
+    rig.confirmed_s = rig.now - 11
     rig.submit(make_job())
     rig.cell.take_effects()
     before = len(starts_of(takers))
@@ -242,3 +243,72 @@
     rig.run_for(0.02)
     rig.submit(make_job())
     assert len(starts_of(takers)) == 1
+
+
+def test_a_task_waits_until_a_late_run_of_an_earlier_owner_is_over():
+    rig, takers = make_rig(run_s=5.0)
+    job = make_job(estimate_ms=5000)
+    rig.submit(job)
+    rig.run_for(0.1)
+    holder = next(taker for taker in takers if taker.active)
+    other = next(taker for taker in takers if not taker.active)
+    task = TaskKey(job.job_id, 0, 0)
+    other.is_silent = True
+    rig.take_over('m#2')
+    rig.submit(job, may_have_run=True)
+    rig.run_for(0.1)
+    # The earlier owner took its run as lapsed and starts the task again where
+    # nobody has told of the new owner.
+    late = StartRun(other.listed, 1, task, 10_000_002, 'x', 1_500, '')
+    other.take(late, rig.now)
+    other.is_silent = False
+    rig.run_for(0.02)
+    holder.advance(holder.lease_end_s + 1)
+    other.loses_stops = True
+    for _ in range(20):
+        rig.run_for(0.02)
+        assert not rig.overlapping_runs()
+    other.loses_stops = False
+    rig.run_for(0.5)
+    assert len(rig.running_tasks()) == 1
+
+
+def test_a_second_run_is_stopped_before_its_task_starts_anew():
+    rig, takers = make_rig(run_s=5.0)
+    job = make_job(estimate_ms=5000)
+    rig.submit(job)
+    rig.run_for(0.1)
+    holder = next(taker for taker in takers if taker.active)
+    other = next(taker for taker in takers if not taker.active)
+    other.is_silent = True
+    rig.take_over('m#2')
+    rig.submit(job, may_have_run=True)
+    rig.run_for(0.1)
+    task = TaskKey(job.job_id, 0, 0)
+    late = StartRun(other.listed, 1, task, 10_000_002, 'x', 9_000, '')
+    other.take(late, rig.now)
+    other.is_silent = False
+    other.loses_stops = True
+    rig.run_for(0.3)
+    assert rig.overlapping_runs()
+    holder.advance(holder.lease_end_s + 1)
+    rig.run_for(0.2)
+    assert not rig.overlapping_runs()
+    other.loses_stops = False
+    rig.run_for(1.5)
+    assert len(rig.running_tasks()) == 1
+    assert len(starts_of(takers)) == 3
+
+
+def test_a_silent_run_is_over_only_when_the_owner_was_confirmed_since():
+    rig, takers = make_rig(run_s=5.0)
+    rig.submit(make_job(estimate_ms=5000))
+    rig.run_for(0.1)
+    holder = next(taker for taker in takers if taker.active)
+    holder.is_silent = True
+    rig.confirmed_s = rig.now
+    rig.run_for(3)
+    assert len(starts_of(takers)) == 1
+    rig.confirmed_s = None
+    rig.run_for(0.1)
+    assert len(starts_of(takers)) == 2
--- a/tests/order_takers.py
+++ b/tests/order_takers.py
@@ -104,6 +104,7 @@
         self.is_late = False
         self.loses_answers = False
         self.loses_starts = False
+        self.loses_stops = False
         self.loses_waiting_holds = False
         self.fails = False
         self.stands_still = False
@@ -186,7 +187,8 @@
         }
         self.reports = []
         self.counts = []
-        self.may_renew = True
+        #: When the store last confirmed the owner, ``None`` for just now.
+        self.confirmed_s = None
         self._calls = []
         self._late = []
         self._numbers = itertools.count()
@@ -248,8 +250,10 @@
     def _call(self, order):
         taker = self.taker_by_id[order.backend.backend_id]
         sent_s = self.now
-        is_lost = taker.is_silent or (
-            taker.loses_starts and isinstance(order, StartRun)
+        is_lost = (
+            taker.is_silent
+            or (taker.loses_starts and isinstance(order, StartRun))
+            or (taker.loses_stops and isinstance(order, StopRun))
         )
         if is_lost:
             self._answer_later(TIMEOUT_S, order, None, sent_s)
@@ -303,7 +307,10 @@
             while self._calls and self._calls[0][0] <= self.now:
                 _, _, order, answer, sent_s = heapq.heappop(self._calls)
                 self._deliver(order, answer, sent_s)
-            self.cell.tick(self.now, self.may_renew)
+            confirmed_s = self.now
+            if self.confirmed_s is not None:
+                confirmed_s = self.confirmed_s
+            self.cell.tick(self.now, confirmed_s)
             self.carry_out()
 
     def overlapping_runs(self):
@@ -315,5 +322,11 @@
                 (twice if task in seen else seen).add(task)
         return twice
 
+    def running_tasks(self):
+        """Returns the tasks that are present on back ends."""
+        return [
+            task for taker in self.taker_by_id.values() for task in taker.active
+        ]
+
     def done_tasks(self):
         return [report.task for report in self.reports if report.is_done]
