A specification of durable tasks, searched in full, with nine mutations

Cause: owners, terms, back ends and ends in the log had state machines and no specification; the two known double runs came from traces alone.

Change: spec/cells: acceptance, log, owners that pause at any moment, orders that stay deliverable, lost answers, lapses; seven promises, nine mutations, each caught.

Left out: cancellation, lifetimes (docs/design/proof.md).

--- a/src/camphorlink/spec/programs.py
+++ b/src/camphorlink/spec/programs.py
@@ -6,6 +6,7 @@
 import click
 
 from camphorlink.spec import (
+    cells_promises,
     claims_promises,
     configuration_promises,
     handover_promises,
@@ -22,6 +23,7 @@
 SPECIFICATIONS: tuple[Specification, ...] = (
     homes_promises.SPECIFICATION,
     jobs_promises.SPECIFICATION,
+    cells_promises.SPECIFICATION,
     handover_promises.SPECIFICATION,
     claims_promises.SPECIFICATION,
     configuration_promises.RACE,
