Large installations: fewer heartbeats, pings and ratings

Left, for a VM without a cell: pings and pongs on 28 channels each way (112 frames a second), loads (72), heartbeats (77); for an owner: rating 59 back ends in each of 300 passes a second.

Change: pings every 0.1 s for each peer, 1 s at least; loads every 3 ms for each peer, 20 ms at least; VMs without a cell send each other every third heartbeat and forget each other after 2 s; an owner rates its back ends at most every 0.02 s.

--- a/src/camphorlink/bench/capacity_figures.py
+++ b/src/camphorlink/bench/capacity_figures.py
@@ -90,7 +90,13 @@
         **_audit_figures(median),
         **control_figures(control),
         **sharing_figures(site.vms, median),
-        **job_figures(STARTS_PER_S, site.jobs * site.vms, ZONES, median),
+        **job_figures(
+            STARTS_PER_S,
+            site.jobs * site.vms,
+            ZONES,
+            site.vms,
+            median,
+        ),
         'slope_table': _slope_table(slopes),
         'control_table': control_table(control),
     }
--- a/src/camphorlink/bench/capacity_jobs.py
+++ b/src/camphorlink/bench/capacity_jobs.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from camphorlink.internal.shell.process.job_node import LOAD_PERIOD_S
+from camphorlink.internal.core.process.cell_load import load_period_s
 
 US_PER_S = 1_000_000
 BYTES_PER_MB = 1_000_000
@@ -16,6 +16,7 @@
     starts_per_s: float,
     jobs_per_s: float,
     zones: int,
+    vms: int,
     median: Callable[[str], float],
 ) -> dict[str, str]:
     """Returns the figures of cells and of the job log, ready to print.
@@ -24,6 +25,7 @@
         starts_per_s: Task starts a second in all zones.
         jobs_per_s: Jobs a second in all zones.
         zones: Number of zones, and so of cells.
+        vms: Number of entry VMs.
         median: Returns the median of a slope.
     """
     starts = starts_per_s / zones
@@ -31,7 +33,7 @@
     fold_share = jobs_per_s * median('record_fold_us') / US_PER_S
     record_bytes = jobs_per_s * median('accepted_record_bytes')
     live_bytes = jobs_per_s * LIVE_S * median('live_job_bytes')
-    loads = zones / LOAD_PERIOD_S
+    loads = zones / load_period_s(vms - 1)
     load_bytes = loads * median('load_message_bytes')
     return {
         'cell_starts_s': f'{starts:,.0f}',
@@ -42,6 +44,7 @@
         'job_log_kb_s': f'{record_bytes / BYTES_PER_KB:,.0f}',
         'live_jobs_mb': f'{live_bytes / BYTES_PER_MB:.1f}',
         'load_bytes': f'{median("load_message_bytes"):,.0f}',
+        'load_period_ms': f'{load_period_s(vms - 1) * 1000:.0f}',
         'loads_s': f'{loads:,.0f}',
         'loads_kb_s': f'{load_bytes / BYTES_PER_KB:,.0f}',
     }
--- a/src/camphorlink/internal/core/process/cell_load.py
+++ b/src/camphorlink/internal/core/process/cell_load.py
@@ -9,6 +9,17 @@
 #: Back ends with room that are told, those with the most first: three cells'
 #: take a job of 150 tasks, and a message stays under 1 KB.
 MAX_ROOMS = 24
+#: Shortest period of telling the load of owned cells, in seconds: about the
+#: time between two jobs of a busy installation.
+LOAD_PERIOD_S = 0.02
+#: Period for each peer, in seconds: with 28 peers, loads told to all of them
+#: every 0.02 s took a sixth of the processor time of those without a cell.
+LOAD_PERIOD_A_PEER_S = 0.003
+
+
+def load_period_s(peers: int) -> float:
+    """Returns how often an owner tells its loads, by the number of peers."""
+    return max(LOAD_PERIOD_S, LOAD_PERIOD_A_PEER_S * peers)
 
 
 def loads_of(cell: Cell, now: float) -> list[CellLoad]:
--- a/src/camphorlink/internal/core/process/task_starter.py
+++ b/src/camphorlink/internal/core/process/task_starter.py
@@ -1,7 +1,9 @@
 """Starts the waiting tasks of a cell, and restarts those that stalled."""
 
+import math
 from collections.abc import Callable
 
+from camphorlink.internal.core.connection.backend_runs import BackendRuns
 from camphorlink.internal.core.connection.backend_trust import stalled_runs
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.job_table import JobTable, LiveJob
@@ -16,6 +18,9 @@
 
 #: Time that a back end gets nothing after a run on it stalled, in seconds.
 STALLED_PAUSE_S = 1.0
+#: Time that the order of back ends by speed is kept, in seconds: of 300 passes
+#: a second over 59 back ends each rated them anew; speeds change in longer.
+RATED_FOR_S = 0.02
 #: Bound on the speed by which a run's time is expected: rounded speeds may be
 #: zero for a back end that stands still.
 MIN_SPEED = 0.05
@@ -40,35 +45,36 @@
         self._speeds = speeds
         self._waiting = waiting
         self._find = find
+        self._rated_s = -math.inf
+        self._candidates = Candidates((), speeds, 0)
 
     def place(self, now: float) -> None:
         """Starts waiting tasks where there is room."""
         if not self._waiting:
             return
+        if now - self._rated_s > RATED_FOR_S:
+            self._rated_s = now
+            self._candidates = Candidates(self._usable(now), self._speeds, now)
+
+        def start(entry: WaitingTask) -> bool:  # noqa: WPS430
+            return self._start(entry, now)
+
+        self._waiting.place(start, now)
+
+    def _usable(self, now: float) -> list[BackendRuns]:
+        """Returns the back ends that may get runs, as the log names them."""
         commanded = self._table.commanded_by_cell.get(self._cell, {})
-        usable = [
+        return [
             runs
             for runs in self._ledger.runs_by_backend.values()
             if runs.is_usable(now)
             and commanded.get(runs.listed.backend_id) == runs.listed.born_ms
         ]
 
-        candidates = Candidates(usable, self._speeds, now)
-
-        def start(entry: WaitingTask) -> bool:  # noqa: WPS430
-            return self._start(entry, candidates, now)
-
-        self._waiting.place(start, now)
-
-    def _start(
-        self,
-        entry: WaitingTask,
-        candidates: Candidates,
-        now: float,
-    ) -> bool:
+    def _start(self, entry: WaitingTask, now: float) -> bool:
         """Starts a task if there is room for it; tells whether it did."""
-        chosen = candidates.choose(entry)
-        if chosen is None:
+        chosen = self._candidates.choose(entry, now)
+        if chosen is None or not self._is_current(chosen.runs):
             return False
         live = self._find(entry.task.job_id)
         if live is None:
@@ -85,6 +91,11 @@
         run.expected_s = entry.work_s / max(chosen.speed, MIN_SPEED)
         return True
 
+    def _is_current(self, runs: BackendRuns) -> bool:
+        """Tells whether this is still the back end's newest lifetime."""
+        known = self._ledger.runs_by_backend.get(runs.listed.backend_id)
+        return known is runs
+
     def restart_stalled(self, now: float) -> None:
         """Stops runs whose tasks would end sooner elsewhere."""
         for runs in self._ledger.runs_by_backend.values():
--- a/src/camphorlink/internal/core/request/task_placement.py
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -69,10 +69,10 @@
 
 
 class Candidates:
-    """Usable back ends during one pass, the fastest first.
+    """Back ends for a few passes, the fastest first.
 
-    Speeds are worked out once for a pass; a choice looks no further than the
-    fastest ones with room.
+    Speeds are worked out once; a choice looks no further than the fastest
+    ones with room.
     """
 
     def __init__(
@@ -88,13 +88,18 @@
         ]
         self._rated = sorted(rated, key=_speed_of, reverse=True)
 
-    def choose(self, entry: WaitingTask) -> Rated | None:
-        """Chooses a back end with room for a task, or none."""
+    def choose(self, entry: WaitingTask, now: float) -> Rated | None:
+        """Chooses a usable back end with room for a task, or none."""
         rack = entry.step.rack
-        near = self._first_fitting(entry, rack) if rack else None
-        return near or self._first_fitting(entry, '')
+        near = self._first_fitting(entry, rack, now) if rack else None
+        return near or self._first_fitting(entry, '', now)
 
-    def _first_fitting(self, entry: WaitingTask, rack: str) -> Rated | None:
+    def _first_fitting(
+        self,
+        entry: WaitingTask,
+        rack: str,
+        now: float,
+    ) -> Rated | None:
         best: Rated | None = None
         for rated in self._rated:
             if best is not None and rated.speed < best.speed:
@@ -102,7 +107,9 @@
             is_fuller = best is None or (
                 rated.runs.free.cpu_milli < best.runs.free.cpu_milli
             )
-            if is_fuller and _has_room(entry, rated.runs, rack):
+            if not is_fuller or not _has_room(entry, rated.runs, rack):
+                continue
+            if rated.runs.is_usable(now):
                 best = rated
         return best
 
--- a/src/camphorlink/internal/shell/connection/mesh.py
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -34,6 +34,9 @@
 #: channels that went silent for good, in seconds.
 PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 1.0
+#: Interval for each peer, in seconds: pings and their answers on all channels
+#: of 29 VMs were more frames than all else that those without a cell got.
+PING_INTERVAL_A_PEER_S = 0.1
 OPEN_TIMEOUT_S = 1.0
 #: Pauses before a channel is opened again, in seconds: one that was reset is
 #: back at once, a VM that is away is not asked all the time.
@@ -119,11 +122,13 @@
         """Opens channels to new peers and closes those to former ones."""
         for address in set(self._sender_by_address) - addresses:
             self._sender_by_address.pop(address).close()
+        peers_s = PING_INTERVAL_A_PEER_S * len(addresses)
         for address in addresses - set(self._sender_by_address):
             self._sender_by_address[address] = _Sender(
                 address,
                 self._listener,
                 self._log,
+                max(PING_INTERVAL_S, peers_s),
             )
 
     def broadcast(self, message: NodeMessage) -> None:
@@ -165,8 +170,10 @@
         address: Address,
         listener: MeshListener,
         log: PartLog,
+        ping_interval_s: float,
     ) -> None:
         self._address = address
+        self._ping_interval_s = ping_interval_s
         self._listener = listener
         self._log = log
         self._outbox: asyncio.Queue[bytes] = asyncio.Queue(OUTBOX_MESSAGES)
@@ -208,7 +215,7 @@
             proxy=None,
             open_timeout=OPEN_TIMEOUT_S,
             close_timeout=OPEN_TIMEOUT_S,
-            ping_interval=PING_INTERVAL_S,
+            ping_interval=self._ping_interval_s,
             ping_timeout=PING_TIMEOUT_S,
         ) as connection:
             greeting = self._listener.greeting()
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -13,6 +13,7 @@
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.cell_load import (
     count_waiting_jobs,
+    load_period_s,
     loads_of,
 )
 from camphorlink.internal.core.process.cell_ownership import PeerView
@@ -47,15 +48,9 @@
 #: Period of heartbeats to peers, in seconds: several fit into the time after
 #: which a silent peer is taken as gone.
 HEARTBEAT_S = 0.2
-#: Shortest period of telling the load of owned cells, in seconds: about the
-#: time between two jobs of a busy installation.
-LOAD_PERIOD_S = 0.02
-#: Period for each peer, in seconds: with 38 peers, a load told to all of them
-#: every 0.02 s took a quarter of their processor time.
-LOAD_PERIOD_A_PEER_S = 0.0015
 #: Every how many heartbeats go to peers that own no cell, from VMs that own
-#: none either: only their turn to claim depends on it.
-DISTANT_BEATS = 2
+#: none either: only their turn to claim depends on it, after 1 s of silence.
+DISTANT_BEATS = 3
 #: Time for which a VM that stops still takes jobs, in seconds: the balancer
 #: notices within two questions, one a second, that it is not ready.
 LAST_ADMISSION_S = 3.0
@@ -294,13 +289,13 @@
         self._waiting_by_cell.update(waiting_by_cell)
         store_age_s = min(self._view().store_age_s, REMEMBERED_S)
         self._beats += 1
-        to_all = self.cells.host_by_cell or not self._beats % DISTANT_BEATS
         owners = {owner.member for owner in self.table.owner_by_cell.values()}
         self.peers.beat(
             store_age_s,
             self.is_leaving,
             waiting_by_cell,
-            None if to_all or self.is_leaving else owners,
+            None if self.cells.host_by_cell else owners,
+            to_all=self.is_leaving or not self._beats % DISTANT_BEATS,
         )
 
     async def _beat_forever(self) -> None:
@@ -317,5 +312,4 @@
             for host in self.cells.host_by_cell.values():
                 for load in loads_of(host.cell, now_s()):
                     self._post.tell_load(load)
-            peers_s = LOAD_PERIOD_A_PEER_S * self.peers.known
-            await asyncio.sleep(max(LOAD_PERIOD_S, peers_s))
+            await asyncio.sleep(load_period_s(self.peers.known))
--- a/src/camphorlink/internal/shell/process/peers.py
+++ b/src/camphorlink/internal/shell/process/peers.py
@@ -26,6 +26,9 @@
 #: Silence of a peer after which it is forgotten and its tasks are stopped, in
 #: seconds: its callers send a job again 1.3 s after they lost it.
 FORGOTTEN_S = 0.9
+#: The same between VMs of which neither owns a cell: nothing runs for the one
+#: by the other's orders, and they tell each other less often.
+DISTANT_FORGOTTEN_S = 2.0
 #: Time in which a peer whose channel was reset opens another, in seconds.
 REOPEN_S = 0.25
 #: Longest wait of one read of the members, in seconds.
@@ -156,7 +159,8 @@
         store_age_s: float,
         is_leaving: bool,
         waiting_by_cell: dict[str, dict[str, int]],
-        only_to: Collection[str] | None,
+        near: Collection[str] | None,
+        to_all: bool,
     ) -> None:
         """Tells peers that this VM is alive, and forgets silent ones.
 
@@ -164,7 +168,8 @@
             store_age_s: Age of the store's last answer, in seconds.
             is_leaving: Whether this VM is about to stop.
             waiting_by_cell: Waiting jobs by queue, for each cell owned.
-            only_to: The members to tell, or ``None`` for all.
+            near: Members that give this VM work or take it, ``None`` for all.
+            to_all: Whether this heartbeat goes to the others, too.
         """
         self._last_beat = Beat(
             self.member,
@@ -175,14 +180,16 @@
             is_leaving,
             waiting_by_cell,
         )
-        if only_to is None:
+        if to_all or near is None:
             self._mesh.broadcast(self._last_beat)
         else:
-            for member in self._beat_by_member.keys() & only_to:
+            for member in self._beat_by_member.keys() & near:
                 self.tell(member, self._last_beat)
         now = now_s()
         for member, heard_s in list(self._heard_s_by_member.items()):
-            if now - heard_s > FORGOTTEN_S:
+            is_near = near is None or member in near
+            limit_s = FORGOTTEN_S if is_near else DISTANT_FORGOTTEN_S
+            if now - heard_s > limit_s:
                 self._forget(member, 'silent')
 
     def greeting(self) -> NodeMessage:
--- a/tests/core/test_waiting_and_choice.py
+++ b/tests/core/test_waiting_and_choice.py
@@ -4,6 +4,7 @@
 
 from camphorlink.internal.core.connection.backend_runs import BackendRuns
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
+from camphorlink.internal.core.process.cell_load import load_period_s
 from camphorlink.internal.core.process.job_table import JobState
 from camphorlink.internal.core.request.cell_choice import (
     CellChoice,
@@ -86,7 +87,9 @@
 
 
 def backend(number, cpu=32_000, labels=('a', 'r1'), **fields):
-    return BackendRuns(listed(f'i-{number}', cpu=cpu, labels=labels), 0.0)
+    runs = BackendRuns(listed(f'i-{number}', cpu=cpu, labels=labels), 0.0)
+    runs.is_heard = True
+    return runs
 
 
 def entry_of(step=None):
@@ -98,7 +101,7 @@
 
 
 def choose(entry, *backends):
-    return Candidates(backends, RunSpeeds(), 0).choose(entry).runs
+    return Candidates(backends, RunSpeeds(), 0).choose(entry, 0).runs
 
 
 def test_the_fullest_of_equal_back_ends_is_taken():
@@ -262,3 +265,15 @@
     jobs.submit(make_job('a' * 16, count=2))
     second = planner.place(make_job('b' * 16, count=2), 0, 2)
     assert second.end_s < 0.11
+
+
+def test_a_back_end_that_falls_silent_after_it_was_rated_gets_nothing():
+    first, second = backend(1), backend(2, cpu=30_000)
+    candidates = Candidates((first, second), RunSpeeds(), 0)
+    second.note_silence(0, renews=False)
+    assert candidates.choose(entry_of(), 0).runs is first
+
+
+@pytest.mark.parametrize(('peers', 'period_ms'), [(5, 20), (7, 21), (38, 114)])
+def test_loads_are_told_less_often_the_more_peers_there_are(peers, period_ms):
+    assert round(load_period_s(peers) * 1000) == period_ms
