A task that ended elsewhere leaves the queue; one that waits for nobody blocked others

A task that its earlier owner may have begun is kept until all back ends have listed their runs; if its run was found and ended meanwhile, it was put into the queue again: started a second time, or, when its job had ended, left there with no job. Such an entry counts as one without room, and all late tasks of its size were passed over from then on. Jobs of VMs without a cell are often late, as their run times are not learned.

Change: only open tasks are put into the queue; one whose job is gone when its turn comes is dropped and counted.

Before: both new tests fail. After: they pass.

--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -106,7 +106,7 @@
             self.ledger,
             speeds,
             self.waiting,
-            self._find,
+            self._find_open,
         )
         self._ends = EndDesk(
             EndTools(
@@ -248,8 +248,8 @@
 
     def needs_of(self, task: TaskKey) -> Resources | None:
         """Returns what a task takes, or ``None`` when it should not run."""
-        live = self._find(task.job_id)
-        if live is None or live.is_task_done(task):
+        live = self._find_open(task)
+        if live is None:
             return None
         self.waiting.discard(task)
         return live.job.steps[task.step].needs
@@ -288,8 +288,7 @@
         self._ends.tick(now)
         if may_renew:
             for live, task in self._old_tasks.take_due(now):
-                if self._find(live.job.job_id) is live:
-                    self._enqueue(live, task)
+                self._enqueue(live, task)
             self._starter.restart_stalled(now)
             self.place(now)
 
@@ -303,6 +302,16 @@
             return transient.live
         return self._table.live_by_id.get(job_id)
 
+    def _find_open(self, task: TaskKey) -> LiveJob | None:
+        """Returns the job of a task that has not ended for good."""
+        transient = self.transient.get(task.job_id)
+        if transient is not None:
+            return transient.live if task in transient.open else None
+        live = self._table.live_by_id.get(task.job_id)
+        if live is None or live.is_task_done(task):
+            return None
+        return live
+
     def _requeue(self, live: LiveJob, run: Run) -> None:
         """Lets a task run again, once nothing unseen can run it.
 
@@ -317,7 +326,8 @@
     def _enqueue(self, live: LiveJob, task: TaskKey) -> None:
         if task in self.ledger.backends_by_task:
             return
-        if live.is_task_done(task) or task in self._ends.being_stored:
+        is_open = self._find_open(task) is live
+        if not is_open or task in self._ends.being_stored:
             return
         if live.due_s is None:
             live.due_s = self._now + goal_s(live.job, self.speeds)
--- a/src/camphorlink/internal/core/process/task_starter.py
+++ b/src/camphorlink/internal/core/process/task_starter.py
@@ -8,6 +8,7 @@
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.job_table import JobTable, LiveJob
 from camphorlink.internal.core.process.run_ledger import RunLedger
+from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.task_placement import (
     Candidates,
 )
@@ -36,15 +37,15 @@
         ledger: RunLedger,
         speeds: RunSpeeds,
         waiting: WaitingTasks,
-        find: Callable[[str], LiveJob | None],
+        find_open: Callable[[TaskKey], LiveJob | None],
     ) -> None:
-        """Takes the cell's parts, and the way to a job by its identifier."""
+        """Takes the cell's parts, and the way to the job of an open task."""
         self._cell = cell
         self._table = table
         self._ledger = ledger
         self._speeds = speeds
         self._waiting = waiting
-        self._find = find
+        self._find_open = find_open
         self._rated_s = -math.inf
         self._candidates = Candidates((), speeds, 0)
 
@@ -72,13 +73,16 @@
         ]
 
     def _start(self, entry: WaitingTask, now: float) -> bool:
-        """Starts a task if there is room for it; tells whether it did."""
+        """Starts a task if there is room; tells whether it waits no more."""
+        live = self._find_open(entry.task)
+        if live is None:
+            # It ended elsewhere while it waited.  Kept as one without room,
+            # it would keep all late tasks of its size from starting.
+            self._ledger.count('dropped_tasks', 'ended-while-waiting')
+            return True
         chosen = self._candidates.choose(entry, now)
         if chosen is None or not self._is_current(chosen.runs):
             return False
-        live = self._find(entry.task.job_id)
-        if live is None:
-            return False
         live.has_begun = True
         run = self._ledger.start(
             chosen.runs,
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -10,6 +10,7 @@
     End,
     Ended,
 )
+from camphorlink.internal.core.request.transient_jobs import GiveTasks
 from order_takers import CellRig, OrderTaker, listed, make_job
 
 
@@ -365,3 +366,33 @@
     rig.submit(make_job())
     rig.run_for(0.2)
     assert len(takers[1].starts) == 1
+
+
+def test_a_found_task_that_ended_is_not_started_again():
+    takers = [
+        OrderTaker(listed('i-0', cpu=16_000), 0.3),
+        OrderTaker(listed('i-1', cpu=16_000), 5.0),
+    ]
+    rig = CellRig(takers)
+    rig.run_for(0.1)
+    job = make_job(count=2, estimate_ms=5000)
+    rig.submit(job)
+    rig.run_for(0.1)
+    rig.take_over('m#2')
+    rig.submit(job, may_have_run=True)
+    rig.run_for(1.5)
+    assert len(rig.done_tasks()) == 1
+    assert len(starts_of(takers)) == 2
+
+
+def test_a_task_of_a_job_that_is_gone_keeps_no_other_waiting():
+    rig, _takers = make_rig()
+    gone = make_job('b' * 16)
+    # Late from the start, as is the other, and before it.
+    rig.cell.waiting.add(TaskKey('b' * 16, 0, 0), gone, rig.now - 2, 0.1)
+    job = make_job()
+    given = GiveTasks('z', job, (TaskKey(job.job_id, 0, 0),), -1.0, False)
+    rig.cell.run_transient(given, 'c#1', rig.now)
+    rig.run_for(0.5)
+    assert len(rig.done_tasks()) == 1
+    assert not rig.cell.waiting
