--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -36,6 +36,7 @@
     OwnerChanged,
     TasksDue,
 )
+from camphorlink.internal.core.process.open_jobs import OpenJobs
 from camphorlink.internal.core.process.predecessor import (
     OldTasks,
     Predecessor,
@@ -84,6 +85,7 @@
         self.term = term
         self.waiting = WaitingTasks()
         self.transient = TransientWork(name)
+        self._jobs = OpenJobs(table, self.transient)
         self.speeds = speeds
         self._now = now
         self._table = table
@@ -106,7 +108,7 @@
             self.ledger,
             speeds,
             self.waiting,
-            self._find_open,
+            self._jobs.find_with,
         )
         self._ends = EndDesk(
             EndTools(
@@ -248,7 +250,7 @@
 
     def needs_of(self, task: TaskKey) -> Resources | None:
         """Returns what a task takes, or ``None`` when it should not run."""
-        live = self._find_open(task)
+        live = self._jobs.find_with(task)
         if live is None:
             return None
         self.waiting.discard(task)
@@ -266,7 +268,7 @@
 
     def take_lost(self, runs: BackendRuns, run: Run) -> None:
         """Takes a run that is over without a listed end."""
-        live = self._find(run.task.job_id)
+        live = self._jobs.find(run.task.job_id)
         if live is not None and run.checkpoint:
             live.checkpoint_by_task[run.task] = run.checkpoint
         if run.wants_retry and live is not None:
@@ -296,22 +298,6 @@
         """Starts waiting tasks where there is room."""
         self._starter.place(now)
 
-    def _find(self, job_id: str) -> LiveJob | None:
-        transient = self.transient.get(job_id)
-        if transient is not None:
-            return transient.live
-        return self._table.live_by_id.get(job_id)
-
-    def _find_open(self, task: TaskKey) -> LiveJob | None:
-        """Returns the job of a task that has not ended for good."""
-        transient = self.transient.get(task.job_id)
-        if transient is not None:
-            return transient.live if task in transient.open else None
-        live = self._table.live_by_id.get(task.job_id)
-        if live is None or live.is_task_done(task):
-            return None
-        return live
-
     def _requeue(self, live: LiveJob, run: Run) -> None:
         """Lets a task run again, once nothing unseen can run it.
 
@@ -326,7 +312,7 @@
     def _enqueue(self, live: LiveJob, task: TaskKey) -> None:
         if task in self.ledger.backends_by_task:
             return
-        is_open = self._find_open(task) is live
+        is_open = self._jobs.find_with(task) is live
         if not is_open or task in self._ends.being_stored:
             return
         if live.due_s is None:
