--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -131,7 +131,7 @@
         for live in table.live_by_id.values():
             for task in live.due_tasks():
                 if live.cell_of(task) == name:
-                    self._old_tasks.add_stored(live, task)
+                    self._old_tasks.add(live, task)
 
     def take_effects(self) -> list[CellEffect]:
         """Returns what is to be done, once."""
@@ -209,7 +209,7 @@
                 if change.is_fresh or self._predecessor.is_over(now):
                     self._enqueue(change.live, task)
                 else:
-                    self._old_tasks.add_stored(change.live, task)
+                    self._old_tasks.add(change.live, task)
 
     @note_change.register
     def _note_stored(self, change: EndsStored, now: float) -> None:
@@ -307,7 +307,7 @@
         if run.is_ordered or self._predecessor.is_over(self._now):
             self._enqueue(live, run.task)
         else:
-            self._old_tasks.add_stored(live, run.task)
+            self._old_tasks.add(live, run.task)
 
     def _enqueue(self, live: LiveJob, task: TaskKey) -> None:
         if task in self.ledger.backends_by_task:
--- a/src/camphorlink/internal/core/process/predecessor.py
+++ b/src/camphorlink/internal/core/process/predecessor.py
@@ -82,7 +82,11 @@
 
 
 class OldTasks:
-    """Tasks that an earlier owner may have started, until that is known."""
+    """Tasks that an earlier owner may have started, until that is known.
+
+    Those that came as new wait for back ends that are silent, for a lease;
+    the others for every lifetime that the log names.
+    """
 
     def __init__(self, predecessor: Predecessor, now: float) -> None:
         """Starts with none."""
@@ -91,8 +95,8 @@
         self._tasks: list[tuple[LiveJob, TaskKey]] = []
         self._new_tasks: list[tuple[LiveJob, TaskKey]] = []
 
-    def add_stored(self, live: LiveJob, task: TaskKey) -> None:
-        """Adds a task of a durable job, which was known from the start."""
+    def add(self, live: LiveJob, task: TaskKey) -> None:
+        """Adds a task that was known before, or whose found run is over."""
         self._tasks.append((live, task))
 
     def keeps(
