--- a/src/camphorlink/bench/capacity.py
+++ b/src/camphorlink/bench/capacity.py
@@ -14,6 +14,7 @@
 import orjson
 
 from camphorlink.bench.capacity_figures import work_out
+from camphorlink.bench.data_files import data_option, read_rows
 
 EXIT_STALE = 1
 
@@ -37,13 +38,7 @@
 
 
 @click.command()
-@click.option(
-    '--data',
-    'data_dir',
-    type=click.Path(path_type=Path),
-    default=Path('docs/data'),
-    show_default=True,
-)
+@data_option
 @click.option(
     '--page',
     type=click.Path(path_type=Path),
@@ -55,8 +50,7 @@
     """Write the capacity page from its template and the slopes."""
     template = (data_dir / 'capacity.md.template').read_text()
     slopes = orjson.loads((data_dir / 'slopes.json').read_bytes())
-    lines = (data_dir / 'control.jsonl').read_bytes().splitlines()
-    control = [orjson.loads(line) for line in lines]
+    control = read_rows(data_dir / 'control.jsonl')
     text = render_page(template, slopes, control)
     if not check:
         page.write_text(text)
--- a/src/camphorlink/bench/plots.py
+++ b/src/camphorlink/bench/plots.py
@@ -9,10 +9,11 @@
 
 import click
 import matplotlib as mpl
-import orjson
 from matplotlib import pyplot as plt
 from matplotlib.axes import Axes
 
+from camphorlink.bench.data_files import data_option, read_rows
+
 WIDTH_IN = 7.0
 HEIGHT_IN = 4.0
 CONTROL_LIMIT_BYTES = 4000
@@ -23,11 +24,6 @@
 mpl.rcParams['svg.fonttype'] = 'none'
 
 
-def read_rows(path: Path) -> list[dict[str, Any]]:
-    """Reads JSON lines."""
-    return [orjson.loads(line) for line in path.read_bytes().splitlines()]
-
-
 def draw_stretch(axes: Axes, rows: list[dict[str, Any]]) -> None:
     """Response time over the ideal, by load and policy."""
     policies = sorted({row['policy'] for row in rows})
@@ -66,13 +62,7 @@
 
 
 @click.command()
-@click.option(
-    '--data',
-    'data_dir',
-    type=click.Path(path_type=Path),
-    default=Path('docs/data'),
-    show_default=True,
-)
+@data_option
 @click.option(
     '--out',
     'out_dir',
--- a/src/camphorlink/bench/slope_protocols.py
+++ b/src/camphorlink/bench/slope_protocols.py
@@ -5,7 +5,7 @@
 
 from camphorlink.bench.claim_trial import ClaimTrial
 from camphorlink.bench.slope_config import Built, manifest_document
-from camphorlink.bench.slope_loads import SEED, CoreDriver
+from camphorlink.bench.slope_loads import DEADLINE_S, SEED, CoreDriver
 from camphorlink.internal.core.connection.slot_messages import (
     DemandReport,
     LimitDemand,
@@ -35,7 +35,6 @@
 CLAIM_S = 5.0
 AUDIT_RECORDS = 2000
 LIMITED_TEAMS = 150
-DEADLINE_S = 1000.0
 STEP_S = 0.001
 PER_THOUSAND = 1000
 
--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -185,10 +185,6 @@
         renewed_s = now + LEASE_S * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
         self.lease_end_s = max(self.lease_end_s, renewed_s)
 
-    def note_found(self, now: float) -> None:
-        """Notes a run of an earlier owner, who may have renewed until now."""
-        self.note_lease_sent(now)
-
     def note_silence(self, sent_s: float, renews: bool) -> None:
         """Notes a call without an answer.
 
--- a/src/camphorlink/internal/core/connection/run_speeds.py
+++ b/src/camphorlink/internal/core/connection/run_speeds.py
@@ -93,12 +93,6 @@
             drift = RELAXATION * (by_kind - own)
             self._speed_by_backend[backend_id] = own + drift
 
-    def forget(self, backend_id: str) -> None:
-        """Forgets a lifetime that is over."""
-        self._speed_by_backend.pop(backend_id, None)
-        self._runs_by_backend.pop(backend_id, None)
-        self._kind_by_backend.pop(backend_id, None)
-
 
 def _learn(
     value_by_key: dict[str, float],
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -298,7 +298,8 @@
         found = Run(entry.task, entry.run, needs, now)
         found.is_ordered = False
         found.turn(RunState.RUNNING, now)
-        runs.note_found(now)
+        # An earlier owner may have renewed its lease until now.
+        runs.note_lease_sent(now)
         is_second = entry.task in self.ledger.backends_by_task
         self.ledger.add(runs, found)
         if is_second:
--- a/src/camphorlink/internal/shell/process/control.py
+++ b/src/camphorlink/internal/shell/process/control.py
@@ -1,8 +1,6 @@
 """All that keeps an entry VM in step with the platform and its peers."""
 
-import contextlib
 import random
-from types import TracebackType
 
 from camphorlink.internal.core.connection.peer_messages import (
     CONFIG_KINDS,
@@ -23,6 +21,7 @@
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.member_watch import MemberWatch
 from camphorlink.internal.shell.process.settings import EntrySettings
+from camphorlink.internal.shell.process.stack_owner import StackOwner
 from camphorlink.internal.shell.version.config_keeper import (
     ConfigKeeper,
     Retention,
@@ -30,7 +29,7 @@
 from camphorlink.internal.shell.version.config_tail import ConfigTail
 
 
-class Control:
+class Control(StackOwner):
     """Membership, configuration and audit of one entry VM."""
 
     def __init__(
@@ -41,6 +40,7 @@
         rng: random.Random,
     ) -> None:
         """Takes a host whose links are open."""
+        super().__init__()
         self._host = host
         self.members = MemberWatch(host, log_client, rng)
         self.audit = Audit(str(host.core.home), log_client, settings.vm)
@@ -57,25 +57,15 @@
             Retention(settings.log_keep_s, settings.snapshot_records),
             rng,
         )
-        self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> 'Control':
-        """Starts all parts."""
+        """Starts all parts, the audit first, so that it stops last."""
         self._host.audit = await self._stack.enter_async_context(self.audit)
         self._stack.enter_context(self.members)
         self._stack.enter_context(BackgroundTask(self.tail.run()))
         self._stack.enter_context(self.keeper)
         return self
 
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stops them, the audit last."""
-        await self._stack.aclose()
-
     def hear(self, peer: Home, message: PeerMessage) -> None:
         """Gives a peer's message to the part that it is for."""
         if isinstance(message, MEMBERSHIP_KINDS):
--- a/src/camphorlink/internal/shell/process/node_operators.py
+++ b/src/camphorlink/internal/shell/process/node_operators.py
@@ -4,7 +4,6 @@
 from http import HTTPStatus
 from typing import Any
 
-import orjson
 from aiohttp import web
 from aioprometheus import Counter, Gauge, Registry, render
 
@@ -14,6 +13,7 @@
 from camphorlink.internal.core.request.task_placement import speed_now
 from camphorlink.internal.shell.process.job_node import JobNode
 from camphorlink.internal.shell.process.steady_clock import now_s
+from camphorlink.internal.shell.request.json_responses import json_response
 
 
 class NodeOperators:
@@ -64,10 +64,7 @@
             'store_age_s': now - self._node.job_log.answered_s,
             'confirmed_age_s': now - self._node.job_log.confirmed_s,
         }
-        return web.Response(
-            body=orjson.dumps(document),
-            content_type='application/json',
-        )
+        return json_response(document)
 
     def _build_registry(self) -> Registry:
         node = self._node
--- a/src/camphorlink/internal/shell/process/operators_api.py
+++ b/src/camphorlink/internal/shell/process/operators_api.py
@@ -9,7 +9,7 @@
 from camphorlink.internal.shell.process.metrics import Metrics
 from camphorlink.internal.shell.process.planned_stop import PlannedStop
 from camphorlink.internal.shell.request.error_answers import build_middleware
-from camphorlink.internal.shell.request.responses import json_response
+from camphorlink.internal.shell.request.json_responses import json_response
 
 
 class OperatorsApi:
--- a/src/camphorlink/internal/shell/request/callers_api.py
+++ b/src/camphorlink/internal/shell/request/callers_api.py
@@ -19,11 +19,11 @@
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.request.error_answers import build_middleware
 from camphorlink.internal.shell.request.job_documents import read_job
+from camphorlink.internal.shell.request.json_responses import json_response
 from camphorlink.internal.shell.request.responses import (
     ID_HEADER,
     answer_response,
     faults_response,
-    json_response,
     problem_response,
 )
 
--- a/src/camphorlink/internal/shell/request/job_desk.py
+++ b/src/camphorlink/internal/shell/request/job_desk.py
@@ -7,14 +7,19 @@
 from typing import NamedTuple
 
 from camphorlink.internal.core.process.job_table import JobState
-from camphorlink.internal.core.request.durable_job import DurableJob
+from camphorlink.internal.core.request.durable_job import (
+    DurableJob,
+    Step,
+    check_job,
+)
 from camphorlink.internal.core.request.job_planner import Admission
 from camphorlink.internal.core.request.job_records import Accepted, Cancelled
 from camphorlink.internal.core.request.task_placement import MS_PER_S
 from camphorlink.internal.core.request.transient_jobs import JobOver, JobRefused
+from camphorlink.internal.shell.ports import Queue
 from camphorlink.internal.shell.process.job_node import JobNode
 from camphorlink.internal.shell.process.logs import PartLog
-from camphorlink.internal.shell.process.steady_clock import now_s
+from camphorlink.internal.shell.process.steady_clock import now_s, wall_ms
 from camphorlink.store_errors import JobNotStoredError
 
 #: Age of the last full read of the log within which "no such job" is said
@@ -83,6 +88,33 @@
 )
 
 
+def build_job(
+    queue: Queue,
+    job_id: str,
+    spec: str,
+    steps: tuple[Step, ...],
+) -> DurableJob:
+    """Builds a job for a queue, as it is accepted now, and checks it.
+
+    Raises:
+        JobError: With every fault found.
+    """
+    return check_job(
+        DurableJob(
+            job_id=job_id,
+            queue=queue.name,
+            service=queue.service,
+            spec=spec,
+            steps=steps,
+            priority=queue.priority,
+            max_attempts=queue.max_attempts,
+            slack_factor=queue.slack_factor,
+            target_ms=queue.target_ms,
+            accepted_ms=wall_ms(),
+        ),
+    )
+
+
 class JobDesk:
     """Submits, reads and cancels durable jobs on one VM."""
 
--- a/src/camphorlink/internal/shell/request/jobs_api.py
+++ b/src/camphorlink/internal/shell/request/jobs_api.py
@@ -12,21 +12,23 @@
     DurableJob,
     Resources,
     Step,
-    check_job,
 )
 from camphorlink.internal.shell.ports import Queue
 from camphorlink.internal.shell.process.job_node import JobNode
-from camphorlink.internal.shell.process.steady_clock import wall_ms
 from camphorlink.internal.shell.request.job_desk import (
     STATUS_BY_VERDICT,
     DeskAnswer,
     JobDesk,
     Verdict,
+    build_job,
+)
+from camphorlink.internal.shell.request.json_responses import (
+    PROBLEM_TYPE,
+    json_response,
 )
 
 #: How long a request waits for the store, in seconds.
 WAIT_S = 5.0
-PROBLEM_TYPE = 'application/problem+json'
 _NEXT_STEP_BY_VERDICT = {
     Verdict.REFUSED: 'submit it again after the given delay: it has not run',
     Verdict.UNKNOWN: 'submit it again under the same identifier',
@@ -93,7 +95,7 @@
     async def count(self, request: web.Request, queue: Queue) -> web.Response:
         """Counts the jobs of a queue of which no task has started."""
         pending = self._node.pending_jobs(queue.name)
-        return _json(HTTPStatus.OK, {'pending': pending})
+        return json_response({'pending': pending})
 
     def _with_queue(
         self,
@@ -153,20 +155,8 @@
             faults.append(Fault(path, repr(entry)[:60], 'an object'))
     if faults:
         raise JobError(faults)
-    return check_job(
-        DurableJob(
-            job_id=job_id,
-            queue=queue.name,
-            service=queue.service,
-            spec=document.get('spec', ''),
-            steps=tuple(map(_read_step, steps)),
-            priority=queue.priority,
-            max_attempts=queue.max_attempts,
-            slack_factor=queue.slack_factor,
-            target_ms=queue.target_ms,
-            accepted_ms=wall_ms(),
-        ),
-    )
+    spec = document.get('spec', '')
+    return build_job(queue, job_id, spec, tuple(map(_read_step, steps)))
 
 
 def _read_step(entry: Mapping[str, Any]) -> Step:
@@ -203,7 +193,7 @@
     status = STATUS_BY_VERDICT[answer.verdict]
     if status == HTTPStatus.OK:
         state = None if answer.state is None else answer.state.value
-        return _json(status, {'state': state})
+        return json_response({'state': state}, status)
     response = _problem(
         status,
         answer.reason or answer.verdict.value,
@@ -225,28 +215,16 @@
 
 
 def _problem(
-    status: int,
+    status: HTTPStatus,
     reason: str,
     next_step: str,
     faults: list[dict[str, Any]] | None = None,
 ) -> web.Response:
     document = {
         'title': reason,
-        'status': int(status),
+        'status': status.value,
         'reason': reason,
         'next_step': next_step,
         'faults': faults or [],
     }
-    return _json(status, document, PROBLEM_TYPE)
-
-
-def _json(
-    status: int,
-    document: Any,
-    content_type: str = 'application/json',
-) -> web.Response:
-    return web.Response(
-        status=status,
-        body=orjson.dumps(document),
-        content_type=content_type,
-    )
+    return json_response(document, status, content_type=PROBLEM_TYPE)
--- a/src/camphorlink/internal/shell/request/responses.py
+++ b/src/camphorlink/internal/shell/request/responses.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 from typing import Any
 
-import orjson
 from aiohttp import web
 
 from camphorlink.errors import Fault
@@ -15,8 +14,11 @@
     not_run,
 )
 from camphorlink.internal.core.request.reasons import Reason, next_step
+from camphorlink.internal.shell.request.json_responses import (
+    PROBLEM_TYPE,
+    json_response,
+)
 
-PROBLEM_TYPE = 'application/problem+json'
 ID_HEADER = 'Submission-Id'
 
 #: Delay of a refusal that names none, in seconds.
@@ -64,20 +66,6 @@
     return HTTPStatus.BAD_GATEWAY
 
 
-def json_response(
-    document: Any,
-    status: HTTPStatus = HTTPStatus.OK,
-    headers: dict[str, str] | None = None,
-) -> web.Response:
-    """Writes a document as JSON."""
-    return web.Response(
-        body=orjson.dumps(document),
-        status=status,
-        headers=headers,
-        content_type='application/json',
-    )
-
-
 def answer_response(submission_id: str, answer: Answer) -> web.Response:
     """Writes the whole answer to a submission."""
     headers = {ID_HEADER: submission_id}
@@ -123,9 +111,12 @@
         **(more or {}),
     }
     delay = _retry_after(answer, status)
-    response = json_response(document, status, {**(headers or {}), **delay})
-    response.content_type = PROBLEM_TYPE
-    return response
+    return json_response(
+        document,
+        status,
+        {**(headers or {}), **delay},
+        PROBLEM_TYPE,
+    )
 
 
 def _retry_after(answer: Answer, status: HTTPStatus) -> dict[str, str]:
--- a/src/camphorlink/platform/ingress.py
+++ b/src/camphorlink/platform/ingress.py
@@ -13,16 +13,16 @@
     DurableJob,
     Resources,
     Step,
-    check_job,
 )
 from camphorlink.internal.shell.ports import JobConfig, Queue
 from camphorlink.internal.shell.process.job_node import JobNode
-from camphorlink.internal.shell.process.steady_clock import wall_ms
 from camphorlink.internal.shell.request.job_desk import (
     STATUS_BY_VERDICT,
     DeskAnswer,
     JobDesk,
+    build_job,
 )
+from camphorlink.internal.shell.request.json_responses import json_response
 
 _DEADLINE_HEADER = 'Camphorlink-Deadline-Ms'
 #: Time that callers wait when they don't say so, in ms.
@@ -87,7 +87,7 @@
         job_id = request.path[len(queue.prefix) :]
         if not job_id and request.method == 'GET':
             pending = self._node.pending_jobs(queue.name)
-            return _json(HTTPStatus.OK, {'pending': pending})
+            return json_response({'pending': pending})
         if _JOB_ID.fullmatch(job_id) is None:
             return _problem(HTTPStatus.BAD_REQUEST, 'bad-identifier')
         if request.method == 'POST':
@@ -162,19 +162,7 @@
     if queue.needs_advice or document.get('repetitions'):
         raise UnsupportedJobError('advice or repetitions')
     steps = tuple(_read_step(entry) for entry in document['steps'])
-    job = DurableJob(
-        job_id=job_id,
-        queue=queue.name,
-        service=queue.service,
-        spec=document['spec'],
-        steps=steps,
-        priority=queue.priority,
-        max_attempts=queue.max_attempts,
-        slack_factor=queue.slack_factor,
-        target_ms=queue.target_ms,
-        accepted_ms=wall_ms(),
-    )
-    return check_job(job)
+    return build_job(queue, job_id, document['spec'], steps)
 
 
 def _read_step(entry: dict[str, Any]) -> Step:
@@ -207,25 +195,17 @@
     status = STATUS_BY_VERDICT[answer.verdict]
     if status == HTTPStatus.OK:
         body = {} if answer.state is None else {'state': answer.state.value}
-        return _json(status, body)
+        return json_response(body, status)
     return _problem(status, answer.reason, answer.retry_after_s)
 
 
 def _problem(
-    status: int,
+    status: HTTPStatus,
     reason: str,
     retry_after_s: float = 0,
     detail: str = '',
 ) -> web.Response:
-    response = _json(status, {'error': reason, 'detail': detail})
+    response = json_response({'error': reason, 'detail': detail}, status)
     if retry_after_s:
         response.headers['Retry-After'] = str(math.ceil(retry_after_s))
     return response
-
-
-def _json(status: int, document: Any) -> web.Response:
-    return web.Response(
-        status=status,
-        body=orjson.dumps(document),
-        content_type='application/json',
-    )
--- a/src/camphorlink/standin/local_site.py
+++ b/src/camphorlink/standin/local_site.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import contextlib
 import time
-from types import TracebackType
 from typing import Any, NamedTuple
 
 from camphorlink.internal.core.version.acceptance import (
@@ -18,6 +16,7 @@
 from camphorlink.internal.shell.connection.log_client import LogClient
 from camphorlink.internal.shell.process.daemon import EntryDaemon
 from camphorlink.internal.shell.process.settings import EntrySettings, Listen
+from camphorlink.internal.shell.process.stack_owner import StackOwner
 from camphorlink.internal.shell.version.config_tail import CONFIG_STREAM
 from camphorlink.standin.backend import BackendServer, BackendSettings
 from camphorlink.standin.log_service import LogService
@@ -47,18 +46,18 @@
     backend_speeds: tuple[float, ...] = SPEEDS
 
 
-class LocalSite:
+class LocalSite(StackOwner):
     """Starts and stops a whole site as one context manager."""
 
     def __init__(self, shape: SiteShape) -> None:
         """Takes the shape; nothing starts before the context does."""
+        super().__init__()
         self.shape = shape
         self.daemons: list[EntryDaemon] = []
         self.backends_by_name: dict[str, BackendServer] = {}
         self.log_service = LogService(KEEP_RECORDS)
         self.log_url = ''
         self._address_by_backend: dict[str, str] = {}
-        self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> 'LocalSite':
         """Starts platform, backend servers and entry VMs, in that order."""
@@ -72,15 +71,6 @@
         await asyncio.wait_for(self._await_ready(), READY_TIMEOUT_S)
         return self
 
-    async def __aexit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stops everything, entry VMs first."""
-        await self._stack.aclose()
-
     def manifest_document(self) -> dict[str, Any]:
         """Writes the manifest of the site's backend servers."""
         return {
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -25,6 +25,12 @@
     return [start for taker in takers for start in taker.starts]
 
 
+def holder_and_other(takers):
+    """Returns the one of two back ends that runs a task, and the other."""
+    first, second = takers
+    return (first, second) if first.active else (second, first)
+
+
 def test_tasks_of_a_transient_job_are_done_and_reported():
     rig, takers = make_rig()
     rig.submit(make_job(count=4))
@@ -69,8 +75,7 @@
     rig, takers = make_rig(run_s=5.0)
     rig.submit(make_job())
     rig.run_for(0.2)
-    holder = next(taker for taker in takers if taker.active)
-    other = next(taker for taker in takers if not taker.active)
+    holder, other = holder_and_other(takers)
     holder.is_silent = True
     rig.run_for(0.6)
     assert not other.starts
@@ -217,7 +222,7 @@
     job = make_job(estimate_ms=700)
     rig.submit(job, coordinator='c#1')
     rig.run_for(0.1)
-    holder = next(taker for taker in takers if taker.active)
+    holder, _ = holder_and_other(takers)
     holder.is_silent = True
     rig.take_over('m#2')
     rig.run_for(0.02)
@@ -252,8 +257,7 @@
     job = make_job(estimate_ms=5000)
     rig.submit(job)
     rig.run_for(0.1)
-    holder = next(taker for taker in takers if taker.active)
-    other = next(taker for taker in takers if not taker.active)
+    holder, other = holder_and_other(takers)
     task = TaskKey(job.job_id, 0, 0)
     other.is_silent = True
     rig.take_over('m#2')
@@ -280,8 +284,7 @@
     job = make_job(estimate_ms=5000)
     rig.submit(job)
     rig.run_for(0.1)
-    holder = next(taker for taker in takers if taker.active)
-    other = next(taker for taker in takers if not taker.active)
+    holder, other = holder_and_other(takers)
     other.is_silent = True
     rig.take_over('m#2')
     rig.submit(job, may_have_run=True)
@@ -306,7 +309,7 @@
     rig, takers = make_rig(run_s=5.0)
     rig.submit(make_job(estimate_ms=5000))
     rig.run_for(0.1)
-    holder = next(taker for taker in takers if taker.active)
+    holder, _ = holder_and_other(takers)
     holder.is_silent = True
     rig.confirmed_s = rig.now
     rig.run_for(3)
@@ -331,7 +334,7 @@
     job = make_job(estimate_ms=900)
     rig.submit(job)
     rig.run_for(0.1)
-    holder = next(taker for taker in takers if taker.active)
+    holder, _ = holder_and_other(takers)
     # Its first hold is lost, a look after that is answered.
     holder.is_silent = True
     rig.take_over('m#2')
