Wait: a placement pass costs time per kind of task, not per waiting task

Cause: each answer of a back end starts a pass over up to 600 waiting tasks, which popped, compared and pushed every one of them again. Change: tasks with the same requirements form a group; one that does not fit ends its group's turn. A service without capacity no longer blocks another. Before and after: a pass over 5,000 waiting tasks without capacity looks at 300 tasks and at 3.

--- a/src/camphorlink/internal/core/request/waiting_tasks.py
+++ b/src/camphorlink/internal/core/request/waiting_tasks.py
@@ -5,7 +5,9 @@
 otherwise a backlog would make every job late, one after the other.
 
 The queue is designed for bursts of short and long jobs from several queues
-that exceed the capacity of the back ends.
+that exceed the capacity of the back ends.  Waiting tasks with the same
+requirements form one group: when one of them does not fit, none does, so that
+a pass costs time per group and per started task, not per waiting task.
 """
 
 import heapq
@@ -20,10 +22,6 @@
     TaskKey,
 )
 
-#: Maximum number of tasks that one pass offers from each heap, the one on time
-#: and the late one.  It bounds the cost of a pass while thousands wait.
-MAX_OFFERED_PER_HEAP = 300
-
 
 class WaitingTask(NamedTuple):
     """A task that may start as soon as a back end has free capacity.
@@ -61,13 +59,67 @@
 TryPlace = Callable[[WaitingTask], bool]
 
 
+class Requirements(NamedTuple):
+    """What a back end must offer to run a task.
+
+    Attributes:
+        service: Service of the back end.
+        needs: Resources that the task uses.
+        label: Label that the back end must have, empty for none.
+        job_step: Job and step of a task that only a limited number of back
+            ends may share; empty for all other tasks.
+    """
+
+    service: str
+    needs: Resources
+    label: str
+    job_step: tuple[str, int] | tuple[()]
+
+    def includes(self, other: 'Requirements') -> bool:
+        """Returns whether a back end for this task could run the other."""
+        return (
+            other.service == self.service
+            and other.label == self.label
+            and not other.job_step
+            and other.needs.fits_in(self.needs)
+        )
+
+
+def requirements_of(entry: WaitingTask) -> Requirements:
+    """Returns the requirements of a waiting task."""
+    step = entry.step
+    job_step = (
+        (entry.task.job_id, entry.task.step) if step.max_per_backend else ()
+    )
+    return Requirements(entry.job.service, step.needs, step.label, job_step)
+
+
+class _Group:
+    """Waiting tasks with the same requirements, by due time."""
+
+    __slots__ = ('late', 'on_time', 'requirements')
+
+    def __init__(self, requirements: Requirements) -> None:
+        self.requirements = requirements
+        self.on_time: list[WaitingTask] = []
+        self.late: list[WaitingTask] = []
+
+    def move_late(self, now: float) -> None:
+        """Moves the first tasks that can no longer be on time."""
+        while self.on_time and not self.on_time[0].can_be_on_time(now):
+            heapq.heappush(self.late, heapq.heappop(self.on_time))
+
+
+#: Returns the heap of a group that a pass takes tasks from.
+_HeapOf = Callable[[_Group], list[WaitingTask]]
+
+
 class WaitingTasks:
     """A queue of tasks by due time, with late tasks after all others."""
 
     def __init__(self) -> None:
         """Creates an empty queue."""
-        self._on_time: list[WaitingTask] = []
-        self._late: list[WaitingTask] = []
+        self._group_by_requirements: dict[Requirements, _Group] = {}
         self._entry_by_task: dict[TaskKey, WaitingTask] = {}
         self._numbers = itertools.count()
 
@@ -102,7 +154,12 @@
             return
         entry = WaitingTask(due_s, next(self._numbers), task, job, work_s)
         self._entry_by_task[task] = entry
-        heapq.heappush(self._on_time, entry)
+        requirements = requirements_of(entry)
+        group = self._group_by_requirements.get(requirements)
+        if group is None:
+            group = _Group(requirements)
+            self._group_by_requirements[requirements] = group
+        heapq.heappush(group.on_time, entry)
 
     def discard(self, task: TaskKey) -> None:
         """Removes a task if it is waiting."""
@@ -111,65 +168,72 @@
     def place(self, try_place: TryPlace, now: float) -> None:
         """Tries to place the tasks in order, and removes the placed ones.
 
-        A task that needs at least as much as one that could not be placed is
-        skipped without a further try.
+        After a task that could not be placed, tasks that need at least as
+        much are skipped without a further try.
 
         Args:
             try_place: Tries to place a task, and returns whether it was
                 placed.
             now: Time in seconds.
         """
-        refused: list[Step] = []
-        kept: list[WaitingTask] = []
-        for entry in self._pop_first(self._on_time):
-            if not entry.can_be_on_time(now):
-                heapq.heappush(self._late, entry)
-            elif not self._offer(entry, try_place, refused):
-                kept.append(entry)
-        kept_late = [
-            late
-            for late in self._pop_first(self._late)
-            if not self._offer(late, try_place, refused)
-        ]
-        self._push_all(self._on_time, kept)
-        self._push_all(self._late, kept_late)
-
-    def _push_all(
+        refused: list[Requirements] = []
+        groups = list(self._group_by_requirements.values())
+        for group in groups:
+            self._drop_discarded(group.on_time)
+            group.move_late(now)
+        self._place_heaps(groups, _on_time_heap, try_place, refused)
+        self._place_heaps(groups, _late_heap, try_place, refused)
+        for group in groups:
+            if not group.on_time and not group.late:
+                self._group_by_requirements.pop(group.requirements)
+
+    def _place_heaps(
         self,
-        heap: list[WaitingTask],
-        kept: list[WaitingTask],
+        groups: list[_Group],
+        heap_of: _HeapOf,
+        try_place: TryPlace,
+        refused: list[Requirements],
     ) -> None:
-        for entry in kept:
-            heapq.heappush(heap, entry)
-
-    def _pop_first(self, heap: list[WaitingTask]) -> Iterator[WaitingTask]:
-        """Pops the first waiting entries of a heap, up to the limit."""
-        offered = 0
-        while heap and offered < MAX_OFFERED_PER_HEAP:
-            entry = heapq.heappop(heap)
-            if self._entry_by_task.get(entry.task) is entry:
-                offered += 1
-                yield entry
-
-    def _offer(
+        """Places the tasks of one heap of each group in a common order."""
+        firsts: list[tuple[WaitingTask, _Group]] = []
+        for group in groups:
+            self._push_first(firsts, group, heap_of)
+        while firsts:
+            entry, first_group = heapq.heappop(firsts)
+            if _cannot_fit(first_group.requirements, refused):
+                continue
+            if not try_place(entry):
+                refused.append(first_group.requirements)
+                continue
+            self._entry_by_task.pop(entry.task, None)
+            heapq.heappop(heap_of(first_group))
+            self._push_first(firsts, first_group, heap_of)
+
+    def _push_first(
         self,
-        entry: WaitingTask,
-        try_place: TryPlace,
-        refused: list[Step],
-    ) -> bool:
-        if _cannot_fit(entry.step, refused):
-            return False
-        if try_place(entry):
-            self._entry_by_task.pop(entry.task)
-            return True
-        refused.append(entry.step)
-        return False
-
-
-def _cannot_fit(step: Step, refused: list[Step]) -> bool:
-    return any(
-        other.needs.fits_in(step.needs)
-        and step.label == other.label
-        and not other.max_per_backend
-        for other in refused
-    )
+        firsts: list[tuple[WaitingTask, _Group]],
+        group: _Group,
+        heap_of: _HeapOf,
+    ) -> None:
+        heap = heap_of(group)
+        self._drop_discarded(heap)
+        if heap:
+            heapq.heappush(firsts, (heap[0], group))
+
+    def _drop_discarded(self, heap: list[WaitingTask]) -> None:
+        while heap and self._entry_by_task.get(heap[0].task) is not heap[0]:
+            heapq.heappop(heap)
+
+
+def _on_time_heap(group: _Group) -> list[WaitingTask]:
+    return group.on_time
+
+
+def _late_heap(group: _Group) -> list[WaitingTask]:
+    return group.late
+
+
+def _cannot_fit(
+    requirements: Requirements, refused: list[Requirements]
+) -> bool:
+    return any(requirements.includes(other) for other in refused)
--- a/tests/core/test_waiting_and_choice.py
+++ b/tests/core/test_waiting_and_choice.py
@@ -29,7 +29,10 @@
     TransientJobEnded,
     TransientJobs,
 )
-from camphorlink.internal.core.request.waiting_tasks import WaitingTasks
+from camphorlink.internal.core.request.waiting_tasks import (
+    WaitingTask,
+    WaitingTasks,
+)
 from simulated_backends import listed, make_job
 
 NEEDS = Resources(14_000)
@@ -295,3 +298,53 @@
     peers, period_ms
 ):
     assert round(load_report_period_s(peers) * 1000) == period_ms
+
+
+def test_a_pass_without_capacity_looks_at_one_task_of_each_kind(monkeypatch):
+    """Replays a backlog of 5,000 tasks in which no back end has capacity.
+
+    A pass follows each answer of a back end.  When it costs time per waiting
+    task, a backlog delays the answers that would reduce it.
+    """
+    looks = []
+    original = WaitingTask.can_be_on_time
+
+    def count_look(entry, now):
+        looks.append(entry)
+        return original(entry, now)
+
+    monkeypatch.setattr(WaitingTask, 'can_be_on_time', count_look)
+    waiting = WaitingTasks()
+    for number in range(5000):
+        cpu = 14_000 + 1000 * (number % 3)
+        job = make_job(f'j{number}', cpu=cpu)
+        waiting.add(TaskKey(job.job_id, 0, 0), job, 5.0 + number, 0.1)
+    assert place_in_order(waiting, 0.0, max_placed=0) == []
+    assert len(looks) <= 3
+    assert len(waiting) == 5000
+
+
+def test_a_service_without_capacity_does_not_block_another_service():
+    waiting = WaitingTasks()
+    for name, service in (('first', 's'), ('second', 't')):
+        job = make_job(name)._replace(service=service)
+        waiting.add(TaskKey(name, 0, 0), job, 1.0, 0.1)
+    placed = []
+
+    def try_place(entry):
+        if entry.job.service == 's':
+            return False
+        placed.append(entry.task.job_id)
+        return True
+
+    waiting.place(try_place, 0.0)
+    assert placed == ['second']
+
+
+def test_tasks_of_two_kinds_start_in_the_order_of_their_due_times():
+    waiting = WaitingTasks()
+    for name, due_s, cpu in (('c', 3.0, 1), ('a', 1.0, 2), ('b', 2.0, 1)):
+        waiting.add(TaskKey(name, 0, 0), make_job(name, cpu=cpu), due_s, 0.1)
+    waiting.discard(TaskKey('b', 0, 0))
+    fill(waiting, [('d', 2.5, 0.1)])
+    assert place_in_order(waiting, 0.0) == ['a', 'd', 'c']
