Cells: a process that was suspended gives its cells up

Change: each command and each placement checks the time since the last one, by the clock that counts suspended time.

--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -22,6 +22,7 @@
 )
 from camphorlink.internal.core.process.job_table import Change
 from camphorlink.internal.core.process.predecessor import is_ownership_confirmed
+from camphorlink.internal.core.process.suspension import SuspensionDetector
 from camphorlink.internal.core.process.transient_job_table import TaskReport
 from camphorlink.internal.core.request.transient_jobs import AssignTasks
 from camphorlink.internal.shell.ports import BackendPort
@@ -51,6 +52,7 @@
         backends: BackendPort,
         on_count: OnCount,
         on_report: Callable[[str, TaskReport], None],
+        on_suspended: Callable[[str], None],
     ) -> None:
         """Creates the host; it runs nothing before the context is entered.
 
@@ -62,8 +64,12 @@
                 count.
             on_report: Called with the name of the cell and the report of
                 each transient task that has ended.
+            on_suspended: Called with the name of the cell when this process
+                was suspended; must leave the context of the host.
         """
         self.cell = cell
+        self._on_suspended = on_suspended
+        self._suspension = SuspensionDetector(now_s())
         self._job_log = job_log
         self._on_count = on_count
         self._on_report = on_report
@@ -77,6 +83,7 @@
     def __enter__(self) -> Self:
         """Starts the periodic checks."""
         self._is_open = True
+        self._suspension = SuspensionDetector(now_s())
         self._ticker = asyncio.get_running_loop().create_task(self._tick())
         self._log.info('cell taken over', extra={'term': self.cell.term})
         return self
@@ -139,17 +146,33 @@
         self._place_tasks()
 
     async def _tick(self) -> None:
-        while True:
+        while self._may_act():
             self.cell.tick(now_s(), self._job_log.confirmed_s)
             self._carry_out_effects()
             await asyncio.sleep(TICK_PERIOD_S)
 
+    def _may_act(self) -> bool:
+        """Returns whether commands may be sent; gives the cell up if not.
+
+        A process that was suspended must not send what it decided before: its
+        coordinators may have given the tasks to other cells meanwhile.
+        """
+        if self._is_open and self._suspension.has_been_suspended(now_s()):
+            self._log.warning('process was suspended; giving up the cell')
+            self._on_count('released_cells', 'process-suspended')
+            self._on_suspended(self.cell.name)
+        return self._is_open
+
     def _place_tasks(self) -> None:
+        if not self._may_act():
+            return
         if is_ownership_confirmed(self._job_log.confirmed_s, now_s()):
             self.cell.place(now_s())
         self._carry_out_effects()
 
     def _carry_out_effects(self) -> None:
+        if not self._may_act():
+            return
         for effect in self.cell.take_effects():
             self._dispatch(effect)
 
--- a/src/camphorlink/internal/shell/process/cell_manager.py
+++ b/src/camphorlink/internal/shell/process/cell_manager.py
@@ -168,6 +168,7 @@
             shared.backends,
             shared.on_count,
             shared.on_report,
+            self._release,
         )
         self.host_by_cell[cell] = host
         host.__enter__()
