Mesh: channels to owners only, in both directions; claims ranked by size

Change: a VM opens channels to the owners of cells; these answer on them. Frames are written directly instead of through one queue and task for each peer. A message counts as a heartbeat. Channels that transmit nothing are closed after 0.9 s of silence, so that pings are gone. A VM that can't reach the store gets the records that it lacks from the owners. Claims are ranked by the size of the VMs that are registered in the store, 0.06 s apart instead of 0.4 s: all VMs wait for records at the end of the log instead of polling it. Unchanged reports of runners are not decoded, and the index of cells is rebuilt on changes only.

--- a/src/camphorlink/internal/core/connection/node_messages.py
+++ b/src/camphorlink/internal/core/connection/node_messages.py
@@ -23,6 +23,8 @@
         is_leaving: Whether it is about to stop.
         waiting_by_cell: For each cell that it owns, the number of jobs with
             waiting tasks, by queue.
+        next_offset: Offset of the next record of the job log that it will
+            apply.  Peers send a VM that can't reach the store what it lacks.
     """
 
     member: str
@@ -32,6 +34,7 @@
     store_age_s: float
     is_leaving: bool
     waiting_by_cell: dict[str, dict[str, int]]
+    next_offset: int = 0
 
 
 class RecordsAppended(NamedTuple):
--- a/src/camphorlink/internal/core/process/cell_ownership.py
+++ b/src/camphorlink/internal/core/process/cell_ownership.py
@@ -1,13 +1,18 @@
 """Decides when a VM claims a cell whose owner has failed.
 
 An owner counts as failed if it is killed, stopped, frozen, or cut off from its
-peers or from the store.  VMs of the cell's own zone claim first, with
-staggered delays.  A claim is safe at any time, since the log and the back ends
-fence the former owner off; an unnecessary one only costs a hand-over.
+peers or from the store.  VMs of the cell's own zone claim first, the largest
+before the others, with staggered delays.  A claim is safe at any time, since
+the log and the back ends fence the former owner off; an unnecessary one only
+costs a hand-over.
+
+A VM knows the state of the owners only.  It ranks itself among all VMs that are
+registered in the store, so that no messages between the others are needed.  A
+rank that belongs to a VM which is gone costs one short delay.
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from camphorlink.internal.core.process.job_table import Owner
@@ -18,17 +23,37 @@
 #: Age of the store's last answer after which a VM may not own a cell, in
 #: seconds: the store is polled every 0.7 s, and an answer may take 0.3 s.
 STORE_TIMEOUT_S = 2.0
-#: Delay of a claim per eligible VM with a lower rank, in seconds.
-CLAIM_STAGGER_S = 0.4
+#: Delay of a claim per VM with a lower rank, in seconds: all VMs read a claim
+#: within about 0.02 s, and two claims at once are harmless.
+CLAIM_STAGGER_S = 0.06
+#: Largest delay of a claim, in seconds, whatever the number of VMs.
+MAX_STAGGER_S = 1.2
 #: Additional delay for VMs of other zones, in seconds: those of the cell's own
 #: zone claim first.
-OTHER_ZONE_DELAY_S = 0.8
+OTHER_ZONE_DELAY_S = 1.5
 #: Delay before a VM of the cell's zone takes the cell back from an owner in
 #: another zone, in seconds: that VM may be about to fail again.
 TAKE_BACK_DELAY_S = 1.0
 #: Time after its start before a VM claims anything, in seconds.  Channels to
 #: peers open within 0.1 s; a claim too early costs a hand-over.
 STARTUP_DELAY_S = 0.25
+#: The same for a cell that never had an owner, in seconds.  All VMs start
+#: together then, and the largest of them should be registered.
+FIRST_CLAIM_DELAY_S = 1.0
+
+
+class ListedMember(NamedTuple):
+    """A VM that is registered in the store.
+
+    Attributes:
+        member: Name of its process.
+        zone: Its availability zone.
+        cores: Its processor capacity, in cores.
+    """
+
+    member: str
+    zone: str
+    cores: float = 1.0
 
 
 class PeerView(NamedTuple):
@@ -70,7 +95,7 @@
             started_s: Time in seconds at which this VM started.
         """
         self.cell = cell
-        self._may_claim_after_s = started_s + STARTUP_DELAY_S
+        self._started_s = started_s
         self._ineligible_since_s: float | None = None
 
     def should_claim(
@@ -79,19 +104,26 @@
         peers: Iterable[PeerView],
         owner: Owner,
         now: float,
+        listed: Collection[ListedMember] = (),
+        own_cores: float = 1.0,
     ) -> bool:
         """Returns whether this VM should claim the cell now.
 
         Args:
             own_view: State of this VM.
-            peers: All other known VMs.
+            peers: The VMs whose state is known.
             owner: Owner according to the part of the log read so far.
             now: Time in seconds.
+            listed: All other registered VMs.
+            own_cores: Processor capacity of this VM, in cores.
         """
+        startup_delay_s = (
+            STARTUP_DELAY_S if owner.member else FIRST_CLAIM_DELAY_S
+        )
         if (
             owner.member == own_view.member
             or not own_view.is_eligible
-            or now < self._may_claim_after_s
+            or now < self._started_s + startup_delay_s
         ):
             self._ineligible_since_s = None
             return False
@@ -107,7 +139,13 @@
             return False
         if self._ineligible_since_s is None:
             self._ineligible_since_s = now
-        delay_s = self._claim_delay_s(own_view, views, eligible_peers)
+        rank = claim_rank(
+            ListedMember(own_view.member, own_view.zone, own_cores),
+            views,
+            listed,
+            owner.member,
+        )
+        delay_s = self._claim_delay_s(own_view, views, rank)
         if eligible_owners:
             delay_s += TAKE_BACK_DELAY_S
         return now - self._ineligible_since_s >= delay_s
@@ -119,27 +157,52 @@
         self,
         own_view: PeerView,
         views: list[PeerView],
-        eligible_peers: list[PeerView],
+        rank: int,
     ) -> float:
         """Returns how long this VM waits before a claim, in seconds."""
-        rank = sum(
-            1
-            for peer in eligible_peers
-            if peer.zone == own_view.zone and peer.member < own_view.member
-        )
+        stagger_s = min(rank * CLAIM_STAGGER_S, MAX_STAGGER_S)
         if own_view.zone == self.cell:
-            return rank * CLAIM_STAGGER_S
-        if any(peer.zone == self.cell for peer in eligible_peers):
+            return stagger_s
+        if any(peer.zone == self.cell and peer.is_eligible for peer in views):
             return math.inf
         # Without messages from any VM of the zone, this VM may be cut off
         # from the zone while its owner still works.
         has_zone_peer = any(peer.zone == self.cell for peer in views)
-        return (
-            OTHER_ZONE_DELAY_S + rank * CLAIM_STAGGER_S
-            if has_zone_peer
-            else math.inf
-        )
+        return OTHER_ZONE_DELAY_S + stagger_s if has_zone_peer else math.inf
 
     def reset_claim_delay(self) -> None:
         """Restarts the claim delay after a claim was sent."""
         self._ineligible_since_s = None
+
+
+def claim_rank(
+    own: ListedMember,
+    views: Iterable[PeerView],
+    listed: Iterable[ListedMember],
+    owner: str,
+) -> int:
+    """Returns the number of VMs of the own zone that should claim first.
+
+    The larger of two VMs is first; a cell's owner handles hundreds of starts a
+    second.
+
+    Args:
+        own: This VM.
+        views: The VMs whose state is known.
+        listed: All other registered VMs.
+        owner: Member that owns the cell, which is to be replaced.
+    """
+    cores_by_member = {
+        entry.member: entry.cores for entry in listed if entry.zone == own.zone
+    }
+    for peer in views:
+        if not peer.is_eligible or peer.zone != own.zone:
+            cores_by_member.pop(peer.member, None)
+        else:
+            cores_by_member.setdefault(peer.member, own.cores)
+    cores_by_member.pop(owner, None)
+    own_order = (-own.cores, own.member)
+    return sum(
+        (-cores, member) < own_order
+        for member, cores in cores_by_member.items()
+    )
--- a/src/camphorlink/internal/core/process/job_table.py
+++ b/src/camphorlink/internal/core/process/job_table.py
@@ -228,6 +228,11 @@
         """Returns the owner of a cell, or ``NO_OWNER``."""
         return self.owner_by_cell.get(cell, NO_OWNER)
 
+    @property
+    def owners(self) -> set[str]:
+        """Members that own a cell."""
+        return {owner.member for owner in self.owner_by_cell.values()}
+
     def forget_before(self, accepted_ms: int) -> None:
         """Removes ended jobs that were accepted before a time in ms."""
         while self.ended_by_id:
--- a/src/camphorlink/internal/shell/connection/backend_client.py
+++ b/src/camphorlink/internal/shell/connection/backend_client.py
@@ -19,6 +19,10 @@
 
 from camphorlink.internal.core.process import messages
 from camphorlink.internal.core.request.reasons import Reason
+from camphorlink.internal.shell.connection.http_owner import (
+    MAX_CONNECTIONS,
+    NumericConnector,
+)
 from camphorlink.internal.shell.connection.task_lookup import (
     TaskReport,
     look_up_task,
@@ -54,7 +58,9 @@
         # Cookies, unused headers and a timeout object for each request are
         # disabled, because their cost would be paid for each task.
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False),
+            connector=NumericConnector(
+                limit=MAX_CONNECTIONS, use_dns_cache=False
+            ),
             timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
             trace_configs=[trace],
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/camphorlink/internal/shell/connection/mesh.py
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -1,22 +1,25 @@
 """One-way messages between entry VMs in CBOR over websockets.
 
-Each VM opens a channel to each known peer and sends heartbeats on it.  No
-message requires a reply.  A lost message is compensated by the next one or by
-a read of the store.
+A channel carries messages in both directions.  A VM opens channels to the VMs
+that own cells; these answer on the channels that others opened.  The number of
+channels thus grows with the number of VMs times that of owners, not with the
+square of the number of VMs.  No message requires a reply.  A lost message is
+compensated by the next one or by a read of the store.
 """
 
 import asyncio
-import collections
-import contextlib
 import itertools
 import math
+from collections.abc import Iterable
 from types import TracebackType
 from typing import NamedTuple, Protocol, Self
 
 import cbor2
-from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection, broadcast
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
+from websockets.protocol import State
 
 from camphorlink.errors import PeerMessageError
 from camphorlink.internal.core.connection.node_message_codec import (
@@ -26,20 +29,11 @@
 from camphorlink.internal.core.connection.node_messages import NodeMessage
 from camphorlink.internal.shell.process.logs import PartLog
 
-#: Largest number of messages queued for a slow peer.  Further messages are
-#: dropped, because peers read the store for what they miss.
-OUTBOX_MESSAGES = 500
+#: Largest number of unsent bytes on a channel.  Further messages are dropped,
+#: because peers read the store for what they miss, and silent channels are
+#: closed by their user.
+MAX_UNSENT_BYTES = 512 * 1024
 MAX_FRAME_BYTES = 4 * 1024 * 1024
-#: Shortest interval of pings on a channel, regardless of the number of peers,
-#: in seconds.
-PING_INTERVAL_S = 1.0
-#: Time without an answer to a ping after which a channel is reopened, in
-#: seconds; detects channels that no longer transmit data.
-PING_TIMEOUT_S = 1.0
-#: Shortest interval of pings per peer, in seconds.  With 29 VMs and the same
-#: interval for all, VMs without a cell received more pings and answers to pings
-#: than other frames.
-PING_INTERVAL_PER_PEER_S = 0.1
 OPEN_TIMEOUT_S = 1.0
 #: Delay before the first attempts to reopen a channel, in seconds: a channel
 #: that was reset is restored at once.
@@ -47,10 +41,9 @@
 #: Delay before later attempts, in seconds; limits the attempts to reach a VM
 #: that is unavailable.
 RETRY_DELAY_S = 0.25
-#: Frames sent within this time before a channel broke, in seconds, are sent
-#: again on the next channel.  They may have been lost, and all messages are
-#: idempotent.
-RESEND_WINDOW_S = 0.3
+#: Time after the loss of a channel with short delays between attempts, in
+#: seconds.
+FAST_RETRY_S = 0.3
 
 
 class Address(NamedTuple):
@@ -67,7 +60,7 @@
         """Handles a message received on the channel with a number."""
 
     def handle_closed_channel(self, channel: int) -> None:
-        """Handles the loss of a channel that a peer had opened."""
+        """Handles the loss of a channel, whoever opened it."""
 
     def handle_refused_connection(self, address: Address) -> None:
         """Handles a refused connection: no process listens at the address."""
@@ -76,8 +69,13 @@
         """Returns the first message that is sent on each channel."""
 
 
+def encode_frame(message: NodeMessage) -> bytes:
+    """Returns the frame that carries a message."""
+    return cbor2.dumps(encode_message(message))
+
+
 class Mesh:
-    """Sends and receives messages on channels to all other entry VMs."""
+    """Sends and receives messages on channels to other entry VMs."""
 
     def __init__(
         self,
@@ -97,12 +95,13 @@
         self._channel_numbers = itertools.count(1)
         self._log = log
         self._server: Server | None = None
-        self._sender_by_address: dict[Address, _Sender] = {}
+        self._opener_by_address: dict[Address, _ChannelOpener] = {}
+        self._connection_by_channel: dict[int, Connection] = {}
 
     async def __aenter__(self) -> Self:
         """Starts to listen for peers."""
         self._server = await serve(
-            self._receive,
+            self._accept,
             self._listen.ip,
             self._listen.port,
             compression=None,
@@ -118,8 +117,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Closes all channels."""
-        for sender in self._sender_by_address.values():
-            sender.close()
+        self.set_peers(set())
         if self._server is not None:
             self._server.close()
 
@@ -130,40 +128,91 @@
             return self._listen.port
         return int(next(iter(self._server.sockets)).getsockname()[1])
 
+    @property
+    def address(self) -> Address:
+        """Address at which the mesh listens."""
+        return Address(self._listen.ip, self.port)
+
     def set_peers(self, addresses: set[Address]) -> None:
         """Opens channels to new peers and closes those to removed peers."""
-        for address in set(self._sender_by_address) - addresses:
-            self._sender_by_address.pop(address).close()
-        scaled_interval_s = PING_INTERVAL_PER_PEER_S * len(addresses)
-        for address in addresses - set(self._sender_by_address):
-            self._sender_by_address[address] = _Sender(
-                address,
-                self._listener,
-                self._log,
-                max(PING_INTERVAL_S, scaled_interval_s),
+        for address in set(self._opener_by_address) - addresses:
+            self._opener_by_address.pop(address).close()
+        for address in addresses - set(self._opener_by_address):
+            self._opener_by_address[address] = _ChannelOpener(
+                address, self, self._listener, self._log
             )
 
-    def broadcast(self, message: NodeMessage) -> None:
-        """Sends a message to all reachable peers."""
-        if not self._sender_by_address:
-            return
-        frame = cbor2.dumps(encode_message(message))
-        for sender in self._sender_by_address.values():
-            sender.put(frame)
-
     def send(self, address: Address, message: NodeMessage) -> bool:
-        """Sends a message to a peer; returns whether the message was queued."""
-        sender = self._sender_by_address.get(address)
-        return sender is not None and sender.put(
-            cbor2.dumps(encode_message(message))
+        """Sends a message on the channel that this VM opened to a peer.
+
+        Returns:
+            Whether the channel is open and took the message.
+        """
+        opener = self._opener_by_address.get(address)
+        return opener is not None and self.send_frame(
+            opener.channel, encode_frame(message)
         )
 
-    async def _receive(self, connection: ServerConnection) -> None:
-        channel = next(self._channel_numbers)
-        with contextlib.suppress(WebSocketException, OSError):
+    def send_frame(self, channel: int, frame: bytes) -> bool:
+        """Sends a frame on a channel; returns whether the channel took it."""
+        return bool(self.broadcast((channel,), frame))
+
+    def broadcast(self, channels: Iterable[int], frame: bytes) -> list[int]:
+        """Sends a frame on several channels.
+
+        Returns:
+            The channels that took it; a channel that is closed or has too
+            many unsent bytes does not.
+        """
+        connection_by_channel = {
+            channel: self._connection_by_channel[channel]
+            for channel in channels
+            if self._can_send(channel)
+        }
+        broadcast(connection_by_channel.values(), frame)
+        return list(connection_by_channel)
+
+    def abort(self, channel: int) -> None:
+        """Closes a channel at once; one that this VM opened is opened again."""
+        connection = self._connection_by_channel.get(channel)
+        if connection is not None:
+            connection.transport.abort()
+
+    async def receive(self, connection: Connection, channel: int) -> None:
+        """Registers a channel and receives its messages until it is closed.
+
+        Args:
+            connection: An open connection.
+            channel: Number of the channel.
+        """
+        self._connection_by_channel[channel] = connection
+        try:
+            self.send_frame(
+                channel, encode_frame(self._listener.build_greeting())
+            )
             while True:
                 self._handle_frame(await connection.recv(decode=False), channel)
-        self._listener.handle_closed_channel(channel)
+        finally:
+            self._connection_by_channel.pop(channel)
+            self._listener.handle_closed_channel(channel)
+
+    def next_channel(self) -> int:
+        """Returns a new channel number."""
+        return next(self._channel_numbers)
+
+    def _can_send(self, channel: int) -> bool:
+        connection = self._connection_by_channel.get(channel)
+        return (
+            connection is not None
+            and connection.state is State.OPEN
+            and connection.transport.get_write_buffer_size() < MAX_UNSENT_BYTES
+        )
+
+    async def _accept(self, connection: ServerConnection) -> None:
+        try:
+            await self.receive(connection, self.next_channel())
+        except (WebSocketException, OSError) as exc:
+            self._log.debug('channel closed', extra={'error': repr(exc)})
 
     def _handle_frame(self, frame: bytes, channel: int) -> None:
         try:
@@ -176,43 +225,30 @@
         self._listener.handle_message(message, channel)
 
 
-class _Sender:
-    """Outgoing channel to one peer, which is reopened after each failure."""
+class _ChannelOpener:
+    """Keeps a channel to one peer open.
+
+    Attributes:
+        channel: Number of the latest channel, 0 before the first.
+    """
 
     def __init__(
         self,
         address: Address,
+        mesh: Mesh,
         listener: MeshListener,
         log: PartLog,
-        ping_interval_s: float,
     ) -> None:
+        self.channel = 0
         self._address = address
-        self._ping_interval_s = ping_interval_s
+        self._mesh = mesh
         self._listener = listener
         self._log = log
-        self._outbox: asyncio.Queue[bytes] = asyncio.Queue(OUTBOX_MESSAGES)
-        self._recent_frames: collections.deque[tuple[float, bytes]] = (
-            collections.deque(maxlen=OUTBOX_MESSAGES)
-        )
         self._is_open = False
-        self._disconnected_s = -math.inf
+        self._lost_s = -math.inf
         self._loop = asyncio.get_running_loop()
         self._task = self._loop.create_task(self._run())
 
-    def put(self, frame: bytes) -> bool:
-        """Queues a frame; drops it if the queue is full or the channel is down.
-
-        Returns:
-            Whether the frame was queued.
-        """
-        is_unavailable = (
-            self._loop.time() - self._disconnected_s > RESEND_WINDOW_S
-        )
-        if (is_unavailable and not self._is_open) or self._outbox.full():
-            return False
-        self._outbox.put_nowait(frame)
-        return True
-
     def close(self) -> None:
         """Closes the channel permanently."""
         self._task.cancel()
@@ -220,53 +256,35 @@
     async def _run(self) -> None:
         while True:
             try:
-                await self._send_all()
+                await self._open()
             except ConnectionRefusedError:
                 self._listener.handle_refused_connection(self._address)
             except (OSError, WebSocketException, TimeoutError) as exc:
                 self._record_failure(exc)
-            is_recent = (
-                self._loop.time() - self._disconnected_s < RESEND_WINDOW_S
-            )
+            is_recent = self._loop.time() - self._lost_s < FAST_RETRY_S
             await asyncio.sleep(
                 FIRST_RETRY_DELAY_S if is_recent else RETRY_DELAY_S
             )
 
-    async def _send_all(self) -> None:
+    async def _open(self) -> None:
         async with connect(
             f'ws://{self._address.ip}:{self._address.port}',
             compression=None,
             proxy=None,
+            max_size=MAX_FRAME_BYTES,
             open_timeout=OPEN_TIMEOUT_S,
             close_timeout=OPEN_TIMEOUT_S,
-            ping_interval=self._ping_interval_s,
-            ping_timeout=PING_TIMEOUT_S,
+            ping_interval=None,
         ) as connection:
-            greeting = self._listener.build_greeting()
-            await connection.send(cbor2.dumps(encode_message(greeting)))
-            await self._resend_recent_frames(connection)
             self._is_open = True
-            while True:
-                frame = await self._outbox.get()
-                self._recent_frames.append((self._loop.time(), frame))
-                await connection.send(frame)
-
-    async def _resend_recent_frames(self, connection: ClientConnection) -> None:
-        """Sends the frames again that the last channel may have lost."""
-        for sent_s, frame in list(self._recent_frames):
-            if self._disconnected_s - sent_s < RESEND_WINDOW_S:
-                await connection.send(frame)
-        self._recent_frames.clear()
+            self.channel = self._mesh.next_channel()
+            await self._mesh.receive(connection, self.channel)
 
     def _record_failure(self, exc: Exception) -> None:
         if self._is_open:
-            self._disconnected_s = self._loop.time()
+            self._lost_s = self._loop.time()
             self._log.info(
                 'lost the channel to a peer',
                 extra={'peer': self._address.ip, 'error': repr(exc)},
             )
-        elif self._loop.time() - self._disconnected_s > RESEND_WINDOW_S:
-            self._recent_frames.clear()
-            while not self._outbox.empty():
-                self._outbox.get_nowait()
         self._is_open = False
--- a/src/camphorlink/internal/shell/process/cell_manager.py
+++ b/src/camphorlink/internal/shell/process/cell_manager.py
@@ -18,6 +18,7 @@
 from camphorlink.internal.shell.process.cell_host import CellHost
 from camphorlink.internal.shell.process.job_log import SNAPSHOT_PERIOD_S, JobLog
 from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.peers import NodeSettings, Peers
 from camphorlink.internal.shell.process.published_state import PublishedState
 from camphorlink.internal.shell.process.steady_clock import now_s
 
@@ -46,17 +47,25 @@
 
     def __init__(
         self,
-        member: str,
-        cells: tuple[str, ...],
+        peers: Peers,
+        settings: NodeSettings,
         shared: CellDependencies,
     ) -> None:
-        """Creates a manager that owns no cell; ``cells`` names all cells."""
+        """Creates a manager that owns no cell.
+
+        Args:
+            peers: The other VMs.
+            settings: Settings of this VM; each zone is a cell.
+            shared: Dependencies of all cells.
+        """
         self.host_by_cell: dict[str, CellHost] = {}
-        self._member = member
+        self._peers = peers
+        self._member = peers.member
+        self._cores = settings.cores
         self._shared = shared
         started_s = now_s()
         self._claims_by_cell = {
-            cell: CellClaimPolicy(cell, started_s) for cell in cells
+            cell: CellClaimPolicy(cell, started_s) for cell in settings.zones
         }
         self._append_by_cell: dict[str, asyncio.Future[int]] = {}
         self._last_snapshot_s = started_s
@@ -103,12 +112,16 @@
         for cell in list(self.host_by_cell):
             self._release(cell)
 
-    def claim_due_cells(
-        self, own_view: PeerView, peers: list[PeerView]
-    ) -> None:
-        """Claims the cells that this VM should own, given the other VMs."""
+    def claim_due_cells(self, own_view: PeerView) -> None:
+        """Claims the cells that this VM should own, given the other VMs.
+
+        Args:
+            own_view: State of this VM.
+        """
         if not self._shared.job_log.is_caught_up:
             return
+        views = self._peers.views
+        listed = self._peers.listed
         for cell, claims in self._claims_by_cell.items():
             if cell in self._append_by_cell:
                 continue
@@ -118,7 +131,7 @@
                 owner.member == self._member and cell not in self.host_by_cell
             )
             if has_lost_host or claims.should_claim(
-                own_view, peers, owner, now_s()
+                own_view, views, owner, now_s(), listed, self._cores
             ):
                 claims.reset_claim_delay()
                 self._claim(cell, owner.term)
--- a/src/camphorlink/internal/shell/process/cell_sender.py
+++ b/src/camphorlink/internal/shell/process/cell_sender.py
@@ -21,7 +21,7 @@
 
 #: Longest time between two messages about an unchanged load, in seconds: less
 #: than the age at which coordinators ignore a load.
-LOAD_REPEAT_PERIOD_S = 0.2
+LOAD_REPEAT_PERIOD_S = 0.4
 
 
 class CellSender:
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -28,9 +28,9 @@
 )
 from camphorlink.internal.shell.process.steady_clock import now_s
 
-#: Age of a cell's load after which the cell gets no more tasks, in seconds:
-#: an unchanged load is sent every 0.2 s.
-MAX_LOAD_AGE_S = 0.45
+#: Age of a cell's load after which the cell gets no more tasks, in seconds: an
+#: owner that is silent for longer is considered lost.
+MAX_LOAD_AGE_S = 0.9
 
 #: Time after the last message of a cell's owner, in seconds, after which it
 #: can run no more tasks for this VM: by then it has detected the loss of this
@@ -112,6 +112,12 @@
         self._load_received_s_by_cell[load.cell, load.service] = now_s()
         self._choice.record_load(load)
 
+    def forget_load(self, cell: str) -> None:
+        """Assigns no new tasks to a cell until its owner reports a load."""
+        for key in list(self._load_received_s_by_cell):
+            if key[0] == cell:
+                self._load_received_s_by_cell.pop(key)
+
     def record_completion(self, task: TaskKey, is_done: bool) -> None:
         """Processes the reported outcome of a task."""
         self._carry_out_all(self._jobs.record_completion(task, is_done))
--- a/src/camphorlink/internal/shell/process/job_log.py
+++ b/src/camphorlink/internal/shell/process/job_log.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import itertools
 from collections.abc import Sequence
 from typing import Protocol, Self
 
@@ -41,9 +42,14 @@
 #: Time to wait for announcements of peers to fill a gap before the store is
 #: read, in seconds.
 GAP_WAIT_S = 0.015
-#: Period of reading the log to its end, which confirms the ownership of cells,
-#: in seconds.
-POLL_PERIOD_S = 0.7
+#: Longest time that a read at the end of the log waits for a record, in seconds.
+#: Each such read confirms the ownership of cells when it returns.
+FOLLOW_WAIT_S = 0.8
+#: Shortest time between two such reads, in seconds; limits the reads of all VMs
+#: while jobs are stored all the time.
+FOLLOW_PAUSE_S = 0.05
+#: Number of applied records that are kept for peers that can't reach the store.
+MAX_RECENT_RECORDS = 2000
 #: Delay before a failed read is retried, in seconds.
 RETRY_DELAY_S = 0.25
 #: Period of snapshots, in seconds: a third of the shortest time for which the
@@ -102,6 +108,9 @@
         self._log = log
         self._listener = listener
         self._batch_by_offset: dict[int, tuple[bytes, ...]] = {}
+        self._recent: collections.deque[bytes] = collections.deque(
+            maxlen=MAX_RECENT_RECORDS
+        )
         self._gap_timer: asyncio.TimerHandle | None = None
         self._read_lock = asyncio.Lock()
         self._part_log = PartLog('job-log')
@@ -140,6 +149,16 @@
             self._batch_by_offset[offset] = tuple(records)
             self._fold_ready()
 
+    def recent_records(self, offset: int) -> tuple[bytes, ...]:
+        """Returns the applied records from an offset on.
+
+        Returns nothing if there are none, or if the first is no longer kept.
+        """
+        first = self.table.next_offset - len(self._recent)
+        if not first <= offset < self.table.next_offset:
+            return ()
+        return tuple(itertools.islice(self._recent, offset - first, None))
+
     def _handle_appended(self, offset: int, records: Sequence[bytes]) -> None:
         self.answered_s = now_s()
         self._listener.announce(offset, records)
@@ -199,6 +218,7 @@
         if table is not None and table.next_offset > self.table.next_offset:
             # Updated in place, because other objects refer to the table.
             self.table.__dict__.update(table.__dict__)
+            self._recent.clear()
             self.counts['recovery'] += 1
             self._part_log.info(
                 'job table restored from a snapshot',
@@ -224,6 +244,7 @@
             self._gap_timer = loop.call_later(GAP_WAIT_S, self._fill_gap)
 
     def _fold(self, body: bytes) -> None:
+        self._recent.append(body)
         try:
             record = decode_record(body)
         except JobRecordError as exc:
@@ -246,16 +267,36 @@
     async def _poll_forever(self) -> None:
         while not await self._restore_from_snapshot():
             await asyncio.sleep(RETRY_DELAY_S)
+        await self.catch_up()
         while True:
-            started_s = now_s()
-            await self.catch_up()
-            self._fill_gap_if_due()
-            spent_s = now_s() - started_s
-            await asyncio.sleep(max(POLL_PERIOD_S - spent_s, GAP_WAIT_S))
+            is_read = await self._follow_end()
+            if not is_read:
+                await self.catch_up()
+            await asyncio.sleep(FOLLOW_PAUSE_S if is_read else RETRY_DELAY_S)
 
-    def _fill_gap_if_due(self) -> None:
-        if self._batch_by_offset and self._gap_timer is None:
-            self._fill_gap()
+    async def _follow_end(self) -> bool:
+        """Waits for new records; returns whether the log was read to its end.
+
+        Other reads go on meanwhile, so that it does not take the lock.
+        """
+        started_s = now_s()
+        offset = self.table.next_offset
+        try:
+            page = await self._log.read(
+                TOPIC, offset, READ_TIMEOUT_S + FOLLOW_WAIT_S, FOLLOW_WAIT_S
+            )
+        except StoreError as exc:
+            self.counts['failed-read'] += 1
+            self._part_log.debug('read failed', extra={'error': str(exc)})
+            return False
+        self.answered_s = now_s()
+        if page.records:
+            self._batch_by_offset[offset] = page.records
+            self._fold_ready()
+        if self.table.next_offset < page.end_offset:
+            return False
+        self.confirmed_s = max(self.confirmed_s, started_s)
+        return True
 
     async def write_snapshot(self, writer: str) -> None:
         """Writes a snapshot of the job table and records it in the log.
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -52,10 +52,6 @@
 #: Period of heartbeats to peers, in seconds: a fraction of the time after which
 #: a silent peer is considered lost.
 HEARTBEAT_PERIOD_S = 0.2
-#: A VM that owns no cell sends one in this many heartbeats to the peers that
-#: own none either.  Only the order in which these VMs claim cells depends on
-#: them, and only after 1 s of silence.
-HEARTBEATS_PER_DISTANT_HEARTBEAT = 3
 #: Time for which a stopping VM still admits jobs, in seconds: the load balancer
 #: checks readiness once a second and needs two checks to notice the stop.
 LAST_ADMISSION_S = 3.0
@@ -111,7 +107,6 @@
         self._zone = settings.zone
         self._log = PartLog('node')
         self._waiting_by_cell: dict[str, dict[str, int]] = {}
-        self._heartbeat_count = 0
         self.completion_waiters = CompletionWaiters()
         speeds = RunSpeeds()
         self._speeds = speeds
@@ -134,8 +129,8 @@
         )
         self.job_log = JobLog(platform.log, self.peers.member, self)
         self.cells = CellManager(
-            self.peers.member,
-            settings.zones,
+            self.peers,
+            settings,
             CellDependencies(
                 self.job_log,
                 self.published,
@@ -152,6 +147,7 @@
             self.coordinator,
             self._waiting_by_cell,
             self._count,
+            self.peers.send,
         )
 
     @property
@@ -258,6 +254,7 @@
         """Processes a change of the job table."""
         self.cells.handle_change(change)
         if isinstance(change, OwnerChanged):
+            self.peers.link_owners(self.table.owners)
             self.coordinator.assign_to_new_owner(change.cell)
         elif isinstance(change, JobEnded):
             self.completion_waiters.wake_waiters(change.live.job.job_id)
@@ -265,13 +262,17 @@
     def handle_reset(self) -> None:
         """Releases all cells, because the job table was replaced."""
         self.cells.release_all()
+        self.peers.link_owners(self.table.owners)
 
     def announce(self, offset: int, records: Sequence[bytes]) -> None:
         """Sends peers the records that this VM has appended."""
         self.peers.broadcast(RecordsAppended(offset, tuple(records)))
 
-    def _update_backends(self) -> None:
-        self.coordinator.update_backends(self.published.listed_by_id.values())
+    def _update_backends(self, is_changed: bool) -> None:
+        if is_changed:
+            self.coordinator.update_backends(
+                self.published.listed_by_id.values()
+            )
         self.cells.update_backends()
 
     def _count(self, family: str, reason: str) -> None:
@@ -300,7 +301,8 @@
                     silent_s,
                     functools.partial(self._is_owner_lost, cell, member),
                 )
-        self.cells.claim_due_cells(self._build_own_view(), self.peers.views)
+                self.coordinator.forget_load(cell)
+        self.cells.claim_due_cells(self._build_own_view())
 
     def _is_owner_lost(self, cell: str, member: str) -> bool:
         return self.table.owner_of(
@@ -316,21 +318,17 @@
         store_age_s = min(
             self._build_own_view().store_age_s, ENDED_JOB_RETENTION_S
         )
-        self._heartbeat_count += 1
-        owners = {owner.member for owner in self.table.owner_by_cell.values()}
-        self.peers.send_heartbeat(
+        self.peers.send_heartbeats(
             store_age_s,
             self.is_leaving,
             waiting_by_cell,
-            None if self.cells.host_by_cell else owners,
-            to_all=self.is_leaving
-            or not self._heartbeat_count % HEARTBEATS_PER_DISTANT_HEARTBEAT,
+            self.table.next_offset,
         )
 
     async def _send_heartbeats_forever(self) -> None:
         while True:
             self._send_heartbeat()
-            self.cells.claim_due_cells(self._build_own_view(), self.peers.views)
+            self.cells.claim_due_cells(self._build_own_view())
             self.cells.write_snapshot_if_due()
             self.table.forget_before(
                 wall_ms() - int(ENDED_JOB_RETENTION_S * 1000)
--- /dev/null
+++ b/src/camphorlink/internal/shell/process/member_directory.py
@@ -0,0 +1,158 @@
+"""Registers this VM in the store and follows the list of all entry VMs."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple, Self
+
+import cbor2
+
+from camphorlink.internal.core.process.cell_ownership import ListedMember
+from camphorlink.internal.shell.connection.mesh import Address, Mesh
+from camphorlink.internal.shell.ports import KeyedRecord, LogPort
+from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.stack_owner import StackOwner
+from camphorlink.store_errors import StoreError
+
+MEMBERS_TOPIC = 'keyed.camphorlink-members'
+#: Longest time that one read of the members waits for a change, in seconds.
+MEMBERS_WAIT_S = 5.0
+#: Pause after a change before the members are read, in seconds.  When all VMs
+#: start together, one read covers many registrations.
+CHANGES_PAUSE_S = 0.2
+STORE_TIMEOUT_S = 1.5
+STORE_RETRY_DELAY_S = 0.3
+#: Timeout of the withdrawal of a stopping VM, in seconds: its grace period is
+#: short.
+WITHDRAW_TIMEOUT_S = 0.4
+
+
+class DirectoryEntry(NamedTuple):
+    """Entry of one VM.
+
+    Attributes:
+        listed: Process, zone and size of the VM.
+        address: Address at which it listens for its peers.
+    """
+
+    listed: ListedMember
+    address: Address
+
+
+EntriesByMember = dict[str, DirectoryEntry]
+
+
+class MemberDirectory(StackOwner):
+    """Addresses of all entry VMs, as registered in the store.
+
+    Attributes:
+        entry_by_member: Entries of the other VMs by name of the process.
+    """
+
+    def __init__(
+        self,
+        vm_name: str,
+        own: ListedMember,
+        mesh: Mesh,
+        store: LogPort,
+        on_change: Callable[[EntriesByMember], None],
+    ) -> None:
+        """Creates an empty directory; it is read once the context is entered.
+
+        Args:
+            vm_name: Name of this VM, under which it registers.
+            own: Process, zone and size of this VM.
+            mesh: Listens for peers at the address that is registered.
+            store: The store.
+            on_change: Called with the entries after each read.
+        """
+        super().__init__()
+        self.entry_by_member: EntriesByMember = {}
+        self._vm_name = vm_name
+        self._own = own
+        self._mesh = mesh
+        self._store = store
+        self._on_change = on_change
+        self._log = PartLog('members')
+
+    async def __aenter__(self) -> Self:
+        """Starts to register and to read the list of members."""
+        follow = asyncio.get_running_loop().create_task(self._follow())
+        self._stack.callback(follow.cancel)
+        return self
+
+    @property
+    def listed(self) -> list[ListedMember]:
+        """Process, zone and size of each other VM."""
+        return [entry.listed for entry in self.entry_by_member.values()]
+
+    async def withdraw(self) -> None:
+        """Removes this VM from the list of members if the store accepts it."""
+        try:
+            await self._store.append(
+                MEMBERS_TOPIC,
+                [self._store.encode_keyed(self._vm_name, b'')],
+                WITHDRAW_TIMEOUT_S,
+            )
+        except StoreError as exc:
+            self._log.info(
+                'could not be removed from the list of members',
+                extra={'error': str(exc)},
+            )
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                await self._register()
+                await self._read_changes()
+            except StoreError as exc:
+                self._log.info(
+                    'registering or reading the members failed',
+                    extra={'error': str(exc)},
+                )
+                await asyncio.sleep(STORE_RETRY_DELAY_S)
+
+    async def _register(self) -> None:
+        member, zone, cores = self._own
+        address = self._mesh.address
+        encoded = cbor2.dumps([member, address.ip, address.port, zone, cores])
+        await self._store.append(
+            MEMBERS_TOPIC,
+            [self._store.encode_keyed(self._vm_name, encoded)],
+            STORE_TIMEOUT_S,
+        )
+
+    async def _read_changes(self) -> None:
+        while True:
+            items, offset = await self._store.read_newest(
+                MEMBERS_TOPIC,
+                STORE_TIMEOUT_S,
+            )
+            entries = [self._decode(entry) for entry in items]
+            self.entry_by_member = {
+                entry.listed.member: entry
+                for entry in entries
+                if entry is not None
+            }
+            self._on_change(self.entry_by_member)
+            page = None
+            while page is None or not page.records:
+                page = await self._store.read(
+                    MEMBERS_TOPIC,
+                    offset,
+                    STORE_TIMEOUT_S + MEMBERS_WAIT_S,
+                    MEMBERS_WAIT_S,
+                )
+            await asyncio.sleep(CHANGES_PAUSE_S)
+
+    def _decode(self, entry: KeyedRecord) -> DirectoryEntry | None:
+        if entry.key == self._vm_name or not entry.content:
+            return None
+        try:
+            member, ip, port, zone, cores = cbor2.loads(entry.content)
+            listed = ListedMember(str(member), str(zone), float(cores))
+        except (cbor2.CBORError, TypeError, ValueError) as exc:
+            self._log.warning(
+                'invalid member entry skipped', extra={'error': repr(exc)}
+            )
+            return None
+        return DirectoryEntry(listed, Address(ip, port))
--- a/src/camphorlink/internal/shell/process/node_message_handler.py
+++ b/src/camphorlink/internal/shell/process/node_message_handler.py
@@ -17,6 +17,10 @@
 from camphorlink.internal.shell.process.coordinator import Coordinator
 from camphorlink.internal.shell.process.job_log import JobLog
 
+#: Age of the store's last answer to a peer, in seconds, from which on the peer
+#: gets the records of the job log that it lacks: it reads the log once a second.
+STORELESS_AGE_S = 1.6
+
 
 class NodeMessageHandler:
     """Calls the matching part of the VM for each message of a peer."""
@@ -28,6 +32,7 @@
         coordinator: Coordinator,
         waiting_by_cell: dict[str, dict[str, int]],
         on_count: Callable[[str, str], None],
+        send: Callable[[str, NodeMessage], None],
     ) -> None:
         """Creates the handler.
 
@@ -39,7 +44,9 @@
                 heartbeats.
             on_count: Called with the family and the reason of an event to
                 count.
+            send: Sends a message to a member.
         """
+        self._send = send
         self._cells = cells
         self._job_log = job_log
         self._coordinator = coordinator
@@ -55,6 +62,15 @@
     @_handle.register
     def _handle_beat(self, message: Beat) -> None:
         self._waiting_by_cell.update(message.waiting_by_cell)
+        if message.store_age_s > STORELESS_AGE_S:
+            self._send_missing_records(message)
+
+    def _send_missing_records(self, beat: Beat) -> None:
+        """Sends a peer that can't reach the store the records that it lacks."""
+        records = self._job_log.recent_records(beat.next_offset)
+        if records:
+            message = RecordsAppended(beat.next_offset, records)
+            self._send(beat.member, message)
 
     @_handle.register
     def _handle_records(self, message: RecordsAppended) -> None:
--- a/src/camphorlink/internal/shell/process/published_state.py
+++ b/src/camphorlink/internal/shell/process/published_state.py
@@ -44,14 +44,15 @@
         self,
         log: LogPort,
         directory: DirectoryPort,
-        on_listing: Callable[[], None],
+        on_listing: Callable[[bool], None],
     ) -> None:
         """Creates an empty state; reading starts in the context.
 
         Args:
             log: The store.
             directory: Decodes the records of the topics.
-            on_listing: Called after each read of the list of back ends.
+            on_listing: Called after each read of the list of back ends;
+                the argument tells whether the list has changed.
         """
         self.config: JobConfig | None = None
         self.listed_by_id: dict[str, ListedBackend] = {}
@@ -59,6 +60,7 @@
         self._directory = directory
         self._on_listing = on_listing
         self._lapsed_s_by_id: dict[str, float] = {}
+        self._is_list_changed = True
         self._part_log = PartLog('published')
         self._answered_s = now_s()
         self._returned_s = now_s()
@@ -145,7 +147,8 @@
                 continue
             self._record_answer(started_s)
             self._drop_lapsed()
-            self._on_listing()
+            self._on_listing(self._is_list_changed)
+            self._is_list_changed = False
             await asyncio.sleep(BACKENDS_PERIOD_S)
 
     async def _read_backends(self, offset: int | None) -> int:
@@ -169,7 +172,9 @@
                 self._mark_lapsed(backend_id)
             else:
                 self._lapsed_s_by_id.pop(backend_id, None)
-                self.listed_by_id[backend_id] = backend
+                if self.listed_by_id.get(backend_id) != backend:
+                    self.listed_by_id[backend_id] = backend
+                    self._is_list_changed = True
         return end
 
     def _mark_lapsed(self, backend_id: str) -> None:
@@ -185,4 +190,5 @@
             return
         for backend_id in self._lapsed_s_by_id:
             self.listed_by_id.pop(backend_id, None)
+            self._is_list_changed = True
         self._lapsed_s_by_id.clear()
--- a/src/camphorlink/platform/directory.py
+++ b/src/camphorlink/platform/directory.py
@@ -5,19 +5,34 @@
 """
 
 import collections
+import re
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import orjson
 
 from camphorlink.internal.core.connection.backend_commands import ListedBackend
 from camphorlink.internal.core.request.durable_job import Resources
-from camphorlink.internal.shell.ports import JobConfig, Queue
+from camphorlink.internal.shell.ports import JobConfig, KeyedRecord, Queue
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.platform.store_client import decode_keyed
 
 CONFIG_KEY = 'config'
 _STATES = frozenset(('ready', 'draining'))
+#: The only fields that change with each report of a runner that has no news.
+_COUNTERS = re.compile(rb'"(?:sequence|clock_ms)":\s*\d+')
+
+
+class _Report(NamedTuple):
+    """A runner's latest report.
+
+    Attributes:
+        content: The report without its counters.
+        backend: The decoded report.
+    """
+
+    content: bytes
+    backend: ListedBackend
 
 
 class Directory:
@@ -35,6 +50,7 @@
     def __init__(self) -> None:
         """Initializes the decoder with zero counts."""
         self.counts: collections.Counter[str] = collections.Counter()
+        self._report_by_id: dict[str, _Report] = {}
         self._log = PartLog('directory')
 
     def decode_config(self, records: Sequence[bytes]) -> JobConfig | None:
@@ -63,12 +79,10 @@
                 continue
             backend_by_id[entry.key] = None
             if not entry.content:
+                self._report_by_id.pop(entry.key, None)
                 continue
             try:
-                backend_by_id[entry.key] = _read_backend(
-                    entry.key,
-                    orjson.loads(entry.content),
-                )
+                backend_by_id[entry.key] = self._read_report(entry)
             except (LookupError, TypeError, ValueError) as exc:
                 self._count_skipped('runner', exc)
                 # An invalid entry of another writer does not remove the
@@ -76,6 +90,19 @@
                 backend_by_id.pop(entry.key)
         return backend_by_id
 
+    def _read_report(self, entry: KeyedRecord) -> ListedBackend:
+        """Decodes a report, or returns the known one if only repeated.
+
+        Every runner repeats its report each second or so.
+        """
+        content = _COUNTERS.sub(b'', entry.content)
+        known = self._report_by_id.get(entry.key)
+        if known is not None and known.content == content:
+            return known.backend
+        backend = _read_backend(entry.key, orjson.loads(entry.content))
+        self._report_by_id[entry.key] = _Report(content, backend)
+        return backend
+
     def _count_skipped(self, entry_kind: str, exc: Exception) -> None:
         self.counts[entry_kind] += 1
         self._log.warning(
--- a/src/camphorlink/platform/settings.py
+++ b/src/camphorlink/platform/settings.py
@@ -65,6 +65,7 @@
                 zone=str(document['zone']),
                 zones=tuple(sorted(document['zones'])),
                 mesh=Address(str(document['ip']), int(ports[0])),
+                cores=_read_cores(document.get('limits', {})),
             ),
             callers=_parse_address(listen['frontend_addr']),
             readiness=_parse_address(listen['readiness_addr']),
@@ -82,6 +83,11 @@
         raise SettingsError([fault]) from exc
 
 
+def _read_cores(limits: dict[str, Any]) -> float:
+    share = float(limits.get('cpu_share', 1))
+    return share * float(limits.get('cores', 1))
+
+
 def _parse_address(text: str) -> Address:
     ip, _, port = text.rpartition(':')
     return Address(ip, int(port))
