Cells: large fleets draw cells at random instead of flooding the best one

Cause: with 97 VMs a cell's report is 0.3 s old on average, in which the others assign about 640 tasks. All choose the fastest free back ends of the same reports, so that one cell gets all of them: replayed by tests/core/test_cell_sampling.py (1,552 of 1,552 tasks to one of five cells). Change: from 40 VMs on, each task's cell is drawn in proportion to the capacity that is expected to be free; a job's tasks are drawn systematically.

--- a/src/camphorlink/internal/core/request/cell_selector.py
+++ b/src/camphorlink/internal/core/request/cell_selector.py
@@ -6,13 +6,19 @@
 cell with the shortest expected queueing time.
 
 The selection is designed for wide jobs, in which each task takes half of a
-small back end, and for bursts of jobs in one zone.
+small back end, and for bursts of jobs in one zone.  In large fleets, cells are
+drawn at random instead; see ``cell_sampling``.
 """
 
 import heapq
 from collections.abc import Callable, Iterable, Iterator
+from random import Random
 from typing import NamedTuple
 
+from camphorlink.internal.core.request.cell_sampling import (
+    CellCapacity,
+    draw_cells,
+)
 from camphorlink.internal.core.request.durable_job import Step
 
 #: Delay of a task that runs in another zone, in seconds: 0.9 ms of network
@@ -21,6 +27,9 @@
 #: Factor on the run time of a task that runs away from its data; the larger of
 #: the stated factors.
 REMOTE_DATA_FACTOR = 2.0
+#: Number of VMs from which on cells are drawn at random: load reports are then
+#: older than 0.12 s, the run time of two short tasks.
+MANY_COORDINATORS = 40
 
 
 class FreeCapacity(NamedTuple):
@@ -98,15 +107,21 @@
 
     It keeps the last reported load of each cell, reduced by the capacity that
     was reserved since the report.
+
+    Attributes:
+        coordinators: Number of VMs that assign tasks to the same cells.
     """
 
-    def __init__(self, home_zone: str) -> None:
+    def __init__(self, home_zone: str, seed: str = '') -> None:
         """Creates a selector without any reported load.
 
         Args:
             home_zone: Zone of this VM.
+            seed: Seed of random choices, which must differ between VMs.
         """
+        self.coordinators = 1
         self._home_zone = home_zone
+        self._random = Random(seed)
         self._load_by_cell: dict[tuple[str, str], CellLoad] = {}
 
     def record_load(self, load: CellLoad) -> None:
@@ -133,6 +148,8 @@
         loads = list(self._loads(group.service, cells))
         if not loads:
             return None
+        if self.coordinators >= MANY_COORDINATORS:
+            return self._draw_plan(group, loads)
         free_capacities = self._free_capacity_heap(group, loads)
         queues = _CellQueues(group, loads, self._remote_overhead_s)
         needs_cpu = group.step.needs.cpu_milli
@@ -145,6 +162,21 @@
             max(end_s for _, end_s in placed),
         )
 
+    def _draw_plan(self, group: TaskGroup, loads: list[CellLoad]) -> CellPlan:
+        drawn = draw_cells(
+            [_capacity_for(group.step, load) for load in loads],
+            group.width,
+            self._random,
+        )
+        return CellPlan(
+            tuple(capacity.cell for capacity in drawn),
+            max(
+                capacity.expected_end_s(group.work_s)
+                + self._remote_overhead_s(capacity.cell)
+                for capacity in drawn
+            ),
+        )
+
     def _free_capacity_heap(
         self, group: TaskGroup, loads: list[CellLoad]
     ) -> '_FreeCapacityHeap':
@@ -221,6 +253,21 @@
         return 0 if cell == self._home_zone else REMOTE_OVERHEAD_S
 
 
+def _capacity_for(step: Step, load: CellLoad) -> CellCapacity:
+    return CellCapacity(
+        load.cell,
+        load.weighted_cpu_milli,
+        load.cpu,
+        sum(
+            capacity.free_cpu_milli
+            for capacity in load.free_capacities
+            if capacity.free_cpu_milli >= step.needs.cpu_milli
+            and (not step.label or step.label in capacity.labels)
+        ),
+        load.wait_s,
+    )
+
+
 class _CellQueues:
     """Expected queueing time of each cell during one planning pass."""
 
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -56,6 +56,7 @@
     def __init__(
         self,
         zone: str,
+        member: str,
         speeds: RunSpeeds,
         send_to_cell: SendToCell,
     ) -> None:
@@ -63,10 +64,11 @@
 
         Args:
             zone: Availability zone of this VM.
+            member: Name of this process.
             speeds: Measured speeds of back ends.
             send_to_cell: Sends a command to the owner of a cell.
         """
-        self._choice = CellSelector(zone)
+        self._choice = CellSelector(zone, member)
         self.planner = JobPlanner(
             self._choice, speeds, self._cells_with_recent_load
         )
@@ -112,6 +114,10 @@
         self._load_received_s_by_cell[load.cell, load.service] = now_s()
         self._choice.record_load(load)
 
+    def set_coordinator_count(self, count: int) -> None:
+        """Sets the number of VMs that assign tasks to the same cells."""
+        self._choice.coordinators = count
+
     def forget_load(self, cell: str) -> None:
         """Assigns no new tasks to a cell until its owner reports a load."""
         for key in list(self._load_received_s_by_cell):
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -124,6 +124,7 @@
         self._cell_sender = CellSender(self.peers)
         self.coordinator = Coordinator(
             settings.zone,
+            self.peers.member,
             speeds,
             self._cell_sender.send_to_cell,
         )
@@ -334,6 +335,7 @@
                 wall_ms() - int(ENDED_JOB_RETENTION_S * 1000)
             )
             self._speeds.relax()
+            self.coordinator.set_coordinator_count(len(self.peers.listed) + 1)
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
     async def _send_loads_forever(self) -> None:
