--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -41,6 +41,7 @@
             owner started is being stopped.
         unclaimed_tasks: Tasks without a known job that had a run listed at the
             start of the term.
+        freed_count: Number of runs that have ended so far.
     """
 
     def __init__(self, term: int, effects: list[CellEffect]) -> None:
@@ -54,6 +55,7 @@
         self.runs_by_backend: dict[str, BackendRuns] = {}
         self.backends_by_task: dict[TaskKey, set[str]] = {}
         self.unclaimed_tasks: set[TaskKey] = set()
+        self.freed_count = 0
         self._effects = effects
         self._run_count = 0
         self._renewal_count = 0
@@ -93,6 +95,7 @@
     def drop(self, runs: BackendRuns, run: Run) -> None:
         """Removes a run that has certainly ended."""
         runs.drop(run.task)
+        self.freed_count += 1
         backends = self.backends_by_task.get(run.task, set())
         backends.discard(runs.listed.backend_id)
         if not backends:
--- a/src/camphorlink/internal/core/process/task_starter.py
+++ b/src/camphorlink/internal/core/process/task_starter.py
@@ -59,13 +59,23 @@
         self._waiting = waiting
         self._find_open = find_open
         self._ranked_s = -math.inf
+        self._placed_changes = (0, 0)
         self._candidates = Candidates((), speeds, 0)
 
     def place(self, now: float) -> None:
-        """Starts waiting tasks on back ends with free capacity."""
-        if not self._waiting:
+        """Starts waiting tasks on back ends with free capacity.
+
+        Nothing can start if no task was added and no run has ended since the
+        last pass, unless the ranking is renewed.
+        """
+        changes = (self._waiting.added_count, self._registry.freed_count)
+        is_ranking_due = now - self._ranked_s > RANKING_VALID_S
+        if not self._waiting or (
+            changes == self._placed_changes and not is_ranking_due
+        ):
             return
-        if now - self._ranked_s > RANKING_VALID_S:
+        self._placed_changes = changes
+        if is_ranking_due:
             self._ranked_s = now
             self._candidates = Candidates(
                 self._usable_backends(now), self._speeds, now
@@ -74,7 +84,7 @@
         def start(entry: WaitingTask) -> bool:  # noqa: WPS430
             return self._try_start(entry, now)
 
-        self._waiting.place(start, now)
+        self._waiting.place(start, now, self._candidates.most_free())
 
     def _usable_backends(self, now: float) -> list[BackendRuns]:
         """Returns the usable back ends whose incarnation the log names.
--- a/src/camphorlink/internal/core/request/task_placement.py
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -19,7 +19,11 @@
 )
 from camphorlink.internal.core.connection.backend_runs import BackendRuns
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
-from camphorlink.internal.core.request.durable_job import DurableJob, Step
+from camphorlink.internal.core.request.durable_job import (
+    DurableJob,
+    Resources,
+    Step,
+)
 from camphorlink.internal.core.request.waiting_tasks import WaitingTask
 
 MS_PER_S = 1000
@@ -101,6 +105,15 @@
         ]
         self._rated = sorted(rated, key=_speed_of, reverse=True)
 
+    def most_free(self) -> Resources:
+        """Returns an upper bound of the free capacity of each back end."""
+        free = [rated.runs.free for rated in self._rated]
+        return Resources(
+            max((entry.cpu_milli for entry in free), default=-1),
+            max((entry.memory_mb for entry in free), default=-1),
+            max((entry.accelerators for entry in free), default=-1),
+        )
+
     def choose(self, entry: WaitingTask, now: float) -> RatedBackend | None:
         """Returns the back end for a task, or ``None`` if it fits on none."""
         rack = entry.step.rack
--- a/src/camphorlink/internal/core/request/waiting_tasks.py
+++ b/src/camphorlink/internal/core/request/waiting_tasks.py
@@ -12,6 +12,7 @@
 
 import heapq
 import itertools
+import sys
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -55,6 +56,9 @@
         return self.step.needs
 
 
+#: Bound of free capacity that excludes no task.
+UNLIMITED = Resources(sys.maxsize, sys.maxsize, sys.maxsize)
+
 #: Tries to place a task, and returns whether it was placed.
 TryPlace = Callable[[WaitingTask], bool]
 
@@ -115,13 +119,18 @@
 
 
 class WaitingTasks:
-    """A queue of tasks by due time, with late tasks after all others."""
+    """A queue of tasks by due time, with late tasks after all others.
+
+    Attributes:
+        added_count: Number of tasks that were added so far.
+    """
 
     def __init__(self) -> None:
         """Creates an empty queue."""
         self._group_by_requirements: dict[Requirements, _Group] = {}
         self._entry_by_task: dict[TaskKey, WaitingTask] = {}
         self._numbers = itertools.count()
+        self.added_count = 0
 
     def __len__(self) -> int:
         """Returns the number of waiting tasks."""
@@ -154,6 +163,7 @@
             return
         entry = WaitingTask(due_s, next(self._numbers), task, job, work_s)
         self._entry_by_task[task] = entry
+        self.added_count += 1
         requirements = requirements_of(entry)
         group = self._group_by_requirements.get(requirements)
         if group is None:
@@ -165,7 +175,12 @@
         """Removes a task if it is waiting."""
         self._entry_by_task.pop(task, None)
 
-    def place(self, try_place: TryPlace, now: float) -> None:
+    def place(
+        self,
+        try_place: TryPlace,
+        now: float,
+        most_free: Resources = UNLIMITED,
+    ) -> None:
         """Tries to place the tasks in order, and removes the placed ones.
 
         After a task that could not be placed, tasks that need at least as
@@ -175,9 +190,14 @@
             try_place: Tries to place a task, and returns whether it was
                 placed.
             now: Time in seconds.
+            most_free: Upper bound of the free capacity of each back end.
         """
         refused: list[Requirements] = []
-        groups = list(self._group_by_requirements.values())
+        groups = [
+            group
+            for group in self._group_by_requirements.values()
+            if group.requirements.needs.fits_in(most_free)
+        ]
         for group in groups:
             self._drop_discarded(group.on_time)
             group.move_late(now)
