--- a/tests/core/test_cell_ownership.py
+++ b/tests/core/test_cell_ownership.py
@@ -4,12 +4,16 @@
 
 from camphorlink.internal.core.process.cell_ownership import (
     CLAIM_STAGGER_S,
+    FIRST_CLAIM_DELAY_S,
+    MAX_STAGGER_S,
     OTHER_ZONE_DELAY_S,
     PEER_TIMEOUT_S,
     STORE_TIMEOUT_S,
     TAKE_BACK_DELAY_S,
     CellClaimPolicy,
+    ListedMember,
     PeerView,
+    claim_rank,
 )
 from camphorlink.internal.core.process.job_table import NO_OWNER, Owner
 
@@ -80,3 +84,44 @@
 def test_a_vm_claims_nothing_during_its_startup_delay():
     policy = CellClaimPolicy('z', 0.0)
     assert not policy.should_claim(view('a'), [], NO_OWNER, 0.1)
+
+
+def test_the_largest_vm_of_the_zone_claims_first():
+    listed = [
+        ListedMember('small', 'z', 0.4),
+        ListedMember('large', 'z', 2.0),
+        ListedMember('elsewhere', 'y', 4.0),
+    ]
+    own = ListedMember('middle', 'z', 1.0)
+    assert claim_rank(own, [], listed, owner='') == 1
+    assert claim_rank(own._replace(cores=2.1), [], listed, owner='') == 0
+
+
+def test_vms_that_are_known_to_be_unfit_do_not_delay_a_claim():
+    listed = [ListedMember('large', 'z', 2.0), ListedMember('o', 'z', 3.0)]
+    own = ListedMember('small', 'z', 0.4)
+    leaving = view('large', is_leaving=True)
+    assert claim_rank(own, [], listed, owner='o') == 1
+    assert claim_rank(own, [leaving], listed, owner='o') == 0
+
+
+def test_a_claim_is_made_within_the_bound_in_a_zone_of_hundreds_of_vms():
+    """All VMs of a zone restart: the list still names processes that ended."""
+    listed = [ListedMember(f'old-{n}', 'z', 2.0) for n in range(300)]
+    policy = CellClaimPolicy('z', 0.0)
+    policy.should_claim(view('a'), [], OWNER, 1.0, listed, 0.4)
+    assert not policy.should_claim(
+        view('a'), [], OWNER, 0.9 + MAX_STAGGER_S, listed, 0.4
+    )
+    assert policy.should_claim(
+        view('a'), [], OWNER, 1.0 + MAX_STAGGER_S, listed, 0.4
+    )
+
+
+def test_the_first_claim_of_all_waits_until_the_others_are_registered():
+    policy = CellClaimPolicy('z', 0.0)
+    before_s = FIRST_CLAIM_DELAY_S - 0.01
+    assert not policy.should_claim(view('a'), [], NO_OWNER, before_s)
+    assert policy.should_claim(view('a'), [], NO_OWNER, FIRST_CLAIM_DELAY_S)
+    restarted = CellClaimPolicy('z', 0.0)
+    assert restarted.should_claim(view('a'), [], OWNER, before_s)
--- a/tests/cover/test_mesh.py
+++ b/tests/cover/test_mesh.py
@@ -6,7 +6,11 @@
     Beat,
     DropTasks,
 )
-from camphorlink.internal.shell.connection.mesh import Address, Mesh
+from camphorlink.internal.shell.connection.mesh import (
+    Address,
+    Mesh,
+    encode_frame,
+)
 from camphorlink.internal.shell.process.logs import PartLog
 
 
@@ -72,3 +76,56 @@
             assert not sender.send(address, DropTasks('z', 'a'))
 
     asyncio.run(scenario())
+
+
+def test_a_vm_answers_on_the_channel_that_its_peer_opened():
+    async def scenario():
+        opener, opener_listener = make_mesh('one')
+        answerer, answerer_listener = make_mesh('two')
+        async with opener, answerer:
+            opener.set_peers({Address('127.0.0.1', answerer.port)})
+            await wait_until(lambda: answerer_listener.messages)
+            frame = encode_frame(DropTasks('z', 'a'))
+            assert answerer.send_frame(1, frame)
+            await wait_until(lambda: len(opener_listener.messages) == 2)
+            greeting, answer = opener_listener.messages
+            assert greeting.member == 'two'
+            assert answer == DropTasks('z', 'a')
+
+    asyncio.run(scenario())
+
+
+def test_a_channel_that_is_aborted_opens_again():
+    async def scenario():
+        opener, _ = make_mesh('one')
+        answerer, listener = make_mesh('two')
+        async with opener, answerer:
+            opener.set_peers({Address('127.0.0.1', answerer.port)})
+            await wait_until(lambda: len(listener.messages) == 1)
+            opener.abort(1)
+            await wait_until(lambda: len(listener.messages) == 2)
+            assert listener.closed == 1
+
+    asyncio.run(scenario())
+
+
+def test_a_frame_that_can_not_be_read_leaves_the_channel_open():
+    async def scenario():
+        opener, _ = make_mesh('one')
+        answerer, listener = make_mesh('two')
+        async with opener, answerer:
+            address = Address('127.0.0.1', answerer.port)
+            opener.set_peers({address})
+            await wait_until(lambda: listener.messages)
+            for frame in (
+                b'',
+                b'\xff\xff',
+                b'\x81\x63abc',
+                b'\x82\x64beat\x01',
+            ):
+                assert opener.send_frame(1, frame)
+            assert opener.send(address, DropTasks('z', 'a'))
+            await wait_until(lambda: len(listener.messages) == 2)
+            assert not listener.closed
+
+    asyncio.run(scenario())
