--- a/src/camphorlink/internal/core/request/task_placement.py
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -11,6 +11,7 @@
 """
 
 import math
+import sys
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -127,16 +128,24 @@
         now: float,
     ) -> RatedBackend | None:
         best: RatedBackend | None = None
+        # Read once: most back ends are full, so that this loop runs for each
+        # back end and task.
+        needs = entry.needs
+        needs_cpu = needs.cpu_milli
+        most_cpu = sys.maxsize
         for rated in self._rated:
             if best is not None and rated.speed < best.speed:
                 break
-            is_tighter_fit = best is None or (
-                rated.runs.free.cpu_milli < best.runs.free.cpu_milli
-            )
-            if not is_tighter_fit or not _has_capacity(entry, rated.runs, rack):
-                continue
-            if rated.runs.is_usable(now):
+            runs = rated.runs
+            if (
+                needs_cpu <= runs.free.cpu_milli < most_cpu
+                and needs.fits_in(runs.free)
+                and (not rack or rack in runs.listed.labels)
+                and _is_allowed(entry, runs)
+                and runs.is_usable(now)
+            ):
                 best = rated
+                most_cpu = runs.free.cpu_milli
         return best
 
 
@@ -144,18 +153,6 @@
     return rated.speed
 
 
-def _has_capacity(entry: WaitingTask, runs: BackendRuns, rack: str) -> bool:
-    cpu, memory, accelerators = entry.needs
-    free = runs.free
-    return (
-        free[0] >= cpu
-        and free[1] >= memory
-        and free[2] >= accelerators
-        and (not rack or rack in runs.listed.labels)
-        and _is_allowed(entry, runs)
-    )
-
-
 def _is_allowed(entry: WaitingTask, runs: BackendRuns) -> bool:
     step: Step = entry.step
     if runs.listed.service != entry.job.service:
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -335,6 +335,7 @@
                 wall_ms() - int(ENDED_JOB_RETENTION_S * 1000)
             )
             self._speeds.relax()
+            self.published.is_owner = bool(self.cells.host_by_cell)
             self.coordinator.set_coordinator_count(len(self.peers.listed) + 1)
             await asyncio.sleep(HEARTBEAT_PERIOD_S)
 
@@ -343,4 +344,8 @@
             for host in self.cells.host_by_cell.values():
                 for load in list_loads(host.cell, now_s()):
                     self._cell_sender.send_load(load)
-            await asyncio.sleep(load_report_period_s(self.peers.known_count))
+            await asyncio.sleep(
+                load_report_period_s(self.peers.known_count)
+                if self.cells.host_by_cell
+                else HEARTBEAT_PERIOD_S
+            )
--- a/src/camphorlink/internal/shell/process/published_state.py
+++ b/src/camphorlink/internal/shell/process/published_state.py
@@ -19,9 +19,11 @@
 #: seconds.  It bounds the time to detect a connection without answers, as the
 #: time limit for applying a new version requires.
 CONFIG_WAIT_S = 0.8
-#: Period of reading the list of back ends, in seconds: half of the time that
-#: the limit for noticing a draining back end leaves.
+#: Period of reading the list of back ends on the owner of a cell, in seconds:
+#: half of the time that the limit for noticing a draining back end leaves.
 BACKENDS_PERIOD_S = 0.5
+#: The same on other VMs, which only need to know what kinds of back ends exist.
+DISTANT_BACKENDS_PERIOD_S = 1.0
 READ_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.2
 #: Time after an outage of the store for which entries that expired are kept,
@@ -38,6 +40,7 @@
     Attributes:
         config: The newest configuration, or ``None`` before the first.
         listed_by_id: The listed back ends by identifier.
+        is_owner: Whether this VM owns a cell.
     """
 
     def __init__(
@@ -56,6 +59,7 @@
         """
         self.config: JobConfig | None = None
         self.listed_by_id: dict[str, ListedBackend] = {}
+        self.is_owner = False
         self._log = log
         self._directory = directory
         self._on_listing = on_listing
@@ -149,7 +153,11 @@
             self._drop_lapsed()
             self._on_listing(self._is_list_changed)
             self._is_list_changed = False
-            await asyncio.sleep(BACKENDS_PERIOD_S)
+            await asyncio.sleep(
+                BACKENDS_PERIOD_S
+                if self.is_owner
+                else DISTANT_BACKENDS_PERIOD_S
+            )
 
     async def _read_backends(self, offset: int | None) -> int:
         topic = self._directory.backends_topic
