--- a/src/camphorlink/internal/shell/process/published_state.py
+++ b/src/camphorlink/internal/shell/process/published_state.py
@@ -26,8 +26,9 @@
 DISTANT_BACKENDS_PERIOD_S = 1.0
 READ_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.2
-#: Time after an outage of the store for which entries that expired are kept,
-#: in seconds: live back ends are listed again within 2 s after the outage.
+#: Time for which entries are kept that expired during an outage of the store,
+#: or that a full read lacks, in seconds: live back ends are listed again within
+#: 2 s after an outage, and after the store has lost its records.
 LAPSED_RETENTION_S = 2.5
 #: Shortest time between two answers of the store that counts as an outage, in
 #: seconds.
@@ -63,7 +64,7 @@
         self._log = log
         self._directory = directory
         self._on_listing = on_listing
-        self._lapsed_s_by_id: dict[str, float] = {}
+        self._drop_s_by_id: dict[str, float] = {}
         self._is_list_changed = True
         self._part_log = PartLog('published')
         self._answered_s = now_s()
@@ -168,25 +169,26 @@
                 for entry in items
             ]
             backend_by_id = self._directory.decode_backends(records)
-            for backend_id in self.listed_by_id:
-                if backend_by_id.get(backend_id) is None:
-                    self._mark_lapsed(backend_id)
+            for backend_id in self.listed_by_id.keys() - backend_by_id.keys():
+                # Nobody removed the entry, so that the store may have lost it.
+                self._mark_lapsed(backend_id, now_s() + LAPSED_RETENTION_S)
         else:
             page = await self._log.read(topic, offset, READ_TIMEOUT_S)
             end = offset + len(page.records)
             backend_by_id = self._directory.decode_backends(page.records)
         for backend_id, backend in backend_by_id.items():
             if backend is None:
-                self._mark_lapsed(backend_id)
+                self._mark_lapsed(backend_id, now_s())
             else:
-                self._lapsed_s_by_id.pop(backend_id, None)
+                self._drop_s_by_id.pop(backend_id, None)
                 if self.listed_by_id.get(backend_id) != backend:
                     self.listed_by_id[backend_id] = backend
                     self._is_list_changed = True
         return end
 
-    def _mark_lapsed(self, backend_id: str) -> None:
-        self._lapsed_s_by_id.setdefault(backend_id, now_s())
+    def _mark_lapsed(self, backend_id: str, drop_s: float) -> None:
+        known_s = self._drop_s_by_id.get(backend_id, drop_s)
+        self._drop_s_by_id[backend_id] = min(known_s, drop_s)
 
     def _record_answer(self, started_s: float) -> None:
         if started_s - self._answered_s > MIN_OUTAGE_S:
@@ -194,9 +196,11 @@
         self._answered_s = now_s()
 
     def _drop_lapsed(self) -> None:
-        if now_s() - self._returned_s < LAPSED_RETENTION_S:
+        now = now_s()
+        if now - self._returned_s < LAPSED_RETENTION_S:
             return
-        for backend_id in self._lapsed_s_by_id:
-            self.listed_by_id.pop(backend_id, None)
-            self._is_list_changed = True
-        self._lapsed_s_by_id.clear()
+        for backend_id, drop_s in list(self._drop_s_by_id.items()):
+            if now >= drop_s:
+                self._drop_s_by_id.pop(backend_id)
+                self.listed_by_id.pop(backend_id, None)
+                self._is_list_changed = True
