Runs: lost stops and lists are sent again after 0.05 s, less and less often

Cause: a start without an answer is stopped before its task starts elsewhere. When that stop or the list before it got no answer either, the next came 0.25 to 0.35 s later, beyond the objective of a short job (0.16 s); with half of all orders unanswered that is every second task. Change: the first repeats come after 0.05 and 0.06 s; stops of one run double their interval up to 0.4 s, so that an overloaded VM sends fewer than before. Replayed by tests/core/test_cell.py, which fails without the change.

--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -65,12 +65,13 @@
         is_started_by_owner: Whether this owner sent the start command, so that
             the start time is known.
         wants_retry: Whether the task returns to the queue when the run ends.
+        stops_sent: Number of stop commands sent for it.
     """
 
     __slots__ = ('checkpoint', 'expected_s', 'has_begun',
                  'is_started_by_owner', 'needs', 'number',
                  'percent', 'percent_s', 'since_s', 'started_s', 'state',
-                 'task', 'wants_retry')  # fmt: skip
+                 'stops_sent', 'task', 'wants_retry')  # fmt: skip
 
     def __init__(
         self,
@@ -92,6 +93,7 @@
         self.has_begun = False
         self.is_started_by_owner = True
         self.wants_retry = True
+        self.stops_sent = 0
         self.checkpoint = ''
 
     def change_state(self, state: RunState, now: float) -> None:
--- a/src/camphorlink/internal/core/process/lease_monitor.py
+++ b/src/camphorlink/internal/core/process/lease_monitor.py
@@ -12,8 +12,14 @@
 from camphorlink.internal.core.process.predecessor import is_ownership_confirmed
 from camphorlink.internal.core.process.run_registry import RunRegistry
 
-#: Time in seconds without an answer after which a stop is sent again.
-STOP_RETRY_S = 0.25
+#: Time in seconds without an answer after which a stop is sent again: answers
+#: take 1 to 3 ms.  It doubles with each stop of a run, up to the longest time,
+#: so that an overloaded back end or VM gets few.
+FIRST_STOP_RETRY_S = 0.05
+LONGEST_STOP_RETRY_S = 0.4
+#: Time in seconds since the last list of runs after which one is requested again
+#: for a run that was started without an answer: that list may be lost, too.
+UNCERTAIN_POLL_S = 0.06
 #: Time without an answer to a start after which the back end's runs are
 #: polled, in seconds: answers take 1 to 3 ms, and the response time objective
 #: of a short job is 150 ms.
@@ -95,9 +101,14 @@
                 run.change_state(RunState.UNCERTAIN, now)
                 self._registry.count('doubted_starts', 'no-answer')
                 has_uncertain_run = True
-            elif run.state is RunState.STOPPING and age_s > STOP_RETRY_S:
-                run.change_state(RunState.STOPPING, now)
-                self._registry.send_stop(runs, run.task, run.number)
+            elif run.state is RunState.UNCERTAIN:
+                has_uncertain_run = (
+                    has_uncertain_run or now - runs.polled_s > UNCERTAIN_POLL_S
+                )
+            elif run.state is RunState.STOPPING and age_s > _stop_retry_s(
+                run.stops_sent
+            ):
+                self._registry.resend_stop(runs, run, now)
         if has_uncertain_run or self._may_have_missed_completion(runs, now):
             self._registry.list_runs(runs, now)
 
@@ -142,3 +153,11 @@
         if not runs.is_confirmation_requested:
             runs.is_confirmation_requested = True
             self._registry.check_ownership()
+
+
+def _stop_retry_s(stops_sent: int) -> float:
+    """Returns the time in seconds after which the next stop is sent."""
+    return min(
+        FIRST_STOP_RETRY_S * 2 ** max(stops_sent - 1, 0),
+        LONGEST_STOP_RETRY_S,
+    )
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -141,7 +141,12 @@
         """Sends a command to stop a run, unless one was sent before."""
         if run.state in {RunState.STOPPING, RunState.STOPPED}:
             return
+        self.resend_stop(runs, run, now)
+
+    def resend_stop(self, runs: BackendRuns, run: Run, now: float) -> None:
+        """Sends a command to stop a run, again if the last got no answer."""
         run.change_state(RunState.STOPPING, now)
+        run.stops_sent += 1
         self.send_stop(runs, run.task, run.number)
 
     def send_stop(self, runs: BackendRuns, task: TaskKey, run: int) -> None:
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -419,3 +419,42 @@
     rig.run_for(0.5)
     assert len(rig.done_tasks()) == 1
     assert not rig.cell.waiting
+
+
+def test_a_task_restarts_soon_after_its_start_and_first_stop_were_lost():
+    """Replays late orders: half of the commands get no answer for a while.
+
+    A short job has an objective of 0.16 s, so that a retry must take less.
+    """
+    rig, backends = make_rig()
+    for backend in backends:
+        backend.loses_starts = True
+        backend.loses_stops = True
+    rig.submit(make_job(count=1))
+    rig.run_for(0.08)
+    assert not starts_of(backends)
+    for backend in backends:
+        backend.loses_starts = False
+        backend.loses_stops = False
+    rig.run_for(0.1)
+    assert len(starts_of(backends)) == 1
+    rig.run_for(0.15)
+    assert len(rig.done_tasks()) == 1
+
+
+def test_stops_of_a_run_are_sent_less_and_less_often():
+    rig, backends = make_rig(run_s=5.0)
+    rig.submit(make_job())
+    rig.run_for(0.1)
+    for backend in backends:
+        backend.loses_stops = True
+    stops = []
+    send_stop = rig.cell.registry.send_stop
+    rig.cell.registry.send_stop = lambda *command: (
+        stops.append(rig.now),
+        send_stop(*command),
+    )
+    rig.cell.drop_transient('a' * 16, rig.now)
+    rig.execute_effects()
+    rig.run_for(2.0)
+    assert 5 <= len(stops) <= 9
