--- a/src/camphorlink/internal/core/process/lease_monitor.py
+++ b/src/camphorlink/internal/core/process/lease_monitor.py
@@ -91,27 +91,29 @@
 
     def _check_runs(self, runs: BackendRuns, now: float) -> None:
         """Polls uncertain or overdue runs and retries unanswered stops."""
-        has_uncertain_run = False
-        for run in runs.run_by_task.values():
-            age_s = now - run.since_s
-            if (
-                run.state is RunState.COMMANDED
-                and age_s > START_ANSWER_TIMEOUT_S
-            ):
-                run.change_state(RunState.UNCERTAIN, now)
-                self._registry.count('doubted_starts', 'no-answer')
-                has_uncertain_run = True
-            elif run.state is RunState.UNCERTAIN:
-                has_uncertain_run = (
-                    has_uncertain_run or now - runs.polled_s > UNCERTAIN_POLL_S
-                )
-            elif run.state is RunState.STOPPING and age_s > _stop_retry_s(
-                run.stops_sent
-            ):
-                self._registry.resend_stop(runs, run, now)
-        if has_uncertain_run or self._may_have_missed_completion(runs, now):
+        # A list, not a generator: each run must be checked.
+        needs_list = [
+            self._check_run(runs, run, now) for run in runs.run_by_task.values()
+        ]
+        if any(needs_list) or self._may_have_missed_completion(runs, now):
             self._registry.list_runs(runs, now)
 
+    def _check_run(self, runs: BackendRuns, run: Run, now: float) -> bool:
+        """Returns whether the back end's runs must be listed for a run."""
+        age_s = now - run.since_s
+        if run.state is RunState.COMMANDED:
+            if age_s <= START_ANSWER_TIMEOUT_S:
+                return False
+            run.change_state(RunState.UNCERTAIN, now)
+            self._registry.count('doubted_starts', 'no-answer')
+            return True
+        if run.state is RunState.UNCERTAIN:
+            return now - runs.polled_s > UNCERTAIN_POLL_S
+        is_stopping = run.state is RunState.STOPPING
+        if is_stopping and age_s > _stop_retry_s(run.stops_sent):
+            self._registry.resend_stop(runs, run, now)
+        return False
+
     def _may_have_missed_completion(
         self, runs: BackendRuns, now: float
     ) -> bool:
