Loops and channels go on after an unexpected error

Cause: one error in a handler ended the task that keeps a channel to an owner open, or the loop that sends heartbeats and claims cells, while the process went on without it.

--- a/src/camphorlink/internal/shell/connection/mesh.py
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -222,7 +222,15 @@
                 'ignored an unreadable frame', extra={'error': repr(exc)}
             )
             return
-        self._listener.handle_message(message, channel)
+        try:
+            self._listener.handle_message(message, channel)
+        except Exception:
+            # A peer's message must not end the channel, or the task that keeps
+            # it open.
+            self._log.exception(
+                'a message could not be handled',
+                extra={'kind': type(message).__name__},
+            )
 
 
 class _ChannelOpener:
--- a/src/camphorlink/internal/shell/process/background.py
+++ b/src/camphorlink/internal/shell/process/background.py
@@ -1,7 +1,9 @@
-"""Runs a coroutine as a task while a context is open."""
+"""Runs a coroutine as a task while a context is open, and periodic actions."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+
+from camphorlink.internal.shell.process.logs import PartLog
 
 
 class BackgroundTask:
@@ -19,3 +21,26 @@
     def __exit__(self, *exc_info: object) -> None:
         """Cancels the task."""
         self._task.cancel()
+
+
+async def repeat(
+    action: Callable[[], None],
+    period_s: Callable[[], float],
+    log: PartLog,
+) -> None:
+    """Runs an action periodically, whatever errors it raises.
+
+    Without this, one unexpected error would end a loop that the process needs,
+    such as its heartbeats, while the rest of the process goes on.
+
+    Args:
+        action: The action.
+        period_s: Returns the pause until the next run, in seconds.
+        log: Log of unexpected errors.
+    """
+    while True:
+        try:
+            action()
+        except Exception:
+            log.exception('periodic action failed; it is run again')
+        await asyncio.sleep(period_s())
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -27,6 +27,7 @@
 from camphorlink.internal.core.request.transient_jobs import AssignTasks
 from camphorlink.internal.shell.ports import BackendPort
 from camphorlink.internal.shell.process.backend_calls import BackendCalls
+from camphorlink.internal.shell.process.background import repeat
 from camphorlink.internal.shell.process.job_log import JobLog
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.steady_clock import now_s
@@ -84,7 +85,9 @@
         """Starts the periodic checks."""
         self._is_open = True
         self._suspension = SuspensionDetector(now_s())
-        self._ticker = asyncio.get_running_loop().create_task(self._tick())
+        self._ticker = asyncio.get_running_loop().create_task(
+            repeat(self._tick, lambda: TICK_PERIOD_S, self._log)
+        )
         self._log.info('cell taken over', extra={'term': self.cell.term})
         return self
 
@@ -145,11 +148,10 @@
         self.cell.drop_coordinator(member, now_s())
         self._place_tasks()
 
-    async def _tick(self) -> None:
-        while self._may_act():
+    def _tick(self) -> None:
+        if self._may_act():
             self.cell.tick(now_s(), self._job_log.confirmed_s)
             self._carry_out_effects()
-            await asyncio.sleep(TICK_PERIOD_S)
 
     def _may_act(self) -> bool:
         """Returns whether commands may be sent; gives the cell up if not.
--- a/src/camphorlink/internal/shell/process/cell_manager.py
+++ b/src/camphorlink/internal/shell/process/cell_manager.py
@@ -7,6 +7,7 @@
 
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.cell import Cell
+from camphorlink.internal.core.process.cell_load import count_waiting_jobs
 from camphorlink.internal.core.process.cell_ownership import (
     CellClaimPolicy,
     PeerView,
@@ -97,6 +98,13 @@
             if owner.member == self._member and cell in self._append_by_cell:
                 self._start_host(cell, owner.term)
 
+    def count_waiting_jobs(self) -> dict[str, dict[str, int]]:
+        """Returns the number of waiting jobs by queue, for each owned cell."""
+        return {
+            cell: count_waiting_jobs(host.cell)
+            for cell, host in self.host_by_cell.items()
+        }
+
     def update_backends(self) -> None:
         """Passes a new list of back ends to all hosts."""
         for host in self.host_by_cell.values():
--- a/src/camphorlink/internal/shell/process/cell_sender.py
+++ b/src/camphorlink/internal/shell/process/cell_sender.py
@@ -7,6 +7,10 @@
     RunTasks,
     TaskEnded,
 )
+from camphorlink.internal.core.process.cell_load import (
+    list_loads,
+    load_report_period_s,
+)
 from camphorlink.internal.core.process.transient_job_table import TaskReport
 from camphorlink.internal.core.request.cell_selector import CellLoad
 from camphorlink.internal.core.request.transient_jobs import (
@@ -22,6 +26,9 @@
 #: Longest time between two messages about an unchanged load, in seconds: less
 #: than the age at which coordinators ignore a load.
 LOAD_REPEAT_PERIOD_S = 0.4
+#: Period of the checks of a VM that owns no cell, in seconds: how soon its first
+#: load report follows a takeover.
+IDLE_LOAD_PERIOD_S = 0.2
 
 
 class CellSender:
@@ -65,6 +72,18 @@
             ended = TaskEnded(report.task, report.is_done)
             self._peers.send(report.coordinator, ended)
 
+    def load_period_s(self) -> float:
+        """Returns the time until the next reports of loads, in seconds."""
+        if self._cells.host_by_cell:
+            return load_report_period_s(self._peers.known_count)
+        return IDLE_LOAD_PERIOD_S
+
+    def send_loads(self) -> None:
+        """Sends the loads of all cells of this VM to all coordinators."""
+        for host in self._cells.host_by_cell.values():
+            for load in list_loads(host.cell, now_s()):
+                self.send_load(load)
+
     def send_load(self, load: CellLoad) -> None:
         """Sends a cell's load to all coordinators.
 
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -11,11 +11,6 @@
     RecordsAppended,
 )
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
-from camphorlink.internal.core.process.cell_load import (
-    count_waiting_jobs,
-    list_loads,
-    load_report_period_s,
-)
 from camphorlink.internal.core.process.cell_ownership import PeerView
 from camphorlink.internal.core.process.job_table import (
     Change,
@@ -30,6 +25,7 @@
     DirectoryPort,
     LogPort,
 )
+from camphorlink.internal.shell.process.background import repeat
 from camphorlink.internal.shell.process.cell_manager import (
     CellDependencies,
     CellManager,
@@ -172,8 +168,12 @@
         self._stack.enter_context(self.cells)
         loop = asyncio.get_running_loop()
         for coroutine in (
-            self._send_heartbeats_forever(),
-            self._send_loads_forever(),
+            repeat(self._run_periodic, _heartbeat_period_s, self._log),
+            repeat(
+                self._cell_sender.send_loads,
+                self._cell_sender.load_period_s,
+                self._log,
+            ),
         ):
             task = loop.create_task(coroutine)
             self._stack.callback(task.cancel)
@@ -311,10 +311,7 @@
         ).member == member and not self.peers.is_known(member)
 
     def _send_heartbeat(self) -> None:
-        waiting_by_cell = {
-            cell: count_waiting_jobs(host.cell)
-            for cell, host in self.cells.host_by_cell.items()
-        }
+        waiting_by_cell = self.cells.count_waiting_jobs()
         self._waiting_by_cell.update(waiting_by_cell)
         store_age_s = min(
             self._build_own_view().store_age_s, ENDED_JOB_RETENTION_S
@@ -326,26 +323,16 @@
             self.table.next_offset,
         )
 
-    async def _send_heartbeats_forever(self) -> None:
-        while True:
-            self._send_heartbeat()
-            self.cells.claim_due_cells(self._build_own_view())
-            self.cells.write_snapshot_if_due()
-            self.table.forget_before(
-                wall_ms() - int(ENDED_JOB_RETENTION_S * 1000)
-            )
-            self._speeds.relax()
-            self.published.is_owner = bool(self.cells.host_by_cell)
-            self.coordinator.set_coordinator_count(len(self.peers.listed) + 1)
-            await asyncio.sleep(HEARTBEAT_PERIOD_S)
-
-    async def _send_loads_forever(self) -> None:
-        while True:
-            for host in self.cells.host_by_cell.values():
-                for load in list_loads(host.cell, now_s()):
-                    self._cell_sender.send_load(load)
-            await asyncio.sleep(
-                load_report_period_s(self.peers.known_count)
-                if self.cells.host_by_cell
-                else HEARTBEAT_PERIOD_S
-            )
+    def _run_periodic(self) -> None:
+        """Sends heartbeats, claims cells and removes what has expired."""
+        self._send_heartbeat()
+        self.cells.claim_due_cells(self._build_own_view())
+        self.cells.write_snapshot_if_due()
+        self.table.forget_before(wall_ms() - int(ENDED_JOB_RETENTION_S * 1000))
+        self._speeds.relax()
+        self.published.is_owner = bool(self.cells.host_by_cell)
+        self.coordinator.set_coordinator_count(len(self.peers.listed) + 1)
+
+
+def _heartbeat_period_s() -> float:
+    return HEARTBEAT_PERIOD_S
--- a/tests/cover/test_mesh.py
+++ b/tests/cover/test_mesh.py
@@ -129,3 +129,25 @@
             assert not listener.closed
 
     asyncio.run(scenario())
+
+
+def test_a_message_that_can_not_be_handled_leaves_the_channel_open():
+    async def scenario():
+        opener, opener_listener = make_mesh('one')
+        answerer, listener = make_mesh('two')
+        handled = []
+
+        def fail_once(message, channel):
+            handled.append(message)
+            if len(handled) == 1:
+                raise TypeError('a field has a wrong type')
+
+        opener_listener.handle_message = fail_once
+        async with opener, answerer:
+            opener.set_peers({Address('127.0.0.1', answerer.port)})
+            await wait_until(lambda: handled)
+            assert answerer.send_frame(1, encode_frame(DropTasks('z', 'a')))
+            await wait_until(lambda: len(handled) == 2)
+            assert not listener.closed
+
+    asyncio.run(scenario())
