One copy of what the sparse mesh wrote twice

The two readers of the job log apply a page and count a failed read by the same methods. The queue numbers tasks by the count that it keeps anyway. A claim looks for its eligible owner directly; the comment on its time-out names the read that waits. Tests of the mesh share one linked pair, and tests on the event loop one wait; no assertion or time-out changed.

--- a/src/camphorlink/internal/core/process/cell_ownership.py
+++ b/src/camphorlink/internal/core/process/cell_ownership.py
@@ -21,7 +21,8 @@
 #: several heartbeats and a pause of a slow VM.
 PEER_TIMEOUT_S = 1.0
 #: Age of the store's last answer after which a VM may not own a cell, in
-#: seconds: the store is polled every 0.7 s, and an answer may take 0.3 s.
+#: seconds: a read that waits for records returns after 0.8 s, and may take 0.3 s
+#: more.
 STORE_TIMEOUT_S = 2.0
 #: Delay of a claim per VM with a lower rank, in seconds: all VMs read a claim
 #: within about 0.02 s, and two claims at once are harmless.
@@ -128,9 +129,10 @@
             self._ineligible_since_s = None
             return False
         views = list(peers)
-        eligible_peers = [peer for peer in views if peer.is_eligible]
         eligible_owners = [
-            peer for peer in eligible_peers if peer.member == owner.member
+            peer
+            for peer in views
+            if peer.member == owner.member and peer.is_eligible
         ]
         if eligible_owners and not self._is_preferred(
             own_view, eligible_owners[0]
--- a/src/camphorlink/internal/core/request/waiting_tasks.py
+++ b/src/camphorlink/internal/core/request/waiting_tasks.py
@@ -11,7 +11,6 @@
 """
 
 import heapq
-import itertools
 import sys
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
@@ -129,7 +128,6 @@
         """Creates an empty queue."""
         self._group_by_requirements: dict[Requirements, _Group] = {}
         self._entry_by_task: dict[TaskKey, WaitingTask] = {}
-        self._numbers = itertools.count()
         self.added_count = 0
 
     def __len__(self) -> int:
@@ -161,9 +159,9 @@
         """
         if task in self._entry_by_task:
             return
-        entry = WaitingTask(due_s, next(self._numbers), task, job, work_s)
-        self._entry_by_task[task] = entry
         self.added_count += 1
+        entry = WaitingTask(due_s, self.added_count, task, job, work_s)
+        self._entry_by_task[task] = entry
         requirements = requirements_of(entry)
         group = self._group_by_requirements.get(requirements)
         if group is None:
--- a/src/camphorlink/internal/shell/process/job_log.py
+++ b/src/camphorlink/internal/shell/process/job_log.py
@@ -21,7 +21,7 @@
     encode_record,
 )
 from camphorlink.internal.core.request.job_records import Record, SnapshotTaken
-from camphorlink.internal.shell.ports import LogPort
+from camphorlink.internal.shell.ports import LogPage, LogPort
 from camphorlink.internal.shell.process.job_appender import JobAppender
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.stack_owner import StackOwner
@@ -177,8 +177,7 @@
                 await self._restore_from_snapshot()
                 return False
             except StoreError as exc:
-                self.counts['failed-read'] += 1
-                self._part_log.debug('read failed', extra={'error': str(exc)})
+                self._count_failed_read(exc)
                 return False
             self.confirmed_s = started_s
             return True
@@ -187,13 +186,21 @@
         while True:
             offset = self.table.next_offset
             page = await self._log.read(TOPIC, offset, READ_TIMEOUT_S)
-            self.answered_s = now_s()
-            if page.records:
-                self._batch_by_offset[offset] = page.records
-                self._fold_ready()
-            if self.table.next_offset >= page.end_offset:
+            if self._apply_page(offset, page):
                 return
 
+    def _apply_page(self, offset: int, page: LogPage) -> bool:
+        """Applies the records read; returns whether the log has no more."""
+        self.answered_s = now_s()
+        if page.records:
+            self._batch_by_offset[offset] = page.records
+            self._fold_ready()
+        return self.table.next_offset >= page.end_offset
+
+    def _count_failed_read(self, exc: StoreError) -> None:
+        self.counts['failed-read'] += 1
+        self._part_log.debug('read failed', extra={'error': str(exc)})
+
     async def _restore_from_snapshot(self) -> bool:
         """Loads the newest snapshot if it is ahead of the job table.
 
@@ -286,14 +293,9 @@
                 TOPIC, offset, READ_TIMEOUT_S + FOLLOW_WAIT_S, FOLLOW_WAIT_S
             )
         except StoreError as exc:
-            self.counts['failed-read'] += 1
-            self._part_log.debug('read failed', extra={'error': str(exc)})
+            self._count_failed_read(exc)
             return False
-        self.answered_s = now_s()
-        if page.records:
-            self._batch_by_offset[offset] = page.records
-            self._fold_ready()
-        if self.table.next_offset < page.end_offset:
+        if not self._apply_page(offset, page):
             return False
         self.confirmed_s = max(self.confirmed_s, started_s)
         return True
--- a/src/camphorlink/internal/shell/process/member_directory.py
+++ b/src/camphorlink/internal/shell/process/member_directory.py
@@ -45,7 +45,7 @@
     """Addresses of all entry VMs, as registered in the store.
 
     Attributes:
-        entry_by_member: Entries of the other VMs by name of the process.
+        listed: Process, zone and size of each other VM.
     """
 
     def __init__(
@@ -66,7 +66,7 @@
             on_change: Called with the entries after each read.
         """
         super().__init__()
-        self.entry_by_member: EntriesByMember = {}
+        self.listed: list[ListedMember] = []
         self._vm_name = vm_name
         self._own = own
         self._mesh = mesh
@@ -80,11 +80,6 @@
         self._stack.callback(follow.cancel)
         return self
 
-    @property
-    def listed(self) -> list[ListedMember]:
-        """Process, zone and size of each other VM."""
-        return [entry.listed for entry in self.entry_by_member.values()]
-
     async def withdraw(self) -> None:
         """Removes this VM from the list of members if the store accepts it."""
         try:
@@ -127,13 +122,9 @@
                 MEMBERS_TOPIC,
                 STORE_TIMEOUT_S,
             )
-            entries = [self._decode(entry) for entry in items]
-            self.entry_by_member = {
-                entry.listed.member: entry
-                for entry in entries
-                if entry is not None
-            }
-            self._on_change(self.entry_by_member)
+            entries = list(filter(None, map(self._decode, items)))
+            self.listed = [entry.listed for entry in entries]
+            self._on_change({entry.listed.member: entry for entry in entries})
             page = None
             while page is None or not page.records:
                 page = await self._store.read(
--- a/tests/cover/test_job_log.py
+++ b/tests/cover/test_job_log.py
@@ -7,6 +7,7 @@
 from camphorlink.internal.shell.ports import LogPage
 from camphorlink.internal.shell.process import job_log
 from camphorlink.store_errors import StoreUnansweredError
+from processes import wait_until_async
 
 
 class Store:
@@ -51,11 +52,7 @@
 
 
 async def wait_until(condition):
-    async def poll():
-        while not condition():
-            await asyncio.sleep(0.005)
-
-    await asyncio.wait_for(poll(), 5)
+    await wait_until_async(condition, 5)
 
 
 def follow(scenario):
--- a/tests/cover/test_mesh.py
+++ b/tests/cover/test_mesh.py
@@ -1,6 +1,7 @@
 """Tests of the channels between entry VMs."""
 
 import asyncio
+import contextlib
 
 from camphorlink.internal.core.connection.node_messages import (
     Beat,
@@ -12,6 +13,7 @@
     encode_frame,
 )
 from camphorlink.internal.shell.process.logs import PartLog
+from processes import wait_until_async
 
 
 class Listener:
@@ -39,12 +41,18 @@
     return Mesh(Address('127.0.0.1', 0), listener, PartLog('mesh')), listener
 
 
-async def wait_until(condition):
-    async def poll():
-        while not condition():
-            await asyncio.sleep(0.01)
+@contextlib.asynccontextmanager
+async def open_linked_pair():
+    """Yields two meshes with their listeners; the first opened a channel."""
+    opener, opener_listener = make_mesh('one')
+    answerer, listener = make_mesh('two')
+    async with opener, answerer:
+        opener.set_peers({Address('127.0.0.1', answerer.port)})
+        yield opener, opener_listener, answerer, listener
+
 
-    await asyncio.wait_for(poll(), 10)
+async def wait_until(condition):
+    await wait_until_async(condition, 10)
 
 
 def test_a_channel_sends_a_greeting_and_messages():
@@ -80,11 +88,9 @@
 
 def test_a_vm_answers_on_the_channel_that_its_peer_opened():
     async def scenario():
-        opener, opener_listener = make_mesh('one')
-        answerer, answerer_listener = make_mesh('two')
-        async with opener, answerer:
-            opener.set_peers({Address('127.0.0.1', answerer.port)})
-            await wait_until(lambda: answerer_listener.messages)
+        async with open_linked_pair() as pair:
+            _, opener_listener, answerer, listener = pair
+            await wait_until(lambda: listener.messages)
             frame = encode_frame(DropTasks('z', 'a'))
             assert answerer.send_frame(1, frame)
             await wait_until(lambda: len(opener_listener.messages) == 2)
@@ -97,10 +103,7 @@
 
 def test_a_channel_that_is_aborted_opens_again():
     async def scenario():
-        opener, _ = make_mesh('one')
-        answerer, listener = make_mesh('two')
-        async with opener, answerer:
-            opener.set_peers({Address('127.0.0.1', answerer.port)})
+        async with open_linked_pair() as (opener, _, _, listener):
             await wait_until(lambda: len(listener.messages) == 1)
             opener.abort(1)
             await wait_until(lambda: len(listener.messages) == 2)
@@ -111,11 +114,8 @@
 
 def test_a_frame_that_can_not_be_read_leaves_the_channel_open():
     async def scenario():
-        opener, _ = make_mesh('one')
-        answerer, listener = make_mesh('two')
-        async with opener, answerer:
+        async with open_linked_pair() as (opener, _, answerer, listener):
             address = Address('127.0.0.1', answerer.port)
-            opener.set_peers({address})
             await wait_until(lambda: listener.messages)
             for frame in (
                 b'',
@@ -133,8 +133,6 @@
 
 def test_a_message_that_can_not_be_handled_leaves_the_channel_open():
     async def scenario():
-        opener, opener_listener = make_mesh('one')
-        answerer, listener = make_mesh('two')
         handled = []
 
         def fail_once(message, channel):
@@ -142,9 +140,9 @@
             if len(handled) == 1:
                 raise TypeError('a field has a wrong type')
 
-        opener_listener.handle_message = fail_once
-        async with opener, answerer:
-            opener.set_peers({Address('127.0.0.1', answerer.port)})
+        async with open_linked_pair() as pair:
+            _, opener_listener, answerer, listener = pair
+            opener_listener.handle_message = fail_once
             await wait_until(lambda: handled)
             assert answerer.send_frame(1, encode_frame(DropTasks('z', 'a')))
             await wait_until(lambda: len(handled) == 2)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -4,6 +4,7 @@
 has a timeout, after which the test fails with the process's log.
 """
 
+import asyncio
 import contextlib
 import http.client
 import json
@@ -24,6 +25,7 @@
 from camphorlink.internal.core.version.manifest import digest_document
 
 POLL_S = 0.02
+ASYNC_POLL_S = 0.005
 
 __all__ = ('SOURCE', 'ProcessSite', 'call', 'is_ready', 'wait_until')
 
@@ -67,6 +69,16 @@
     raise AssertionError(f'timed out after {timeout_s} s: {what}')
 
 
+async def wait_until_async(condition, timeout_s):
+    """Polls ``condition()`` on the event loop until it is true."""
+
+    async def poll():
+        while not condition():
+            await asyncio.sleep(ASYNC_POLL_S)
+
+    await asyncio.wait_for(poll(), timeout_s)
+
+
 class ProcessSite:
     """A log service, backend servers and entry VMs in separate processes.
 
