--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -24,6 +24,7 @@
 from camphorlink.internal.core.process.cell_effects import (
     AppendRecord,
     CellEffect,
+    LogEvent,
 )
 from camphorlink.internal.core.process.commander import (
     Commander,
@@ -216,7 +217,16 @@
 
     def drop_coordinator(self, member: str, now: float) -> None:
         """Stops the tasks of all jobs of a coordinator that has failed."""
-        for job_id in self.transient.jobs_of_coordinator(member):
+        jobs = self.transient.jobs_of_coordinator(member)
+        if not jobs:
+            return
+        self._effects.append(
+            LogEvent(
+                'Stopping the tasks of a lost coordinator.',
+                {'coordinator': member, 'jobs': jobs},
+            )
+        )
+        for job_id in jobs:
             self.drop_transient(job_id, now)
 
     # Changes of the job table.
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -203,6 +203,7 @@
             return
         if not is_answered:
             runs.record_no_answer(sent_s, renews=False)
+            self.registry.count('lost_orders', 'stop')
             return
         runs.record_answer(None, now)
         run = runs.run_by_task.get(command.task)
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -169,6 +169,14 @@
         cells = sorted(set(open_job.cell_by_task.values()))
         return [DropJob(cell, job_id) for cell in cells]
 
+    def jobs_in_cell(self, cell: str) -> list[str]:
+        """Returns the identifiers of the jobs with open tasks in a cell."""
+        return [
+            job_id
+            for job_id, open_job in self._open_by_id.items()
+            if cell in open_job.cell_by_task.values()
+        ]
+
     def assign_to_new_owner(self, cell: str) -> list[TransientEffect]:
         """Assigns the open tasks of a cell to its new owner."""
         effects: list[TransientEffect] = []
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -26,6 +26,7 @@
     TransientJobEnded,
     TransientJobs,
 )
+from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.steady_clock import now_s
 
 #: Age of a cell's load after which the cell gets no more tasks, in seconds: an
@@ -80,6 +81,7 @@
             str, asyncio.Future[TransientJobEnded | JobRefused]
         ] = {}
         self._dispatch = self._carry_out
+        self._log = PartLog('coordinator')
 
     def _cells_with_recent_load(self, service: str, step: Step) -> list[str]:
         """Returns the cells with a recent load that can run a step."""
@@ -155,6 +157,11 @@
 
     def _move_tasks_if_lost(self, cell: str, is_still_lost: IsLost) -> None:
         if is_still_lost():
+            jobs = self._jobs.jobs_in_cell(cell)
+            self._log.info(
+                'moving tasks away from a lost owner',
+                extra={'cell': cell, 'jobs': jobs},
+            )
             self._carry_out_all(self._jobs.move_tasks(cell))
 
     async def run(
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -1,6 +1,10 @@
 """Tests that a cell runs each task, never twice at once, and reports it."""
 
 from camphorlink.internal.core.connection.backend_commands import StartRun
+from camphorlink.internal.core.process.cell_effects import (
+    CountEvent,
+    LogEvent,
+)
 from camphorlink.internal.core.process.cell_load import (
     MAX_REPORTED_BACKENDS,
     list_loads,
@@ -136,6 +140,31 @@
     assert not any(backend.active for backend in backends)
 
 
+def test_stopped_tasks_of_a_lost_coordinator_are_logged():
+    rig, _ = make_rig(run_s=5.0)
+    rig.submit(make_job(count=3), coordinator='c#7')
+    rig.run_for(0.1)
+    rig.cell.drop_coordinator('c#7', rig.now)
+    logged = [
+        effect
+        for effect in rig.cell.take_effects()
+        if isinstance(effect, LogEvent)
+    ]
+    assert [event.facts['jobs'] for event in logged] == [['a' * 16]]
+
+
+def test_unanswered_stops_are_counted():
+    rig, backends = make_rig(run_s=5.0)
+    rig.submit(make_job())
+    rig.run_for(0.1)
+    for backend in backends:
+        backend.loses_stops = True
+    rig.cell.drop_transient('a' * 16, rig.now)
+    rig.execute_effects()
+    rig.run_for(0.4)
+    assert CountEvent('lost_orders', 'stop') in rig.counts
+
+
 def test_an_unconfirmed_owner_starts_nothing():
     rig, backends = make_rig()
     rig.confirmed_s = rig.now - 11
