Deterministic simulation of a whole fleet in virtual time

Real JobNodes run on a virtual event loop with a simulated network, store and back ends, so that partitions, lost answers, late commands and kills can be placed to the millisecond and repeat.

--- /dev/null
+++ b/tests/simulated_fleet.py
@@ -0,0 +1,248 @@
+"""A whole fleet of entry VMs in one process, in virtual time.
+
+The VMs are real ``JobNode`` objects; the network, the store and the back ends
+are simulated.  A scenario runs deterministically: see ``run_in_fleet``.
+"""
+
+import asyncio
+import collections
+import contextvars
+import itertools
+from unittest import mock
+
+from camphorlink.internal.core.process.job_table import JobState
+from camphorlink.internal.shell.process import peers
+from camphorlink.internal.shell.request.job_handler import JobHandler, Verdict
+from recording_backends import CallFaults, RecordingBackend
+from run_overlaps import recorded_moves
+from simulated_backends import listed, make_job
+from simulated_network import Rule, SimulatedNetwork
+from simulated_store import (
+    BACKENDS_TOPIC,
+    CONFIG_TOPIC,
+    SimulatedStore,
+    StoreAccess,
+)
+from simulated_vm import CURRENT_VM, SimulatedVm
+from virtual_loop import run_in_virtual_time
+
+BACKEND_CPU_MILLI = 64_000
+#: Time after a broken connection, or an answer without an outcome, after which
+#: a caller sends its job again, in seconds: a bound of the platform.
+RESEND_S = 1.3
+MAX_SUBMISSIONS = 4
+JOB_TIMEOUT_S = 8.0
+READY_TIMEOUT_S = 10.0
+POLL_S = 0.02
+
+
+class SimulatedFleet:
+    """Entry VMs, back ends, a store and callers.
+
+    Attributes:
+        spans: All runs on back ends.
+        moves: Decisions of coordinators to move the tasks of lost owners.
+        submissions: Time, job and VM of each submission.
+    """
+
+    def __init__(self, zone_by_vm, backends_per_zone=2):
+        self.zone_by_vm = dict(zone_by_vm)
+        self.zones = sorted(set(zone_by_vm.values()))
+        self.network = SimulatedNetwork()
+        self.store = SimulatedStore()
+        self.spans = []
+        self.moves = []
+        self.submissions = []
+        self.vm_by_name = {}
+        self.backend_by_id = {}
+        self.listed_by_id = {}
+        self.attempt_by_job = {}
+        self._job_numbers = itertools.count(1)
+        numbers = itertools.count(1)
+        for zone in self.zones:
+            for _ in range(backends_per_zone):
+                self._add_backend(f'{zone}-i-{next(numbers)}', zone)
+
+    def _add_backend(self, backend_id, zone):
+        entry = listed(
+            backend_id, zone, BACKEND_CPU_MILLI, labels=('a', f'rack-{zone}')
+        )
+        self.listed_by_id[backend_id] = entry
+        self.backend_by_id[backend_id] = RecordingBackend(entry, self.spans)
+
+    def cores_of(self, vm):
+        """Returns the size of a VM: the first of a zone claims its cell."""
+        return 100.0 - list(self.zone_by_vm).index(vm)
+
+    @property
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
+    async def start(self):
+        """Starts all VMs and waits until each of them can run jobs."""
+        asyncio.get_running_loop().set_task_factory(self._create_task)
+        publish = StoreAccess(self.store)
+        await publish.append(CONFIG_TOPIC, [publish.encode_keyed('c', b'c')], 1)
+        for backend_id in self.backend_by_id:
+            record = publish.encode_keyed(backend_id, b'listed')
+            await publish.append(BACKENDS_TOPIC, [record], 1)
+        for vm in self.zone_by_vm:
+            await self.start_vm(vm)
+        await self.wait_until(self._is_ready)
+
+    async def start_vm(self, name):
+        vm = SimulatedVm(self, name, self.zone_by_vm[name])
+        self.vm_by_name[name] = vm
+        await vm.create_task(vm.node.__aenter__())
+
+    def kill(self, name, is_silent=False):
+        """Ends a process abruptly, or with ``is_silent`` the whole VM."""
+        self.vm_by_name[name].kill(is_silent)
+
+    def _is_ready(self):
+        (step,) = make_job().steps
+        return all(
+            vm.node.is_ready
+            and len(vm.node.coordinator._cells_with_recent_load('s', step))
+            == len(self.zones)
+            for vm in self.live_vms()
+        )
+
+    def live_vms(self):
+        return [vm for vm in self.vm_by_name.values() if vm.is_live]
+
+    async def wait_until(self, condition, timeout_s=READY_TIMEOUT_S):
+        end_s = self.now_s + timeout_s
+        while not condition():
+            assert self.now_s < end_s, condition
+            await asyncio.sleep(POLL_S)
+
+    def _create_task(self, loop, coroutine, context=None):
+        task = asyncio.Task(coroutine, loop=loop, context=context)
+        reader = contextvars.copy_context() if context is None else context
+        vm = self.vm_by_name.get(reader.get(CURRENT_VM, ''))
+        if vm is not None:
+            vm.tasks.add(task)
+        return task
+
+    def owner_of(self, cell):
+        """Returns the name of the VM that owns a cell, by the live VMs."""
+        owners = collections.Counter(
+            vm.node.table.owner_of(cell).member.partition('#')[0]
+            for vm in self.live_vms()
+        )
+        return owners.most_common(1)[0][0]
+
+    # Faults.
+
+    def cut(self, sender, receiver, rule=Rule.DROP):
+        """Stops the packets from one VM to another."""
+        self.network.set_rule(sender, receiver, rule)
+
+    def partition(self, vms, rule=Rule.DROP):
+        """Cuts VMs off from all others, in both directions."""
+        for inner in vms:
+            for outer in self.zone_by_vm.keys() - set(vms):
+                self.cut(inner, outer, rule)
+                self.cut(outer, inner, rule)
+
+    def set_call_faults(self, vm, backend_id, **faults):
+        entry = self.vm_by_name[vm].backends.faults_by_backend[backend_id]
+        for name, setting in faults.items():
+            setattr(entry, name, setting)
+
+    def backends_in(self, zone):
+        return [
+            backend_id
+            for backend_id, entry in self.listed_by_id.items()
+            if entry.zone == zone
+        ]
+
+    def heal(self):
+        """Ends all faults but kills."""
+        for sender, receiver in itertools.permutations(self.zone_by_vm, 2):
+            self.network.set_rule(sender, receiver, Rule.DELIVER)
+        for vm in self.live_vms():
+            vm.store.is_cut = False
+            vm.store.loses_answers = False
+            for entry in vm.backends.faults_by_backend.values():
+                vars(entry).update(vars(CallFaults()))
+
+    # Jobs.
+
+    def build_job(self, run_s, rack=''):
+        """Returns a job of one task that runs for a duration in seconds."""
+        job = make_job(
+            f'{next(self._job_numbers):016x}',
+            estimate_ms=int(run_s * 1000),
+            spec=str(run_s),
+        )
+        (step,) = job.steps
+        return job._replace(steps=(step._replace(rack=rack),))
+
+    async def submit(self, job, vm_name):
+        """Submits a job to a VM.
+
+        Returns:
+            Its answer, or ``None`` if the connection broke.
+        """
+        vm = self.vm_by_name[vm_name]
+        self.submissions.append((self.now_s, job.job_id, vm_name))
+        if not vm.is_live:
+            return None
+        attempt = vm.create_task(
+            JobHandler(vm.node).run(job, JOB_TIMEOUT_S),
+        )
+        self.attempt_by_job[job.job_id] = attempt
+        try:
+            await asyncio.wait({attempt})
+        finally:
+            self.attempt_by_job.pop(job.job_id, None)
+        return None if attempt.cancelled() else attempt.result()
+
+    def break_connection(self, job_id):
+        """Breaks the connection of a caller, which its VM notices, too."""
+        self.attempt_by_job[job_id].cancel()
+
+    async def run_for_caller(self, job, vm_names):
+        """Submits a job, and again to the next VM while its end is unknown.
+
+        Returns:
+            Whether the job was completed.
+        """
+        for vm_name in itertools.islice(vm_names, MAX_SUBMISSIONS):
+            answer = await self.submit(job, vm_name)
+            if answer is not None and answer.verdict is not Verdict.UNKNOWN:
+                return answer.state is JobState.COMPLETED
+            await asyncio.sleep(RESEND_S)
+        return False
+
+    # Checks.
+
+    def started_jobs(self):
+        """Returns the identifiers of the jobs that have had a run."""
+        return {span.task.job_id for span in self.spans}
+
+
+async def _run_scenario(scenario, zone_by_vm, backends_per_zone):
+    fleet = SimulatedFleet(zone_by_vm, backends_per_zone)
+    with (
+        recorded_moves(fleet.moves),
+        mock.patch.object(peers, 'Mesh', fleet.network.build_mesh),
+    ):
+        await fleet.start()
+        await scenario(fleet)
+        for vm in fleet.live_vms():
+            vm.kill(is_silent=False)
+    return fleet
+
+
+def run_in_fleet(scenario, zone_by_vm, backends_per_zone=2):
+    """Runs a scenario, a coroutine function of a fleet that was started.
+
+    Returns:
+        The fleet, whose processes have ended.
+    """
+    return run_in_virtual_time(
+        _run_scenario(scenario, zone_by_vm, backends_per_zone)
+    )
