--- a/src/camphorlink/bench/job_slopes.py
+++ b/src/camphorlink/bench/job_slopes.py
@@ -29,6 +29,9 @@
 from camphorlink.internal.core.process.cell import Cell
 from camphorlink.internal.core.process.cell_effects import AppendRecord
 from camphorlink.internal.core.process.cell_load import list_loads
+from camphorlink.internal.core.process.coordinator_leases import (
+    CoordinatorLeases,
+)
 from camphorlink.internal.core.process.job_table import JobTable
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
@@ -48,6 +51,8 @@
 
 RUNS = 5
 #: Back ends of a cell at the required size: 1,900 back ends in 18 zones.
+#: Member that coordinates all jobs.
+COORDINATOR = 'c'
 BACKENDS = 106
 JOBS = 400
 #: Jobs that run at the same time in a cell: about 5 tasks on each back end.
@@ -96,7 +101,8 @@
     """
     table = JobTable()
     table.apply(CellClaimed('z', 0, 'm'))
-    cell = Cell('z', 1, table, RunSpeeds(), 0.0)
+    leases = CoordinatorLeases(COORDINATOR)
+    cell = Cell('z', 1, table, RunSpeeds(), leases, 0.0)
     cell.update_backends(
         {
             f'i-{number}': ListedBackend(
@@ -126,7 +132,7 @@
 def assign_job(cell: Cell, job: DurableJob) -> None:
     """Assigns all tasks of a job to a cell, as a transient job."""
     assignment = AssignTasks('z', job, tuple(task_keys(job, 0)), 10.0, False)
-    cell.run_transient(assignment, 'c', 0.0)
+    cell.assignments.accept(assignment, COORDINATOR, 0.0)
 
 
 def time_starts() -> float:
--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -27,6 +27,10 @@
 CLOCK_DRIFT = 0.02
 #: Time that a back end may take to kill a run after its lease has ended.
 LAPSE_MARGIN_S = 0.15
+#: Time in seconds that a back end has to confirm the stop of a run that must
+#: end before its lease is not renewed any more: two lost stops are repeated
+#: within it.
+STOP_CONFIRMATION_S = 0.1
 #: Longest delay after which a command without an answer may still be executed;
 #: the platform's documentation says 2 to 12 s.
 LATE_COMMAND_S = 12.0
@@ -64,12 +68,14 @@
             its lease at the latest.
         is_started_by_owner: Whether this owner sent the start command, so that
             the start time is known.
+        must_end_s: Time from which on it must not run any more, in seconds,
+            or ``None``.
         wants_retry: Whether the task returns to the queue when the run ends.
         stops_sent: Number of stop commands sent for it.
     """
 
     __slots__ = ('checkpoint', 'expected_s', 'has_begun',
-                 'is_started_by_owner', 'needs', 'number',
+                 'is_started_by_owner', 'must_end_s', 'needs', 'number',
                  'percent', 'percent_s', 'since_s', 'started_s', 'state',
                  'stops_sent', 'task', 'wants_retry')  # fmt: skip
 
@@ -92,6 +98,7 @@
         self.percent_s = now
         self.has_begun = False
         self.is_started_by_owner = True
+        self.must_end_s: float | None = None
         self.wants_retry = True
         self.stops_sent = 0
         self.checkpoint = ''
@@ -141,6 +148,8 @@
         has_listed_runs: Whether it has listed its runs under this owner's
             term.
         silent_since_s: Time since which no call was answered, or ``None``.
+        lists_unclaimed_run: Whether its last list had a run that no known job
+            has a claim to.
         lease_end_s: Time at which all its runs have ended unless the lease is
             renewed.
         is_confirmation_requested: Whether the log is being read to confirm,
@@ -155,6 +164,7 @@
         self.first_listed_s = now
         self.free = listed.capacity
         self.has_listed_runs = False
+        self.lists_unclaimed_run = False
         self.silent_since_s: float | None = None
         self.lease_end_s = -math.inf
         self.is_confirmation_requested = False
@@ -177,6 +187,21 @@
             and not self.listed.is_draining
             and self.silent_since_s is None
             and self.pause_until_s <= now
+            and self.may_extend_lease(now)
+        )
+
+    def may_extend_lease(self, now: float) -> bool:
+        """Returns whether the lease of all runs may be renewed.
+
+        It may not while a run that must end has not confirmed its stop, or
+        while a run may belong to a job that runs elsewhere: such runs must end
+        with the lease.
+        """
+        return not self.lists_unclaimed_run and not any(
+            run.must_end_s is not None
+            and run.state is not RunState.STOPPED
+            and now - run.must_end_s > STOP_CONFIRMATION_S
+            for run in self.run_by_task.values()
         )
 
     @property
--- a/src/camphorlink/internal/core/connection/node_message_codec.py
+++ b/src/camphorlink/internal/core/connection/node_message_codec.py
@@ -12,6 +12,7 @@
     NodeMessage,
     RecordsAppended,
     RunTasks,
+    Stamp,
     TaskEnded,
 )
 from camphorlink.internal.core.request.cell_selector import (
@@ -124,14 +125,20 @@
 }
 
 
-def decode_message(encoded: Any) -> NodeMessage:
-    """Decodes a list that ``encode_message`` returned.
+def encode_stamped(message: NodeMessage, stamp: Stamp) -> list[Any]:
+    """Encodes a message and its times as a plain list."""
+    return [*stamp, *encode_message(message)]
+
+
+def decode_stamped(encoded: Any) -> tuple[NodeMessage, Stamp]:
+    """Decodes a list that ``encode_stamped`` returned.
 
     Raises:
         PeerMessageError: If the kind is unknown or the fields don't match it.
     """
     try:
-        kind, *fields = encoded
-        return _DECODE_BY_KIND[kind](*fields)
+        sent_s, echo_s, kind, *fields = encoded
+        stamp = Stamp(float(sent_s), None if echo_s is None else float(echo_s))
+        return _DECODE_BY_KIND[kind](*fields), stamp
     except (LookupError, TypeError, ValueError) as exc:
         raise PeerMessageError(f'cannot decode the message: {exc!r}') from exc
--- a/src/camphorlink/internal/core/connection/node_messages.py
+++ b/src/camphorlink/internal/core/connection/node_messages.py
@@ -10,6 +10,20 @@
 from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
 
 
+class Stamp(NamedTuple):
+    """Times in seconds that each frame between VMs carries.
+
+    Attributes:
+        sent_s: Time at which the frame was sent, on the sender's clock.
+        echo_s: Newest ``sent_s`` that the sender has received from the
+            recipient, or ``None`` in a frame that is sent to many.  It extends
+            the lease that the recipient has for the sender's tasks.
+    """
+
+    sent_s: float
+    echo_s: float | None = None
+
+
 class Beat(NamedTuple):
     """Heartbeat of an entry VM.
 
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -24,7 +24,6 @@
 from camphorlink.internal.core.process.cell_effects import (
     AppendRecord,
     CellEffect,
-    LogEvent,
 )
 from camphorlink.internal.core.process.commander import (
     Commander,
@@ -34,6 +33,9 @@
     CompletionContext,
     CompletionHandler,
 )
+from camphorlink.internal.core.process.coordinator_leases import (
+    CoordinatorLeases,
+)
 from camphorlink.internal.core.process.job_table import (
     Change,
     CompletionsStored,
@@ -50,6 +52,10 @@
     is_ownership_confirmed,
 )
 from camphorlink.internal.core.process.task_starter import TaskStarter
+from camphorlink.internal.core.process.transient_assignments import (
+    AssignmentContext,
+    TransientAssignments,
+)
 from camphorlink.internal.core.process.transient_job_table import (
     TransientJobTable,
 )
@@ -64,7 +70,6 @@
     MS_PER_S,
     objective_s,
 )
-from camphorlink.internal.core.request.transient_jobs import AssignTasks
 from camphorlink.internal.core.request.waiting_tasks import (
     WaitingTasks,
 )
@@ -78,6 +83,7 @@
         term: Fencing token of the owner.
         waiting: Tasks that wait for free capacity.
         transient: Transient jobs with open tasks in this cell.
+        assignments: Runs the tasks of transient jobs.
         commander: Sends commands to the back ends and processes the answers.
         registry: Runs of this term by back end and by task.
         speeds: Measured speeds of back ends.
@@ -89,6 +95,7 @@
         term: int,
         table: JobTable,
         speeds: RunSpeeds,
+        leases: CoordinatorLeases,
         now: float,
     ) -> None:
         """Creates the state of a new owner.
@@ -101,6 +108,7 @@
             term: Fencing token of the owner.
             table: Durable jobs.
             speeds: Measured speeds of back ends.
+            leases: Leases of the coordinators.
             now: Time in seconds.
         """
         self.name = name
@@ -150,6 +158,20 @@
         self.is_handed_over = self._completions.is_handed_over
         self._recorded_incarnations: dict[str, int] | None = None
         self._deferred_tasks = DeferredTasks(self._predecessor, now)
+        self.assignments = TransientAssignments(
+            AssignmentContext(
+                leases,
+                self.transient,
+                self.waiting,
+                self.registry,
+                self._completions,
+                self._deferred_tasks,
+                self._enqueue,
+                self._effects,
+            )
+        )
+        #: Implements a method of ``RunCallbacks`` for the commander.
+        self.expire_coordinators = self.assignments.expire
         for live in table.live_by_id.values():
             for task in live.due_tasks():
                 if live.cell_of(task) == name:
@@ -165,70 +187,6 @@
         """Returns whether this is the term of the owner in the job table."""
         return table.owner_of(self.name).term == self.term
 
-    # Transient jobs.
-
-    def run_transient(
-        self,
-        assignment: AssignTasks,
-        coordinator: str,
-        now: float,
-    ) -> None:
-        """Queues assigned tasks of a transient job.
-
-        A task that completed here recently is not run again; its report is
-        repeated.
-
-        Args:
-            assignment: The job and its tasks for this cell.
-            coordinator: Member that receives the reports.
-            now: Time in seconds.
-        """
-        self._now = now
-        new_tasks = []
-        for task in assignment.tasks:
-            report = self.transient.repeat_report(task, coordinator)
-            if report is None:
-                new_tasks.append(task)
-            else:
-                self._effects.append(report)
-        if not new_tasks:
-            return
-        live = self.transient.accept(
-            assignment.job, new_tasks, coordinator
-        ).live
-        if live.due_s is None:
-            live.due_s = now + assignment.objective_s
-        for task in new_tasks:
-            may_have_started = (
-                assignment.may_have_run or task in self.registry.unclaimed_tasks
-            )
-            if self._completions.report_unclaimed(live, task, now):
-                continue
-            if not self._deferred_tasks.defer_if_needed(
-                live, task, now, may_have_started
-            ):
-                self._enqueue(live, task)
-
-    def drop_transient(self, job_id: str, now: float) -> None:
-        """Stops the open tasks of a job that its coordinator dropped."""
-        for task in self.transient.drop(job_id):
-            self.waiting.discard(task)
-            self.registry.stop_task(task, now)
-
-    def drop_coordinator(self, member: str, now: float) -> None:
-        """Stops the tasks of all jobs of a coordinator that has failed."""
-        jobs = self.transient.jobs_of_coordinator(member)
-        if not jobs:
-            return
-        self._effects.append(
-            LogEvent(
-                'Stopping the tasks of a lost coordinator.',
-                {'coordinator': member, 'jobs': jobs},
-            )
-        )
-        for job_id in jobs:
-            self.drop_transient(job_id, now)
-
     # Changes of the job table.
 
     @singledispatchmethod
@@ -340,6 +298,7 @@
                 for a limited time after that.
         """
         self._now = now
+        self.assignments.expire(now)
         may_renew = is_ownership_confirmed(confirmed_s, now)
         self.commander.tick(now, confirmed_s)
         self._completions.tick(now)
@@ -351,6 +310,7 @@
 
     def place(self, now: float) -> None:
         """Starts waiting tasks on back ends with free capacity."""
+        self.assignments.expire(now)
         self._starter.place(now)
 
     def _requeue(self, live: LiveJob, run: Run) -> None:
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -78,6 +78,9 @@
         After that, runs of unknown tasks can be stopped.
         """
 
+    def expire_coordinators(self, now: float) -> None:
+        """Stops the tasks of coordinators whose lease has expired."""
+
 
 class Commander:
     """Processes the answers of one cell's back ends during one term.
@@ -217,6 +220,8 @@
         self, command: RenewLeases, answer: RenewalAnswer, now: float
     ) -> None:
         """Processes the answer to a lease renewal or a list call."""
+        # After a pause of the process, nothing may be renewed before this.
+        self._callbacks.expire_coordinators(now)
         sent_s = self.registry.pop_sent_s(command)
         runs = self.registry.runs_by_backend.get(command.backend.backend_id)
         if runs is None or command.backend.started_ms != runs.listed.started_ms:
@@ -280,8 +285,11 @@
             runs.acknowledge_before(answer.finished[0].number)
         for completion in runs.new_completions(answer):
             self._handle_finished_run(runs, completion, now)
-        for entry in answer.active:
-            self._handle_active_run(runs, entry, now)
+        # A list, not a generator: each entry must be handled.
+        is_claimed = [
+            self._handle_active_run(runs, entry, now) for entry in answer.active
+        ]
+        runs.lists_unclaimed_run = not all(is_claimed)
         for run in find_absent_runs(runs, answer.active):
             self._handle_absent_run(runs, run, sent_s, now)
         if not runs.has_listed_runs:
@@ -309,7 +317,8 @@
         runs: BackendRuns,
         entry: ActiveRun,
         now: float,
-    ) -> None:
+    ) -> bool:
+        """Returns whether a known job has a claim to a listed run."""
         run = runs.run_by_task.get(entry.task)
         if run is not None and run.number == entry.run:
             if run.state in {RunState.COMMANDED, RunState.UNCERTAIN}:
@@ -317,14 +326,14 @@
             run.checkpoint = entry.checkpoint
             run.percent = entry.percent
             run.percent_s = now
-            return
+            return True
         needs = self._callbacks.dequeue_task(entry.task)
         if needs is None or run is not None:
             if self._callbacks.is_handed_over(now):
                 self.registry.send_stop(runs, entry.task, entry.run)
             else:
                 self.registry.unclaimed_tasks.add(entry.task)
-            return
+            return False
         adopted_run = Run(entry.task, entry.run, needs, now)
         adopted_run.is_started_by_owner = False
         adopted_run.change_state(RunState.RUNNING, now)
@@ -338,6 +347,7 @@
             # before both runs have ended.
             self.registry.count('second_runs', 'order-of-an-earlier-owner')
             self.registry.stop(runs, adopted_run, now)
+        return True
 
     def _handle_absent_run(
         self,
--- a/src/camphorlink/internal/core/process/job_table.py
+++ b/src/camphorlink/internal/core/process/job_table.py
@@ -233,6 +233,14 @@
         """Members that own a cell."""
         return {owner.member for owner in self.owner_by_cell.values()}
 
+    def cells_of(self, member: str) -> list[str]:
+        """Returns the cells that a member owns."""
+        return [
+            cell
+            for cell, owner in self.owner_by_cell.items()
+            if owner.member == member
+        ]
+
     def forget_before(self, accepted_ms: int) -> None:
         """Removes ended jobs that were accepted before a time in ms."""
         while self.ended_by_id:
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -26,6 +26,9 @@
 #: until a run ends: with a lease of 1 s, two answers may be lost before a lease
 #: lapses.
 RENEWAL_WAIT_MS = 300
+#: The same in ms for a call that only lists the runs, because the lease must not
+#: be renewed for now.
+LIST_WAIT_MS = 100
 #: Number of run numbers per term; those of the next term are higher.
 RUNS_PER_TERM = 10_000_000
 
@@ -129,12 +132,22 @@
         )
         return run
 
-    def stop_task(self, task: TaskKey, now: float) -> None:
-        """Stops all runs of a task without a retry."""
+    def stop_task(
+        self, task: TaskKey, now: float, must_end_s: float | None = None
+    ) -> None:
+        """Stops all runs of a task without a retry.
+
+        Args:
+            task: The task.
+            now: Time in seconds.
+            must_end_s: Time in seconds from which on they must not run any
+                more; defaults to ``now``.
+        """
         for backend_id in self.backends_by_task.get(task, ()):
             runs = self.runs_by_backend[backend_id]
             run = runs.run_by_task[task]
             run.wants_retry = False
+            run.must_end_s = now if must_end_s is None else must_end_s
             self.stop(runs, run, now)
 
     def stop(self, runs: BackendRuns, run: Run, now: float) -> None:
@@ -158,20 +171,20 @@
     ) -> None:
         """Sends the regular call that lists runs and renews the lease.
 
-        Without ``may_renew``, or while the back end has not listed its runs or
-        does not answer, the call only lists runs.
+        Without ``may_renew``, while the back end has not listed its runs or
+        does not answer, or while a run on it must end, the call only lists
+        runs.
         """
-        renews = (
-            may_renew and runs.has_listed_runs and runs.silent_since_s is None
-        )
-        can_wait = renews and not runs.has_unstored_completions
+        is_in_contact = runs.has_listed_runs and runs.silent_since_s is None
+        renews = may_renew and is_in_contact and runs.may_extend_lease(now)
+        can_wait = is_in_contact and not runs.has_unstored_completions
         lease_ms = runs.lease_clock_ms(now) if renews else None
         if lease_ms is not None:
             runs.record_lease_sent(now)
         runs.renewal_number = self._send_renewal(
             runs,
             lease_ms,
-            RENEWAL_WAIT_MS if can_wait else 0,
+            _wait_ms(can_wait, renews),
             now,
         )
 
@@ -223,3 +236,10 @@
             ),
         )
         return self._renewal_count
+
+
+def _wait_ms(can_wait: bool, renews: bool) -> int:
+    """Returns how long a back end may delay its answer to a regular call."""
+    if not can_wait:
+        return 0
+    return RENEWAL_WAIT_MS if renews else LIST_WAIT_MS
--- /dev/null
+++ b/src/camphorlink/internal/core/process/transient_assignments.py
@@ -0,0 +1,170 @@
+"""Accepts, stops and expires the transient tasks assigned to a cell."""
+
+import math
+from collections.abc import Callable
+from typing import NamedTuple
+
+from camphorlink.internal.core.process.cell_effects import (
+    CellEffect,
+    CountEvent,
+    LogEvent,
+)
+from camphorlink.internal.core.process.completion_handler import (
+    CompletionHandler,
+)
+from camphorlink.internal.core.process.coordinator_leases import (
+    CoordinatorLeases,
+)
+from camphorlink.internal.core.process.job_table import LiveJob
+from camphorlink.internal.core.process.predecessor import DeferredTasks
+from camphorlink.internal.core.process.run_registry import RunRegistry
+from camphorlink.internal.core.process.transient_job_table import (
+    TransientJobTable,
+)
+from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.core.request.transient_jobs import (
+    AssignTasks,
+)
+from camphorlink.internal.core.request.waiting_tasks import WaitingTasks
+
+
+class AssignmentContext(NamedTuple):
+    """Components of a cell that its assignments use.
+
+    Attributes:
+        leases: Leases of the coordinators.
+        transient: Transient jobs of the cell.
+        waiting: Tasks that wait for free capacity.
+        registry: Runs of the term.
+        completions: Handles listed completions.
+        deferred: Tasks that an earlier owner may have started.
+        enqueue: Queues a task unless it runs.
+        effects: List that effects are appended to.
+    """
+
+    leases: CoordinatorLeases
+    transient: TransientJobTable
+    waiting: WaitingTasks
+    registry: RunRegistry
+    completions: CompletionHandler
+    deferred: DeferredTasks
+    enqueue: Callable[[LiveJob, TaskKey], None]
+    effects: list[CellEffect]
+
+
+class TransientAssignments:
+    """Runs assigned tasks for as long as the coordinator's lease lasts."""
+
+    def __init__(self, context: AssignmentContext) -> None:
+        """Creates the assignments of a cell; there are none.
+
+        Args:
+            context: Components of the cell.
+        """
+        self._context = context
+        self._expiry_due_s = math.inf
+
+    def accept(
+        self,
+        assignment: AssignTasks,
+        coordinator: str,
+        now: float,
+    ) -> None:
+        """Queues assigned tasks of a transient job.
+
+        A task that completed here recently is not run again; its report is
+        repeated.
+
+        Args:
+            assignment: The job and its tasks for this cell.
+            coordinator: Member that receives the reports.
+            now: Time in seconds.
+        """
+        unfinished = self._repeat_reports(assignment, coordinator)
+        if not unfinished:
+            return
+        context = self._context
+        live = context.transient.accept(
+            assignment.job, unfinished, coordinator
+        ).live
+        self._expiry_due_s = min(
+            self._expiry_due_s, context.leases.end_s(coordinator)
+        )
+        if live.due_s is None:
+            live.due_s = now + assignment.objective_s
+        for task in unfinished:
+            self._queue(live, task, assignment.may_have_run, now)
+
+    def drop_job(
+        self, job_id: str, now: float, must_end_s: float | None = None
+    ) -> None:
+        """Stops the open tasks of a job.
+
+        Args:
+            job_id: Identifier of the job.
+            now: Time in seconds.
+            must_end_s: Time in seconds from which on its tasks must not run any
+                more; defaults to ``now``.
+        """
+        for task in self._context.transient.drop(job_id):
+            self._context.waiting.discard(task)
+            self._context.registry.stop_task(task, now, must_end_s)
+
+    def drop_coordinator(self, member: str, now: float) -> None:
+        """Stops the tasks of all jobs of a coordinator that is lost."""
+        context = self._context
+        jobs = context.transient.jobs_of_coordinator(member)
+        if not jobs:
+            return
+        context.effects.append(
+            LogEvent(
+                'Stopping the tasks of a lost coordinator.',
+                {'coordinator': member, 'jobs': jobs},
+            )
+        )
+        must_end_s = min(now, context.leases.end_s(member))
+        for job_id in jobs:
+            self.drop_job(job_id, now, must_end_s)
+
+    def expire(self, now: float) -> None:
+        """Stops the tasks of coordinators whose lease has expired."""
+        if now < self._expiry_due_s:
+            return
+        context = self._context
+        for member in context.transient.coordinators:
+            if not context.leases.is_valid(member, now):
+                self.drop_coordinator(member, now)
+                context.effects.append(
+                    CountEvent('expired_leases', 'coordinator')
+                )
+        self._expiry_due_s = min(
+            map(context.leases.end_s, context.transient.coordinators),
+            default=math.inf,
+        )
+
+    def _repeat_reports(
+        self, assignment: AssignTasks, coordinator: str
+    ) -> list[TaskKey]:
+        """Reports the tasks that have ended here; returns the others."""
+        unfinished = []
+        for task in assignment.tasks:
+            report = self._context.transient.repeat_report(task, coordinator)
+            if report is None:
+                unfinished.append(task)
+            else:
+                self._context.effects.append(report)
+        return unfinished
+
+    def _queue(
+        self, live: LiveJob, task: TaskKey, may_have_run: bool, now: float
+    ) -> None:
+        context = self._context
+        may_have_started = (
+            may_have_run or task in context.registry.unclaimed_tasks
+        )
+        if context.completions.report_unclaimed(live, task, now):
+            return
+        if not context.deferred.defer_if_needed(
+            live, task, now, may_have_started
+        ):
+            context.enqueue(live, task)
--- a/src/camphorlink/internal/core/process/transient_job_table.py
+++ b/src/camphorlink/internal/core/process/transient_job_table.py
@@ -55,6 +55,7 @@
         """Creates an empty table for a cell."""
         self._cell = cell
         self._job_by_id: dict[str, TransientJob] = {}
+        self._job_ids_by_coordinator: dict[str, set[str]] = {}
         self._ended: OrderedDict[TaskKey, bool] = OrderedDict()
 
     def get(self, job_id: str) -> TransientJob | None:
@@ -72,7 +73,10 @@
         if known is None:
             known = TransientJob(job, self._cell, coordinator)
             self._job_by_id[job.job_id] = known
+        self._release_from_coordinator(known, job.job_id)
         known.coordinator = coordinator
+        job_ids = self._job_ids_by_coordinator.setdefault(coordinator, set())
+        job_ids.add(job.job_id)
         known.open_tasks.update(tasks)
         return known
 
@@ -88,6 +92,7 @@
         known.open_tasks.discard(task)
         if not known.open_tasks:
             self._job_by_id.pop(task.job_id)
+            self._release_from_coordinator(known, task.job_id)
         self._ended[task] = is_done
         while len(self._ended) > MAX_ENDED_TASKS:
             self._ended.popitem(last=False)
@@ -111,12 +116,24 @@
     def drop(self, job_id: str) -> set[TaskKey]:
         """Removes a job and returns its open tasks."""
         known = self._job_by_id.pop(job_id, None)
-        return set() if known is None else known.open_tasks
+        if known is None:
+            return set()
+        self._release_from_coordinator(known, job_id)
+        return known.open_tasks
 
     def jobs_of_coordinator(self, member: str) -> list[str]:
         """Returns the identifiers of the jobs that a member coordinates."""
-        return [
-            job_id
-            for job_id, known in self._job_by_id.items()
-            if known.coordinator == member
-        ]
+        return sorted(self._job_ids_by_coordinator.get(member, ()))
+
+    @property
+    def coordinators(self) -> list[str]:
+        """Members with open tasks in this cell."""
+        return list(self._job_ids_by_coordinator)
+
+    def _release_from_coordinator(
+        self, known: TransientJob, job_id: str
+    ) -> None:
+        job_ids = self._job_ids_by_coordinator.get(known.coordinator, set())
+        job_ids.discard(job_id)
+        if not job_ids:
+            self._job_ids_by_coordinator.pop(known.coordinator, None)
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -71,7 +71,9 @@
     admission: Admission
 
 
-TransientEffect = AssignTasks | DropJob | TransientJobEnded | JobRefused
+#: Commands for the owner of a cell.
+CellCommand = AssignTasks | DropJob
+TransientEffect = CellCommand | TransientJobEnded | JobRefused
 
 
 class _OpenJob:
@@ -177,6 +179,15 @@
             if cell in open_job.cell_by_task.values()
         ]
 
+    @property
+    def cells(self) -> set[str]:
+        """Cells with open tasks."""
+        return {
+            cell
+            for open_job in self._open_by_id.values()
+            for cell in open_job.cell_by_task.values()
+        }
+
     def assign_to_new_owner(self, cell: str) -> list[TransientEffect]:
         """Assigns the open tasks of a cell to its new owner."""
         effects: list[TransientEffect] = []
--- a/src/camphorlink/internal/shell/connection/mesh.py
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -23,11 +23,15 @@
 
 from camphorlink.errors import PeerMessageError
 from camphorlink.internal.core.connection.node_message_codec import (
-    decode_message,
-    encode_message,
+    decode_stamped,
+    encode_stamped,
+)
+from camphorlink.internal.core.connection.node_messages import (
+    NodeMessage,
+    Stamp,
 )
-from camphorlink.internal.core.connection.node_messages import NodeMessage
 from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.steady_clock import now_s
 
 #: Largest number of unsent bytes on a channel.  Further messages are dropped,
 #: because peers read the store for what they miss, and silent channels are
@@ -56,7 +60,9 @@
 class MeshListener(Protocol):
     """Receiver of the messages and connection events of a mesh."""
 
-    def handle_message(self, message: NodeMessage, channel: int) -> None:
+    def handle_message(
+        self, message: NodeMessage, stamp: Stamp, channel: int
+    ) -> None:
         """Handles a message received on the channel with a number."""
 
     def handle_closed_channel(self, channel: int) -> None:
@@ -69,9 +75,27 @@
         """Returns the first message that is sent on each channel."""
 
 
-def encode_frame(message: NodeMessage) -> bytes:
-    """Returns the frame that carries a message."""
-    return cbor2.dumps(encode_message(message))
+def encode_frame(message: NodeMessage, echo_s: float | None = None) -> bytes:
+    """Returns the frame that carries a message and is sent now.
+
+    Args:
+        message: The message.
+        echo_s: Newest send time received from the only recipient, in seconds,
+            or ``None``.
+    """
+    return cbor2.dumps(encode_stamped(message, Stamp(now_s(), echo_s)))
+
+
+def decode_frame(frame: bytes) -> tuple[NodeMessage, Stamp]:
+    """Returns the message and the times that a frame carries.
+
+    Raises:
+        PeerMessageError: If the frame can't be decoded.
+    """
+    try:
+        return decode_stamped(cbor2.loads(frame))
+    except (cbor2.CBORError, TypeError) as exc:
+        raise PeerMessageError(f'cannot decode the frame: {exc!r}') from exc
 
 
 class Mesh:
@@ -216,14 +240,14 @@
 
     def _handle_frame(self, frame: bytes, channel: int) -> None:
         try:
-            message = decode_message(cbor2.loads(frame))
-        except (cbor2.CBORError, PeerMessageError, TypeError) as exc:
+            message, stamp = decode_frame(frame)
+        except PeerMessageError as exc:
             self._log.warning(
                 'ignored an unreadable frame', extra={'error': repr(exc)}
             )
             return
         try:
-            self._listener.handle_message(message, channel)
+            self._listener.handle_message(message, stamp, channel)
         except Exception:
             # A peer's message must not end the channel, or the task that keeps
             # it open.
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -135,17 +135,17 @@
             assignment: The tasks.
             coordinator: Member that coordinates the job.
         """
-        self.cell.run_transient(assignment, coordinator, now_s())
+        self.cell.assignments.accept(assignment, coordinator, now_s())
         self._place_tasks()
 
     def drop_transient(self, job_id: str) -> None:
         """Stops a transient job that its coordinator has dropped."""
-        self.cell.drop_transient(job_id, now_s())
+        self.cell.assignments.drop_job(job_id, now_s())
         self._place_tasks()
 
     def drop_coordinator(self, member: str) -> None:
         """Stops the transient jobs of a coordinator that was lost."""
-        self.cell.drop_coordinator(member, now_s())
+        self.cell.assignments.drop_coordinator(member, now_s())
         self._place_tasks()
 
     def _tick(self) -> None:
--- a/src/camphorlink/internal/shell/process/cell_manager.py
+++ b/src/camphorlink/internal/shell/process/cell_manager.py
@@ -184,7 +184,14 @@
         self._append_by_cell.pop(cell)
         shared = self._shared
         host = CellHost(
-            Cell(cell, term, shared.job_log.table, shared.speeds, now_s()),
+            Cell(
+                cell,
+                term,
+                shared.job_log.table,
+                shared.speeds,
+                self._peers.leases,
+                now_s(),
+            ),
             shared.job_log,
             shared.backends,
             shared.on_count,
--- a/src/camphorlink/internal/shell/process/cell_sender.py
+++ b/src/camphorlink/internal/shell/process/cell_sender.py
@@ -15,6 +15,7 @@
 from camphorlink.internal.core.request.cell_selector import CellLoad
 from camphorlink.internal.core.request.transient_jobs import (
     AssignTasks,
+    CellCommand,
     DropJob,
 )
 from camphorlink.internal.shell.process.cell_manager import CellManager
@@ -53,16 +54,16 @@
         self._coordinator = coordinator
         self._job_log = job_log
 
-    def send_to_cell(self, cell: str, command: AssignTasks | DropJob) -> None:
+    def send_to_cell(self, cell: str, command: CellCommand) -> None:
         """Sends a command of the local coordinator to the owner of a cell."""
         host = self._cells.host_by_cell.get(cell)
         if host is None:
             owner = self._job_log.table.owner_of(cell).member
             self._peers.send(owner, self._build_message(command))
-        elif isinstance(command, DropJob):
-            host.drop_transient(command.job_id)
-        else:
+        elif isinstance(command, AssignTasks):
             host.run_transient(command, self._peers.member)
+        else:
+            host.drop_transient(command.job_id)
 
     def report(self, cell: str, report: TaskReport) -> None:
         """Reports a task that has ended in a cell to its coordinator."""
@@ -97,7 +98,7 @@
             self._sent_by_key[key] = (load, now_s())
             self._peers.broadcast(LoadTold(load))
 
-    def _build_message(self, command: AssignTasks | DropJob) -> NodeMessage:
+    def _build_message(self, command: CellCommand) -> NodeMessage:
         if isinstance(command, DropJob):
             return DropTasks(command.cell, command.job_id)
         return RunTasks(
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -18,8 +18,10 @@
     TaskKey,
 )
 from camphorlink.internal.core.request.job_planner import JobPlanner
+from camphorlink.internal.core.request.owner_contacts import OwnerContacts
 from camphorlink.internal.core.request.transient_jobs import (
     AssignTasks,
+    CellCommand,
     DropJob,
     JobRefused,
     TransientEffect,
@@ -33,15 +35,8 @@
 #: owner that is silent for longer is considered lost.
 MAX_LOAD_AGE_S = 0.9
 
-#: Time after the last message of a cell's owner, in seconds, after which it
-#: can run no more tasks for this VM: by then it has detected the loss of this
-#: VM and stopped the tasks, or its leases have expired.  It detects the loss
-#: within 0.9 + 0.2 s and stops the tasks within 0.05 s; the rest is a margin.
-LOST_OWNER_TIMEOUT_S = 1.45
-
-IsLost = Callable[[], bool]
 #: Sends a command for a cell to the owner of the cell.
-SendToCell = Callable[[str, AssignTasks | DropJob], None]
+SendToCell = Callable[[str, CellCommand], None]
 
 
 class Coordinator:
@@ -52,6 +47,7 @@
 
     Attributes:
         planner: Admits jobs and chooses their cells.
+        contacts: Contacts with the owners of cells.
     """
 
     def __init__(
@@ -70,6 +66,7 @@
             send_to_cell: Sends a command to the owner of a cell.
         """
         self._choice = CellSelector(zone, member)
+        self.contacts = OwnerContacts(member)
         self.planner = JobPlanner(
             self._choice, speeds, self._cells_with_recent_load
         )
@@ -134,35 +131,16 @@
         """Sends the open tasks of a cell to its new owner."""
         self._carry_out_all(self._jobs.assign_to_new_owner(cell))
 
-    def handle_lost_owner(
-        self,
-        cell: str,
-        silent_s: float,
-        is_still_lost: IsLost,
-    ) -> None:
-        """Moves the tasks of a lost cell owner to other cells once it is safe.
-
-        Args:
-            cell: The cell.
-            silent_s: Time since the last message of the owner, in seconds.
-            is_still_lost: Called before the move; returns whether the cell
-                still has that owner and the owner is still lost.
-        """
-        asyncio.get_running_loop().call_later(
-            max(LOST_OWNER_TIMEOUT_S - silent_s, 0),
-            self._move_tasks_if_lost,
-            cell,
-            is_still_lost,
-        )
-
-    def _move_tasks_if_lost(self, cell: str, is_still_lost: IsLost) -> None:
-        if is_still_lost():
-            jobs = self._jobs.jobs_in_cell(cell)
-            self._log.info(
-                'moving tasks away from a lost owner',
-                extra={'cell': cell, 'jobs': jobs},
-            )
-            self._carry_out_all(self._jobs.move_tasks(cell))
+    def move_lost_tasks(self) -> None:
+        """Moves tasks from cells that are out of reach, once it is safe."""
+        now = now_s()
+        for cell in self._jobs.cells:
+            if self.contacts.may_move(cell, now):
+                self._log.info(
+                    'moving tasks away from a lost owner',
+                    extra={'cell': cell, 'jobs': self._jobs.jobs_in_cell(cell)},
+                )
+                self._carry_out_all(self._jobs.move_tasks(cell))
 
     async def run(
         self,
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import collections
-import functools
 from collections.abc import Sequence
 from typing import NamedTuple, Self
 
 from camphorlink.internal.core.connection.node_messages import (
     NodeMessage,
     RecordsAppended,
+    Stamp,
 )
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.cell_ownership import PeerView
@@ -110,6 +110,7 @@
             settings,
             platform.log,
             self._handle_message,
+            self._handle_linked_member,
             self._handle_lost_member,
         )
         self.published = PublishedState(
@@ -143,6 +144,7 @@
             self.job_log,
             self.coordinator,
             self._waiting_by_cell,
+            self.peers.leases,
             self._count,
             self.peers.send,
         )
@@ -256,7 +258,7 @@
         self.cells.handle_change(change)
         if isinstance(change, OwnerChanged):
             self.peers.link_owners(self.table.owners)
-            self.coordinator.assign_to_new_owner(change.cell)
+            self._handle_owner(change.cell)
         elif isinstance(change, JobEnded):
             self.completion_waiters.wake_waiters(change.live.job.job_id)
 
@@ -264,6 +266,8 @@
         """Releases all cells, because the job table was replaced."""
         self.cells.release_all()
         self.peers.link_owners(self.table.owners)
+        for cell in self.table.owner_by_cell:
+            self._handle_owner(cell)
 
     def announce(self, offset: int, records: Sequence[bytes]) -> None:
         """Sends peers the records that this VM has appended."""
@@ -279,8 +283,14 @@
     def _count(self, family: str, reason: str) -> None:
         self.counts[family, reason] += 1
 
-    def _handle_message(self, message: NodeMessage) -> None:
-        self._message_handler.handle(message)
+    def _handle_message(self, message: NodeMessage, stamp: Stamp) -> None:
+        self._message_handler.handle(message, stamp)
+
+    def _handle_owner(self, cell: str) -> None:
+        """Assigns the open tasks of a cell to its owner, who may be new."""
+        owner = self.table.owner_of(cell).member
+        self.coordinator.contacts.record_owner(cell, owner, now_s())
+        self.coordinator.assign_to_new_owner(cell)
 
     # Heartbeats, loads and lost peers.
 
@@ -293,23 +303,16 @@
             self.is_leaving,
         )
 
+    def _handle_linked_member(self, member: str) -> None:
+        self.coordinator.contacts.record_link(member)
+
     def _handle_lost_member(self, member: str, silent_s: float) -> None:
         self.cells.handle_lost_member(member)
-        for cell, owner in self.table.owner_by_cell.items():
-            if owner.member == member:
-                self.coordinator.handle_lost_owner(
-                    cell,
-                    silent_s,
-                    functools.partial(self._is_owner_lost, cell, member),
-                )
-                self.coordinator.forget_load(cell)
+        self.coordinator.contacts.record_loss(member, now_s() - silent_s)
+        for cell in self.table.cells_of(member):
+            self.coordinator.forget_load(cell)
         self.cells.claim_due_cells(self._build_own_view())
 
-    def _is_owner_lost(self, cell: str, member: str) -> bool:
-        return self.table.owner_of(
-            cell,
-        ).member == member and not self.peers.is_known(member)
-
     def _send_heartbeat(self) -> None:
         waiting_by_cell = self.cells.count_waiting_jobs()
         self._waiting_by_cell.update(waiting_by_cell)
@@ -326,6 +329,7 @@
     def _run_periodic(self) -> None:
         """Sends heartbeats, claims cells and removes what has expired."""
         self._send_heartbeat()
+        self.coordinator.move_lost_tasks()
         self.cells.claim_due_cells(self._build_own_view())
         self.cells.write_snapshot_if_due()
         self.table.forget_before(wall_ms() - int(ENDED_JOB_RETENTION_S * 1000))
--- a/src/camphorlink/internal/shell/process/node_message_handler.py
+++ b/src/camphorlink/internal/shell/process/node_message_handler.py
@@ -10,12 +10,17 @@
     NodeMessage,
     RecordsAppended,
     RunTasks,
+    Stamp,
     TaskEnded,
 )
+from camphorlink.internal.core.process.coordinator_leases import (
+    CoordinatorLeases,
+)
 from camphorlink.internal.core.request.transient_jobs import AssignTasks
 from camphorlink.internal.shell.process.cell_manager import CellManager
 from camphorlink.internal.shell.process.coordinator import Coordinator
 from camphorlink.internal.shell.process.job_log import JobLog
+from camphorlink.internal.shell.process.steady_clock import now_s
 
 #: Age of the store's last answer to a peer, in seconds, from which on the peer
 #: gets the records of the job log that it lacks: it reads the log once a second.
@@ -31,6 +36,7 @@
         job_log: JobLog,
         coordinator: Coordinator,
         waiting_by_cell: dict[str, dict[str, int]],
+        leases: CoordinatorLeases,
         on_count: Callable[[str, str], None],
         send: Callable[[str, NodeMessage], None],
     ) -> None:
@@ -42,6 +48,7 @@
             coordinator: Receives loads of cells and outcomes of tasks.
             waiting_by_cell: Waiting jobs by cell and queue; updated by
                 heartbeats.
+            leases: Leases of the coordinators.
             on_count: Called with the family and the reason of an event to
                 count.
             send: Sends a message to a member.
@@ -51,16 +58,17 @@
         self._job_log = job_log
         self._coordinator = coordinator
         self._waiting_by_cell = waiting_by_cell
+        self._leases = leases
         self._on_count = on_count
         # Cached: each access to a single-dispatch method builds a function.
         self.handle = self._handle
 
     @singledispatchmethod
-    def _handle(self, message: NodeMessage) -> None:
+    def _handle(self, message: NodeMessage, stamp: Stamp) -> None:
         raise TypeError(message)
 
     @_handle.register
-    def _handle_beat(self, message: Beat) -> None:
+    def _handle_beat(self, message: Beat, _stamp: Stamp) -> None:
         self._waiting_by_cell.update(message.waiting_by_cell)
         if message.store_age_s > STORELESS_AGE_S:
             self._send_missing_records(message)
@@ -73,20 +81,23 @@
             self._send(beat.member, message)
 
     @_handle.register
-    def _handle_records(self, message: RecordsAppended) -> None:
+    def _handle_records(self, message: RecordsAppended, _stamp: Stamp) -> None:
         self._job_log.receive_records(message.offset, message.records)
 
     @_handle.register
-    def _handle_load(self, message: LoadTold) -> None:
+    def _handle_load(self, message: LoadTold, _stamp: Stamp) -> None:
         self._coordinator.record_load(message.load)
 
     @_handle.register
-    def _handle_run(self, message: RunTasks) -> None:
+    def _handle_run(self, message: RunTasks, stamp: Stamp) -> None:
         host = self._cells.host_by_cell.get(message.cell)
         if host is None:
             # The coordinator sends the tasks again to the next owner.
             self._on_count('lost_messages', 'cell-not-owned')
             return
+        if not self._leases.accepts(message.coordinator, stamp.echo_s, now_s()):
+            self._on_count('lost_messages', 'lease-expired')
+            return
         assignment = AssignTasks(
             message.cell,
             message.job,
@@ -97,11 +108,11 @@
         host.run_transient(assignment, message.coordinator)
 
     @_handle.register
-    def _handle_drop(self, message: DropTasks) -> None:
+    def _handle_drop(self, message: DropTasks, _stamp: Stamp) -> None:
         host = self._cells.host_by_cell.get(message.cell)
         if host is not None:
             host.drop_transient(message.job_id)
 
     @_handle.register
-    def _handle_ended(self, message: TaskEnded) -> None:
+    def _handle_ended(self, message: TaskEnded, _stamp: Stamp) -> None:
         self._coordinator.record_completion(message.task, message.is_done)
--- a/src/camphorlink/internal/shell/process/owner_links.py
+++ b/src/camphorlink/internal/shell/process/owner_links.py
@@ -27,6 +27,11 @@
         self._owners: set[str] = set()
         self._former_owners: set[str] = set()
 
+    @property
+    def targets(self) -> set[str]:
+        """Owners of cells, and former owners that may still act as such."""
+        return self._owners | self._former_owners
+
     def link(self, owners: set[str]) -> None:
         """Opens channels to the owners of cells, and closes others later."""
         former = self._owners - owners
@@ -44,7 +49,7 @@
         self._update()
 
     def _update(self) -> None:
-        members = self._owners | self._former_owners
+        members = self.targets
         self._set_addresses(
             {
                 self._entry_by_member[member].address
--- a/src/camphorlink/internal/shell/process/peers.py
+++ b/src/camphorlink/internal/shell/process/peers.py
@@ -14,11 +14,15 @@
 from camphorlink.internal.core.connection.node_messages import (
     Beat,
     NodeMessage,
+    Stamp,
 )
 from camphorlink.internal.core.process.cell_ownership import (
     ListedMember,
     PeerView,
 )
+from camphorlink.internal.core.process.coordinator_leases import (
+    CoordinatorLeases,
+)
 from camphorlink.internal.shell.connection.mesh import (
     Address,
     Mesh,
@@ -73,23 +77,34 @@
         beat: Its latest heartbeat.
         channel: Channel on which it gets messages.
         heard_s: Time of its latest message, in seconds.
+        echo_s: Newest send time of its messages, on its clock, in seconds.
         sent_s: Time of the latest message to it, in seconds.
+        granted_s: Time of the latest message to it with an echo, in seconds.
         beat_sent_s: Time of the latest heartbeat to it, in seconds.
     """
 
-    __slots__ = ('beat', 'beat_sent_s', 'channel', 'heard_s', 'sent_s')
+    __slots__ = ('beat', 'beat_sent_s', 'channel', 'echo_s',
+                 'granted_s', 'heard_s', 'sent_s')  # fmt: skip
 
-    def __init__(self, beat: Beat, channel: int, now: float) -> None:
+    def __init__(
+        self, beat: Beat, channel: int, echo_s: float, now: float
+    ) -> None:
         self.beat = beat
         self.channel = channel
         self.heard_s = now
+        self.echo_s = echo_s
         self.sent_s = -math.inf
+        self.granted_s = -math.inf
         self.beat_sent_s = -math.inf
 
-    def needs_heartbeat(self, now: float) -> bool:
-        """Returns whether the peer must get a heartbeat now."""
+    def needs_heartbeat(self, now: float, is_owner: bool) -> bool:
+        """Returns whether the peer must get a heartbeat now.
+
+        The owner of a cell also needs grants for the tasks that it runs.
+        """
+        last_s = self.granted_s if is_owner else self.sent_s
         return (
-            now - self.sent_s > HEARTBEAT_AFTER_S
+            now - last_s > HEARTBEAT_AFTER_S
             or now - self.beat_sent_s > MAX_HEARTBEAT_INTERVAL_S
         )
 
@@ -100,13 +115,15 @@
     Attributes:
         member: Name of this process.
         counts: Number of messages that could not be sent, by kind.
+        leases: Leases that the peers have granted to this VM.
     """
 
     def __init__(
         self,
         settings: NodeSettings,
         log: LogPort,
-        on_message: Callable[[NodeMessage], None],
+        on_message: Callable[[NodeMessage, Stamp], None],
+        on_linked: Callable[[str], None],
         on_lost: Callable[[str, float], None],
     ) -> None:
         """Creates the tracker; it listens once the context is entered.
@@ -114,7 +131,9 @@
         Args:
             settings: Settings of this VM.
             log: The store.
-            on_message: Called with each message of a peer.
+            on_message: Called with each message of a peer and its times.
+            on_linked: Called with each member to which messages now go on a
+                new channel.
             on_lost: Called with each lost member and the time since its last
                 message, in seconds.
         """
@@ -122,7 +141,9 @@
         self.member = f'{settings.name}#{wall_ms():x}'
         self.counts: collections.Counter[str] = collections.Counter()
         self._settings = settings
+        self.leases = CoordinatorLeases(self.member)
         self._on_message = on_message
+        self._on_linked = on_linked
         self._on_lost = on_lost
         self._link_by_member: dict[str, _Link] = {}
         self._member_by_channel: dict[int, str] = {}
@@ -170,10 +191,6 @@
         """Number of linked peers."""
         return len(self._link_by_member)
 
-    def is_known(self, member: str) -> bool:
-        """Returns whether a member is a linked peer."""
-        return member in self._link_by_member
-
     def link_owners(self, owners: Iterable[str]) -> None:
         """Opens channels to the owners of cells."""
         self._links.link(set(owners) - {self.member})
@@ -189,14 +206,18 @@
             link_by_channel[channel].sent_s = now
 
     def send(self, member: str, message: NodeMessage) -> None:
-        """Sends a message to one peer; counts it if the peer is unreachable."""
+        """Sends a message to one peer, with the lease that it extends.
+
+        A message that the channel does not take is counted.
+        """
         now = now_s()
-        frame = encode_frame(message)
         link = self._link_by_member.get(member)
         if link is not None:
+            frame = encode_frame(message, link.echo_s)
             self._outbox.add(member, frame, now)
             if self._mesh.send_frame(link.channel, frame):
                 link.sent_s = now
+                link.granted_s = now
                 return
             if self._outbox.may_resend(member, now):
                 return
@@ -227,15 +248,24 @@
             store_age_s, is_leaving, waiting_by_cell, next_offset
         )
         now = now_s()
+        owners = self._links.targets
         due_links = {
-            link.channel: link
-            for link in self._link_by_member.values()
-            if has_news or link.needs_heartbeat(now)
+            member: link
+            for member, link in self._link_by_member.items()
+            if has_news or link.needs_heartbeat(now, member in owners)
         }
+        for member in due_links.keys() & owners:
+            link = due_links.pop(member)
+            frame = encode_frame(self._last_beat, link.echo_s)
+            if self._mesh.send_frame(link.channel, frame):
+                link.sent_s = now
+                link.beat_sent_s = now
+                link.granted_s = now
+        link_by_channel = {link.channel: link for link in due_links.values()}
         frame = encode_frame(self._last_beat)
-        for channel in self._mesh.broadcast(due_links, frame):
-            due_links[channel].sent_s = now
-            due_links[channel].beat_sent_s = now
+        for channel in self._mesh.broadcast(link_by_channel, frame):
+            link_by_channel[channel].sent_s = now
+            link_by_channel[channel].beat_sent_s = now
         for member, link in list(self._link_by_member.items()):
             if now - link.heard_s > PEER_TIMEOUT_S:
                 self._remove_peer(member, 'silent')
@@ -252,17 +282,21 @@
         """Returns the first message of each channel; it identifies this VM."""
         return self._last_beat
 
-    def handle_message(self, message: NodeMessage, channel: int) -> None:
+    def handle_message(
+        self, message: NodeMessage, stamp: Stamp, channel: int
+    ) -> None:
         """Processes a message of a peer."""
         now = now_s()
         if isinstance(message, Beat):
-            self._record_beat(message, channel, now)
-        link = self._link_by_member.get(
-            self._member_by_channel.get(channel, '')
-        )
+            self._record_beat(message, stamp, channel, now)
+        member = self._member_by_channel.get(channel, '')
+        link = self._link_by_member.get(member)
         if link is not None:
             link.heard_s = now
-        self._on_message(message)
+            link.echo_s = max(link.echo_s, stamp.sent_s)
+            if stamp.echo_s is not None:
+                self.leases.renew(member, stamp.echo_s, now)
+        self._on_message(message, stamp)
 
     def handle_closed_channel(self, channel: int) -> None:
         """Schedules a check whether the peer of a closed channel is back.
@@ -294,11 +328,13 @@
             if Address(link.beat.ip, link.beat.port) == address:
                 self._remove_peer(member, 'refused')
 
-    def _record_beat(self, beat: Beat, channel: int, now: float) -> None:
+    def _record_beat(
+        self, beat: Beat, stamp: Stamp, channel: int, now: float
+    ) -> None:
         self._member_by_channel[channel] = beat.member
         link = self._link_by_member.get(beat.member)
         if link is None:
-            link = _Link(beat, channel, now)
+            link = _Link(beat, channel, stamp.sent_s, now)
             self._link_by_member[beat.member] = link
             self._use_channel(beat.member, link, channel, now)
         elif link.channel not in self._member_by_channel:
@@ -315,6 +351,7 @@
         self._log.debug(
             'peer linked', extra={'peer': member, 'age_s': now - link.heard_s}
         )
+        self._on_linked(member)
 
     def _check_reopened(self, member: str, channel: int) -> None:
         link = self._link_by_member.get(member)
@@ -328,6 +365,7 @@
         link = self._link_by_member.pop(member)
         self._outbox.forget(member)
         self._on_lost(member, now_s() - link.heard_s)
+        self.leases.forget(member)
 
     def _build_beat(
         self,
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -123,7 +123,7 @@
     rig, backends = make_rig(run_s=5.0)
     rig.submit(make_job(count=3))
     rig.run_for(0.1)
-    rig.cell.drop_transient('a' * 16, rig.now)
+    rig.cell.assignments.drop_job('a' * 16, rig.now)
     rig.execute_effects()
     rig.run_for(0.3)
     assert not any(backend.active for backend in backends)
@@ -134,7 +134,7 @@
     rig, backends = make_rig(run_s=5.0)
     rig.submit(make_job(count=3), coordinator='c#7')
     rig.run_for(0.1)
-    rig.cell.drop_coordinator('c#7', rig.now)
+    rig.cell.assignments.drop_coordinator('c#7', rig.now)
     rig.execute_effects()
     rig.run_for(0.3)
     assert not any(backend.active for backend in backends)
@@ -144,7 +144,7 @@
     rig, _ = make_rig(run_s=5.0)
     rig.submit(make_job(count=3), coordinator='c#7')
     rig.run_for(0.1)
-    rig.cell.drop_coordinator('c#7', rig.now)
+    rig.cell.assignments.drop_coordinator('c#7', rig.now)
     logged = [
         effect
         for effect in rig.cell.take_effects()
@@ -159,7 +159,7 @@
     rig.run_for(0.1)
     for backend in backends:
         backend.loses_stops = True
-    rig.cell.drop_transient('a' * 16, rig.now)
+    rig.cell.assignments.drop_job('a' * 16, rig.now)
     rig.execute_effects()
     rig.run_for(0.4)
     assert CountEvent('lost_orders', 'stop') in rig.counts
@@ -444,7 +444,8 @@
     assignment = AssignTasks(
         'z', job, (TaskKey(job.job_id, 0, 0),), -1.0, False
     )
-    rig.cell.run_transient(assignment, 'c#1', rig.now)
+    rig.coordinators.add('c#1')
+    rig.cell.assignments.accept(assignment, 'c#1', rig.now)
     rig.run_for(0.5)
     assert len(rig.done_tasks()) == 1
     assert not rig.cell.waiting
@@ -483,7 +484,7 @@
         stops.append(rig.now),
         send_stop(*command),
     )
-    rig.cell.drop_transient('a' * 16, rig.now)
+    rig.cell.assignments.drop_job('a' * 16, rig.now)
     rig.execute_effects()
     rig.run_for(2.0)
     assert 5 <= len(stops) <= 9
--- a/tests/cover/test_cell_host.py
+++ b/tests/cover/test_cell_host.py
@@ -11,6 +11,9 @@
 )
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.cell import Cell
+from camphorlink.internal.core.process.coordinator_leases import (
+    CoordinatorLeases,
+)
 from camphorlink.internal.core.process.job_table import JobTable
 from camphorlink.internal.core.process.suspension import (
     SUSPENSION_LIMIT_S,
@@ -86,7 +89,8 @@
 
     async def scenario():
         log = Log(clock)
-        cell = Cell('z', 1, log.table, RunSpeeds(), clock.now_s)
+        leases = CoordinatorLeases('c#1')
+        cell = Cell('z', 1, log.table, RunSpeeds(), leases, clock.now_s)
         host = cell_host.CellHost(
             cell,
             log,
--- a/tests/cover/test_coordinator.py
+++ b/tests/cover/test_coordinator.py
@@ -9,6 +9,7 @@
     FreeCapacity,
 )
 from camphorlink.internal.shell.process.coordinator import Coordinator
+from camphorlink.internal.shell.process.steady_clock import now_s
 from simulated_backends import listed, make_job
 
 
@@ -30,8 +31,9 @@
         run = asyncio.create_task(coordinator.run(make_job(), 2.0))
         await asyncio.sleep(0)
         coordinator.record_load(load('y'))
-        coordinator.handle_lost_owner('z', 60.0, lambda: True)
-        await asyncio.sleep(0.05)
+        coordinator.contacts.record_owner('z', 'm#2', now_s())
+        coordinator.contacts.record_loss('m#2', now_s() - 60)
+        coordinator.move_lost_tasks()
         run.cancel()
 
     asyncio.run(scenario())
--- a/tests/cover/test_mesh.py
+++ b/tests/cover/test_mesh.py
@@ -23,7 +23,7 @@
         self.closed = 0
         self.refused = []
 
-    def handle_message(self, message, channel):
+    def handle_message(self, message, stamp, channel):
         self.messages.append(message)
 
     def handle_closed_channel(self, channel):
@@ -135,7 +135,7 @@
     async def scenario():
         handled = []
 
-        def fail_once(message, channel):
+        def fail_once(message, stamp, channel):
             handled.append(message)
             if len(handled) == 1:
                 raise TypeError('a field has a wrong type')
--- a/tests/cover/test_node_message_handler.py
+++ b/tests/cover/test_node_message_handler.py
@@ -3,6 +3,7 @@
 from camphorlink.internal.core.connection.node_messages import (
     Beat,
     RecordsAppended,
+    Stamp,
 )
 from camphorlink.internal.shell.process.node_message_handler import (
     STORELESS_AGE_S,
@@ -25,11 +26,12 @@
         job_log=Log(),
         coordinator=None,
         waiting_by_cell={},
+        leases=None,
         on_count=None,
         send=lambda member, message: sent.append((member, message)),
     )
     beat = Beat('m', '10.0.0.1', 1, 'z', store_age_s, False, {}, next_offset)
-    handler.handle(beat)
+    handler.handle(beat, Stamp(0.0))
     return sent
 
 
--- a/tests/nocover/test_partitions.py
+++ b/tests/nocover/test_partitions.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from run_overlaps import OverlappingRunsError, check_no_overlaps
+from run_overlaps import check_no_overlaps
 from simulated_fleet import run_in_fleet
 
 ZONE_BY_VM = {'z-1': 'z', 'y-1': 'y', 'x-1': 'x'}
@@ -21,9 +21,6 @@
 #: Time from the partition in which stops are lost, in seconds: the owner sends
 #: four of them.
 STOPS_LOST_S = 1.4
-KNOWN_RED = pytest.mark.xfail(
-    strict=True, raises=OverlappingRunsError, reason='KNOWN-RED: issue 28'
-)
 
 
 def play(scenario, zone_by_vm):
@@ -42,7 +39,6 @@
     return caller
 
 
-@KNOWN_RED
 def test_a_task_moved_after_a_partition_does_not_run_beside_its_former_run():
     async def scenario(fleet):
         caller = await start_in_zone(fleet, 'z', 'y-1')
@@ -55,7 +51,6 @@
     play(scenario, ZONE_BY_VM)
 
 
-@KNOWN_RED
 def test_a_moved_task_does_not_run_beside_a_run_whose_stops_are_lost():
     async def scenario(fleet):
         caller = await start_in_zone(fleet, 'z', 'y-1')
--- a/tests/simulated_backends.py
+++ b/tests/simulated_backends.py
@@ -24,6 +24,9 @@
     CountEvent,
     LogEvent,
 )
+from camphorlink.internal.core.process.coordinator_leases import (
+    CoordinatorLeases,
+)
 from camphorlink.internal.core.process.job_table import JobTable
 from camphorlink.internal.core.process.transient_job_table import TaskReport
 from camphorlink.internal.core.request.durable_job import (
@@ -198,6 +201,9 @@
         #: Time in seconds at which the store last confirmed the owner; with
         #: ``None``, it confirms the owner continuously.
         self.confirmed_s = None
+        self.leases = CoordinatorLeases(member)
+        #: Coordinators that renew their leases continuously.
+        self.coordinators = set()
         self._pending_answers = []
         self._late_commands = []
         self._numbers = itertools.count()
@@ -208,7 +214,9 @@
         owner = self.table.owner_of('z')
         self.table.apply(CellClaimed('z', owner.term, member))
         term = self.table.owner_of('z').term
-        self.cell = Cell('z', term, self.table, RunSpeeds(), self.now)
+        self.cell = Cell(
+            'z', term, self.table, RunSpeeds(), self.leases, self.now
+        )
         self._pending_answers = []
         self.list_backends()
 
@@ -234,7 +242,9 @@
                 for task in task_keys(job, step)
             ]
         assignment = AssignTasks('z', job, tuple(tasks), 10.0, may_have_run)
-        self.cell.run_transient(assignment, coordinator, self.now)
+        self.coordinators.add(coordinator)
+        self.leases.renew(coordinator, self.now, self.now)
+        self.cell.assignments.accept(assignment, coordinator, self.now)
         self.cell.place(self.now)
         self.execute_effects()
 
@@ -323,6 +333,8 @@
         end_s = self.now + duration_s
         while self.now < end_s:
             self.now += TICK_S / 4
+            for coordinator in self.coordinators:
+                self.leases.renew(coordinator, self.now, self.now)
             for backend in self.backend_by_id.values():
                 backend.advance(self.now)
             for entry in list(self._late_commands):
