Coordinators list their open jobs at the start of each channel

Callers saw: after a VM without a channel to their coordinator took over a cell, their open jobs ended with no outcome at their time limit; the same after an owner had dropped a coordinator's tasks and the channel came back within 0.25 s.

Cause: a new owner gets a channel only after its claim was read, and the tasks were assigned to it in the moment before; that message was lost, and nothing repeated it. An owner that dropped tasks told nobody, and a drop that a full or broken channel lost was not repeated either, so a job whose caller had left ran on beside its repetition.

Change: when messages to an owner go on a new channel, its coordinator lists its open jobs there first and assigns their tasks again; the owner stops the others. An owner that stopped tasks on expiry restarts the channel, and so does a coordinator whose message the channel did not take. A task that returns while its run is being stopped starts again afterwards; one that is open already goes on.

--- a/src/camphorlink/internal/core/connection/node_message_codec.py
+++ b/src/camphorlink/internal/core/connection/node_message_codec.py
@@ -10,6 +10,7 @@
     DropTasks,
     LoadTold,
     NodeMessage,
+    OpenJobs,
     RecordsAppended,
     RunTasks,
     Stamp,
@@ -76,6 +77,11 @@
     return ['drop', *message]
 
 
+@encode_message.register
+def _encode_open_jobs(message: OpenJobs) -> list[Any]:
+    return ['open', message.coordinator, message.cell, list(message.job_ids)]
+
+
 @encode_message.register
 def _encode_ended(message: TaskEnded) -> list[Any]:
     return ['ended', list(message.task), message.is_done]
@@ -111,6 +117,12 @@
     return RecordsAppended(offset, tuple(records))
 
 
+def _decode_open_jobs(
+    coordinator: str, cell: str, job_ids: Sequence[str]
+) -> OpenJobs:
+    return OpenJobs(coordinator, cell, tuple(job_ids))
+
+
 def _decode_ended(task: Sequence[Any], is_done: bool) -> TaskEnded:
     return TaskEnded(TaskKey(*task), is_done)
 
@@ -121,6 +133,7 @@
     'load': _decode_load,
     'run': _decode_run,
     'drop': DropTasks,
+    'open': _decode_open_jobs,
     'ended': _decode_ended,
 }
 
--- a/src/camphorlink/internal/core/connection/node_messages.py
+++ b/src/camphorlink/internal/core/connection/node_messages.py
@@ -96,6 +96,18 @@
     job_id: str
 
 
+class OpenJobs(NamedTuple):
+    """Lists the open jobs of a coordinator in a cell, on a new channel.
+
+    The owner of the cell stops the coordinator's other jobs.  The listed ones
+    follow as ``RunTasks``.
+    """
+
+    coordinator: str
+    cell: str
+    job_ids: tuple[str, ...]
+
+
 class TaskEnded(NamedTuple):
     """Reports to the coordinator that a task of a transient job has ended.
 
@@ -109,5 +121,11 @@
 
 
 NodeMessage = (
-    Beat | RecordsAppended | LoadTold | RunTasks | DropTasks | TaskEnded
+    Beat
+    | RecordsAppended
+    | LoadTold
+    | RunTasks
+    | DropTasks
+    | OpenJobs
+    | TaskEnded
 )
--- a/src/camphorlink/internal/core/process/cell_effects.py
+++ b/src/camphorlink/internal/core/process/cell_effects.py
@@ -49,6 +49,16 @@
     facts: dict[str, object]
 
 
+class CoordinatorExpired(NamedTuple):
+    """Tell a coordinator that its tasks were stopped when its lease expired.
+
+    Attributes:
+        member: The coordinator.
+    """
+
+    member: str
+
+
 CellEffect = (
     StartRun
     | StopRun
@@ -57,5 +67,6 @@
     | CheckOwnership
     | CountEvent
     | LogEvent
+    | CoordinatorExpired
     | TaskReport
 )
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -132,6 +132,13 @@
         )
         return run
 
+    def claim_task(self, task: TaskKey) -> None:
+        """Makes a task start again when its runs, which may be stopped, end."""
+        for backend_id in self.backends_by_task.get(task, ()):
+            run = self.runs_by_backend[backend_id].run_by_task[task]
+            run.wants_retry = True
+            run.must_end_s = None
+
     def stop_task(
         self, task: TaskKey, now: float, must_end_s: float | None = None
     ) -> None:
--- a/src/camphorlink/internal/core/process/transient_assignments.py
+++ b/src/camphorlink/internal/core/process/transient_assignments.py
@@ -2,10 +2,12 @@
 
 import math
 from collections.abc import Callable
+from functools import singledispatchmethod
 from typing import NamedTuple
 
 from camphorlink.internal.core.process.cell_effects import (
     CellEffect,
+    CoordinatorExpired,
     CountEvent,
     LogEvent,
 )
@@ -24,6 +26,8 @@
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.transient_jobs import (
     AssignTasks,
+    DropJob,
+    KeepJobs,
 )
 from camphorlink.internal.core.request.waiting_tasks import WaitingTasks
 
@@ -73,7 +77,7 @@
         """Queues assigned tasks of a transient job.
 
         A task that completed here recently is not run again; its report is
-        repeated.
+        repeated.  One that is open here already goes on.
 
         Args:
             assignment: The job and its tasks for this cell.
@@ -84,6 +88,8 @@
         if not unfinished:
             return
         context = self._context
+        known = context.transient.get(assignment.job.job_id)
+        open_tasks = set() if known is None else known.open_tasks.copy()
         live = context.transient.accept(
             assignment.job, unfinished, coordinator
         ).live
@@ -93,7 +99,8 @@
         if live.due_s is None:
             live.due_s = now + assignment.objective_s
         for task in unfinished:
-            self._queue(live, task, assignment.may_have_run, now)
+            if task not in open_tasks:
+                self._queue(live, task, assignment.may_have_run, now)
 
     def drop_job(
         self, job_id: str, now: float, must_end_s: float | None = None
@@ -110,6 +117,31 @@
             self._context.waiting.discard(task)
             self._context.registry.stop_task(task, now, must_end_s)
 
+    @singledispatchmethod
+    def stop(
+        self, command: DropJob | KeepJobs, coordinator: str, now: float
+    ) -> None:
+        """Stops jobs as their coordinator commands.
+
+        Raises:
+            TypeError: If the command is of an unknown type.
+        """
+        raise TypeError(command)
+
+    @stop.register
+    def _stop_dropped(
+        self, command: DropJob, coordinator: str, now: float
+    ) -> None:
+        self.drop_job(command.job_id, now)
+
+    @stop.register
+    def _stop_unlisted(
+        self, command: KeepJobs, coordinator: str, now: float
+    ) -> None:
+        jobs = self._context.transient.jobs_of_coordinator(coordinator)
+        for job_id in set(jobs).difference(command.job_ids):
+            self.drop_job(job_id, now)
+
     def drop_coordinator(self, member: str, now: float) -> None:
         """Stops the tasks of all jobs of a coordinator that is lost."""
         context = self._context
@@ -134,6 +166,7 @@
         for member in context.transient.coordinators:
             if not context.leases.is_valid(member, now):
                 self.drop_coordinator(member, now)
+                context.effects.append(CoordinatorExpired(member))
                 context.effects.append(
                     CountEvent('expired_leases', 'coordinator')
                 )
@@ -159,6 +192,8 @@
         self, live: LiveJob, task: TaskKey, may_have_run: bool, now: float
     ) -> None:
         context = self._context
+        # A run that is being stopped makes way for the next one.
+        context.registry.claim_task(task)
         may_have_started = (
             may_have_run or task in context.registry.unclaimed_tasks
         )
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -45,6 +45,18 @@
     job_id: str
 
 
+class KeepJobs(NamedTuple):
+    """Effect that makes a cell stop all other jobs of this coordinator.
+
+    Attributes:
+        cell: The cell.
+        job_ids: Identifiers of the jobs with open tasks in the cell.
+    """
+
+    cell: str
+    job_ids: tuple[str, ...]
+
+
 class TransientJobEnded(NamedTuple):
     """Effect that answers the caller of a job that ended.
 
@@ -72,7 +84,7 @@
 
 
 #: Commands for the owner of a cell.
-CellCommand = AssignTasks | DropJob
+CellCommand = AssignTasks | DropJob | KeepJobs
 TransientEffect = CellCommand | TransientJobEnded | JobRefused
 
 
@@ -188,6 +200,11 @@
             for cell in open_job.cell_by_task.values()
         }
 
+    def list_open(self, cell: str) -> list[TransientEffect]:
+        """Lists the open tasks of a cell for its owner, on a new channel."""
+        kept = KeepJobs(cell, tuple(self.jobs_in_cell(cell)))
+        return [kept, *self.assign_to_new_owner(cell)]
+
     def assign_to_new_owner(self, cell: str) -> list[TransientEffect]:
         """Assigns the open tasks of a cell to its new owner."""
         effects: list[TransientEffect] = []
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -17,6 +17,7 @@
     AppendRecord,
     CellEffect,
     CheckOwnership,
+    CoordinatorExpired,
     CountEvent,
     LogEvent,
 )
@@ -24,7 +25,11 @@
 from camphorlink.internal.core.process.predecessor import is_ownership_confirmed
 from camphorlink.internal.core.process.suspension import SuspensionDetector
 from camphorlink.internal.core.process.transient_job_table import TaskReport
-from camphorlink.internal.core.request.transient_jobs import AssignTasks
+from camphorlink.internal.core.request.transient_jobs import (
+    AssignTasks,
+    DropJob,
+    KeepJobs,
+)
 from camphorlink.internal.shell.ports import BackendPort
 from camphorlink.internal.shell.process.backend_calls import BackendCalls
 from camphorlink.internal.shell.process.background import repeat
@@ -53,6 +58,7 @@
         backends: BackendPort,
         on_count: OnCount,
         on_report: Callable[[str, TaskReport], None],
+        on_expired: Callable[[str], None],
         on_suspended: Callable[[str], None],
     ) -> None:
         """Creates the host; it runs nothing before the context is entered.
@@ -65,10 +71,12 @@
                 count.
             on_report: Called with the name of the cell and the report of
                 each transient task that has ended.
+            on_expired: Called with each coordinator whose lease has expired.
             on_suspended: Called with the name of the cell when this process
                 was suspended; must leave the context of the host.
         """
         self.cell = cell
+        self._on_expired = on_expired
         self._on_suspended = on_suspended
         self._suspension = SuspensionDetector(now_s())
         self._job_log = job_log
@@ -138,9 +146,9 @@
         self.cell.assignments.accept(assignment, coordinator, now_s())
         self._place_tasks()
 
-    def drop_transient(self, job_id: str) -> None:
-        """Stops a transient job that its coordinator has dropped."""
-        self.cell.assignments.drop_job(job_id, now_s())
+    def stop_jobs(self, command: DropJob | KeepJobs, coordinator: str) -> None:
+        """Stops transient jobs as their coordinator commands."""
+        self.cell.assignments.stop(command, coordinator, now_s())
         self._place_tasks()
 
     def drop_coordinator(self, member: str) -> None:
@@ -198,6 +206,10 @@
     def _check_ownership(self, effect: CheckOwnership) -> None:
         self._calls.run(self._job_log.catch_up())
 
+    @_carry_out.register
+    def _notify_expired(self, effect: CoordinatorExpired) -> None:
+        self._on_expired(effect.member)
+
     @_carry_out.register
     def _count_event(self, effect: CountEvent) -> None:
         self._on_count(effect.family, effect.reason)
--- a/src/camphorlink/internal/shell/process/cell_manager.py
+++ b/src/camphorlink/internal/shell/process/cell_manager.py
@@ -37,6 +37,7 @@
     speeds: RunSpeeds
     on_count: Callable[[str, str], None]
     on_report: Callable[[str, TaskReport], None]
+    on_expired: Callable[[str], None]
 
 
 class CellManager:
@@ -196,6 +197,7 @@
             shared.backends,
             shared.on_count,
             shared.on_report,
+            shared.on_expired,
             self._release,
         )
         self.host_by_cell[cell] = host
--- a/src/camphorlink/internal/shell/process/cell_sender.py
+++ b/src/camphorlink/internal/shell/process/cell_sender.py
@@ -4,6 +4,7 @@
     DropTasks,
     LoadTold,
     NodeMessage,
+    OpenJobs,
     RunTasks,
     TaskEnded,
 )
@@ -17,6 +18,7 @@
     AssignTasks,
     CellCommand,
     DropJob,
+    KeepJobs,
 )
 from camphorlink.internal.shell.process.cell_manager import CellManager
 from camphorlink.internal.shell.process.coordinator import Coordinator
@@ -63,7 +65,7 @@
         elif isinstance(command, AssignTasks):
             host.run_transient(command, self._peers.member)
         else:
-            host.drop_transient(command.job_id)
+            host.stop_jobs(command, self._peers.member)
 
     def report(self, cell: str, report: TaskReport) -> None:
         """Reports a task that has ended in a cell to its coordinator."""
@@ -101,6 +103,8 @@
     def _build_message(self, command: CellCommand) -> NodeMessage:
         if isinstance(command, DropJob):
             return DropTasks(command.cell, command.job_id)
+        if isinstance(command, KeepJobs):
+            return OpenJobs(self._peers.member, command.cell, command.job_ids)
         return RunTasks(
             self._peers.member,
             command.cell,
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -24,6 +24,7 @@
     CellCommand,
     DropJob,
     JobRefused,
+    KeepJobs,
     TransientEffect,
     TransientJobEnded,
     TransientJobs,
@@ -131,6 +132,10 @@
         """Sends the open tasks of a cell to its new owner."""
         self._carry_out_all(self._jobs.assign_to_new_owner(cell))
 
+    def send_open_tasks(self, cell: str) -> None:
+        """Lists the open tasks of a cell for its owner, on a new channel."""
+        self._carry_out_all(self._jobs.list_open(cell))
+
     def move_lost_tasks(self) -> None:
         """Moves tasks from cells that are out of reach, once it is safe."""
         now = now_s()
@@ -184,7 +189,7 @@
         raise TypeError(effect)
 
     @_carry_out.register
-    def _send(self, effect: AssignTasks | DropJob) -> None:
+    def _send(self, effect: AssignTasks | DropJob | KeepJobs) -> None:
         self._send_to_cell(effect.cell, effect)
 
     @_carry_out.register
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -136,6 +136,7 @@
                 speeds,
                 self._count,
                 self._cell_sender.report,
+                self.peers.restart_channel,
             ),
         )
         self._cell_sender.connect(self.cells, self.coordinator, self.job_log)
@@ -305,6 +306,8 @@
 
     def _handle_linked_member(self, member: str) -> None:
         self.coordinator.contacts.record_link(member)
+        for cell in self.table.cells_of(member):
+            self.coordinator.send_open_tasks(cell)
 
     def _handle_lost_member(self, member: str, silent_s: float) -> None:
         self.cells.handle_lost_member(member)
--- a/src/camphorlink/internal/shell/process/node_message_handler.py
+++ b/src/camphorlink/internal/shell/process/node_message_handler.py
@@ -8,6 +8,7 @@
     DropTasks,
     LoadTold,
     NodeMessage,
+    OpenJobs,
     RecordsAppended,
     RunTasks,
     Stamp,
@@ -16,7 +17,11 @@
 from camphorlink.internal.core.process.coordinator_leases import (
     CoordinatorLeases,
 )
-from camphorlink.internal.core.request.transient_jobs import AssignTasks
+from camphorlink.internal.core.request.transient_jobs import (
+    AssignTasks,
+    DropJob,
+    KeepJobs,
+)
 from camphorlink.internal.shell.process.cell_manager import CellManager
 from camphorlink.internal.shell.process.coordinator import Coordinator
 from camphorlink.internal.shell.process.job_log import JobLog
@@ -111,7 +116,15 @@
     def _handle_drop(self, message: DropTasks, _stamp: Stamp) -> None:
         host = self._cells.host_by_cell.get(message.cell)
         if host is not None:
-            host.drop_transient(message.job_id)
+            command = DropJob(message.cell, message.job_id)
+            host.stop_jobs(command, '')
+
+    @_handle.register
+    def _handle_open(self, message: OpenJobs, _stamp: Stamp) -> None:
+        host = self._cells.host_by_cell.get(message.cell)
+        if host is not None:
+            command = KeepJobs(message.cell, message.job_ids)
+            host.stop_jobs(command, message.coordinator)
 
     @_handle.register
     def _handle_ended(self, message: TaskEnded, _stamp: Stamp) -> None:
--- a/src/camphorlink/internal/shell/process/peers.py
+++ b/src/camphorlink/internal/shell/process/peers.py
@@ -208,7 +208,8 @@
     def send(self, member: str, message: NodeMessage) -> None:
         """Sends a message to one peer, with the lease that it extends.
 
-        A message that the channel does not take is counted.
+        If the channel does not take it, the message is counted and the channel
+        is closed, since a new one starts with the state that the peer lacks.
         """
         now = now_s()
         link = self._link_by_member.get(member)
@@ -221,6 +222,7 @@
                 return
             if self._outbox.may_resend(member, now):
                 return
+            self._mesh.abort(link.channel)
         kind = type(message).__name__
         self.counts[kind] += 1
         self._log.info(
@@ -272,6 +274,12 @@
                 # The channel may transmit nothing any more; a new one may.
                 self._mesh.abort(link.channel)
 
+    def restart_channel(self, member: str) -> None:
+        """Closes the channel to a member; a new one starts a new session."""
+        link = self._link_by_member.get(member)
+        if link is not None:
+            self._mesh.abort(link.channel)
+
     async def withdraw(self) -> None:
         """Removes this VM from the list of members if the store accepts it."""
         await self._directory.withdraw()
--- a/tests/cover/test_cell_host.py
+++ b/tests/cover/test_cell_host.py
@@ -97,6 +97,7 @@
             backends,
             lambda family, reason: None,
             lambda name, report: None,
+            lambda member: None,
             lambda name: (
                 given_up.append(name),
                 host.__exit__(None, None, None),
