--- a/tests/nocover/test_partitions.py
+++ b/tests/nocover/test_partitions.py
@@ -4,9 +4,12 @@
 """
 
 import asyncio
+from random import Random
 
 import pytest
 
+from camphorlink.internal.core.process.job_table import JobState
+from random_faults import SHORT_RUN_S, RandomFaults, SteadyLoad
 from run_overlaps import check_no_overlaps
 from simulated_fleet import run_in_fleet
 
@@ -76,3 +79,38 @@
         await caller
 
     play(scenario, ZONE_BY_VM)
+
+
+SIX_VMS = {f'{zone}-{number}': zone for zone in 'xyz' for number in (1, 2)}
+#: Time after the last fault after which all VMs must run jobs, in seconds.
+RECOVERY_S = 5.0
+#: Added to the seed of the faults for that of the load.
+LOAD_SEED = 1_000_000
+SEEDS = (*range(16), 31, 40, 91, 96, 97, 100, 116, 124)
+
+
+async def play_faults(fleet, seed):
+    """Plays random faults under load; afterwards, each VM must run a job."""
+    faults = RandomFaults(fleet, Random(seed))
+    load = SteadyLoad(fleet, Random(seed + LOAD_SEED))
+    playing = asyncio.create_task(faults.run())
+    await load.run(until=playing)
+    assert load.completed > load.submitted / 2, f'seed {seed}'
+    await asyncio.sleep(RECOVERY_S)
+    for vm in fleet.live_vms():
+        answer = await fleet.submit(fleet.build_job(SHORT_RUN_S), vm.name)
+        assert answer.state is JobState.COMPLETED, (seed, vm.name, answer)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_no_task_has_two_runs_at_once_under_random_faults(seed):
+    fleet = run_in_fleet(lambda fleet: play_faults(fleet, seed), SIX_VMS)
+    check_no_overlaps(fleet, f'seed {seed}')
+
+
+def test_a_seed_always_plays_the_same_runs():
+    first, second = (
+        run_in_fleet(lambda fleet: play_faults(fleet, SEEDS[0]), SIX_VMS)
+        for _ in range(2)
+    )
+    assert first.spans == second.spans
--- a/tests/recording_backends.py
+++ b/tests/recording_backends.py
@@ -24,6 +24,8 @@
 #: Delay of the check of a back end after the end of a run or of its lease: a
 #: timer may fire early by less than that.
 CHECK_DELAY_S = 1e-6
+#: Time for which a call of a killed VM waits, in seconds: longer than any test.
+DEAD_S = 1e6
 
 
 @dataclasses.dataclass
@@ -37,6 +39,7 @@
         how: How it ended.
         commander: VM that sent the start.
         stops: Time of each stop that was sent, and whether it was lost.
+        kept_s: Time from which a later owner renewed its lease, else infinite.
     """
 
     task: object
@@ -49,6 +52,7 @@
     end_s: float = float('inf')
     how: str = 'active'
     stops: list = dataclasses.field(default_factory=list)
+    kept_s: float = float('inf')
 
 
 class RecordingBackend(SimulatedBackend):
@@ -70,9 +74,18 @@
         """Executes a command of a VM and returns the answer."""
         self._commander = commander
         answer = self.execute(command, self._loop.time())
+        if isinstance(command, RenewLeases) and command.lease_until_clock_ms:
+            self._record_renewal(command.term)
         self._set_timer()
         return answer
 
+    def _record_renewal(self, term):
+        if term == self.fence:
+            for task, (run, _) in self.active.items():
+                span = self._span_by_run[task, run]
+                if term > span.term:
+                    span.kept_s = min(span.kept_s, self._loop.time())
+
     def record_stop(self, command, is_lost):
         span = self._span_by_run.get((command.task, command.run))
         if span is not None:
@@ -177,7 +190,7 @@
         backend = self._backend_by_id[backend_id]
         faults = self.faults_by_backend[backend_id]
         if self.is_dead:
-            await asyncio.Future()
+            await asyncio.sleep(DEAD_S)
         is_stop = isinstance(command, StopRun)
         is_lost = faults.is_cut or (is_stop and faults.loses_stops)
         if is_stop:
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -14,7 +14,7 @@
 from camphorlink.internal.shell.process import peers
 from camphorlink.internal.shell.request.job_handler import JobHandler, Verdict
 from recording_backends import CallFaults, RecordingBackend
-from run_overlaps import recorded_moves
+from run_overlaps import Decisions
 from simulated_backends import listed, make_job
 from simulated_network import Rule, SimulatedNetwork
 from simulated_store import (
@@ -41,7 +41,7 @@
 
     Attributes:
         spans: All runs on back ends.
-        moves: Decisions of coordinators to move the tasks of lost owners.
+        decisions: What coordinators decided and owners received.
         submissions: Time, job and VM of each submission.
     """
 
@@ -51,12 +51,12 @@
         self.network = SimulatedNetwork()
         self.store = SimulatedStore()
         self.spans = []
-        self.moves = []
+        self.decisions = Decisions()
         self.submissions = []
         self.vm_by_name = {}
         self.backend_by_id = {}
         self.listed_by_id = {}
-        self.attempt_by_job = {}
+        self._attempts_by_vm = collections.defaultdict(dict)
         self._job_numbers = itertools.count(1)
         numbers = itertools.count(1)
         for zone in self.zones:
@@ -122,7 +122,7 @@
         reader = contextvars.copy_context() if context is None else context
         vm = self.vm_by_name.get(reader.get(CURRENT_VM, ''))
         if vm is not None:
-            vm.tasks.add(task)
+            vm.add_task(task)
         return task
 
     def owner_of(self, cell):
@@ -193,16 +193,17 @@
         attempt = vm.create_task(
             JobHandler(vm.node).run(job, JOB_TIMEOUT_S),
         )
-        self.attempt_by_job[job.job_id] = attempt
+        self._attempts_by_vm[vm_name][attempt] = job
         try:
             await asyncio.wait({attempt})
         finally:
-            self.attempt_by_job.pop(job.job_id, None)
+            self._attempts_by_vm[vm_name].pop(attempt)
         return None if attempt.cancelled() else attempt.result()
 
-    def break_connection(self, job_id):
-        """Breaks the connection of a caller, which its VM notices, too."""
-        self.attempt_by_job[job_id].cancel()
+    def break_connections(self, vm_name):
+        """Breaks the connections of a VM's callers, which the VM notices."""
+        for attempt in self._attempts_by_vm[vm_name].copy():
+            attempt.cancel()
 
     async def run_for_caller(self, job, vm_names):
         """Submits a job, and again to the next VM while its end is unknown.
@@ -227,7 +228,7 @@
 async def _run_scenario(scenario, zone_by_vm, backends_per_zone):
     fleet = SimulatedFleet(zone_by_vm, backends_per_zone)
     with (
-        recorded_moves(fleet.moves),
+        fleet.decisions.record(),
         mock.patch.object(peers, 'Mesh', fleet.network.build_mesh),
     ):
         await fleet.start()
--- a/tests/simulated_network.py
+++ b/tests/simulated_network.py
@@ -21,12 +21,15 @@
 LATENCY_S = 0.001
 #: Opening a channel takes two round trips, of TCP and of the websocket.
 OPEN_DURATION_S = 4 * LATENCY_S
+#: Time from a loss to its retransmission, in seconds; TCP doubles it each time.
+FIRST_RETRANSMISSION_S = 0.2
 
 
 class Rule(enum.Enum):
     """What happens to the packets from one VM to another.
 
     ``HOLD`` delivers them when the rule of the link is ``DELIVER`` again.
+    After ``DROP``, a channel that is still open retransmits like TCP.
     """
 
     DELIVER = enum.auto()
@@ -88,11 +91,19 @@
         }
 
     def transmit(self, sender, receiver, packet):
-        """Calls ``packet`` now, later or never, by the rule of the link."""
+        """Calls ``packet`` now, later or never, by the rule of the link.
+
+        Returns:
+            Whether it was or will be called.
+        """
+        is_held = self._rule_by_link.get((sender, receiver)) is Rule.HOLD
         if self.delivers(sender, receiver):
             packet()
-        elif self._rule_by_link.get((sender, receiver)) is Rule.HOLD:
+        elif is_held:
             self._held_by_link[sender, receiver].append(packet)
+        else:
+            return False
+        return True
 
 
 class _ChannelEnd:
@@ -103,6 +114,7 @@
         number: Number of the channel on that VM.
         other: End of the peer.
         is_open: Whether the VM considers the channel open.
+        closed: Set when the end is closed.
     """
 
     def __init__(self, mesh):
@@ -112,6 +124,7 @@
         self.is_open = False
         self.closed = asyncio.Event()
         self._arriving = collections.deque()
+        self._unsent = collections.deque()
 
     def open(self):
         if not self.mesh.is_running:
@@ -122,11 +135,28 @@
         self.send(encode_greeting(self.mesh))
 
     def send(self, frame):
+        # What follows a lost frame waits for its retransmission.
+        if self._unsent or not self._transmit(frame):
+            self._unsent.append(frame)
+            if len(self._unsent) == 1:
+                self._retransmit_after(FIRST_RETRANSMISSION_S)
+
+    def _transmit(self, frame):
         other = self.other
-        self.mesh.network.transmit(
+        return self.mesh.network.transmit(
             self.mesh.vm, other.mesh.vm, lambda: other.schedule_frame(frame)
         )
 
+    def _retransmit_after(self, delay_s):
+        self.mesh.loop.call_later(delay_s, self._retransmit, delay_s)
+
+    def _retransmit(self, delay_s):
+        while self.is_open and self._unsent:
+            if not self._transmit(self._unsent[0]):
+                self._retransmit_after(2 * delay_s)
+                return
+            self._unsent.popleft()
+
     def schedule_frame(self, frame):
         # Timers of the same time may fire in any order, unlike the frames.
         self._arriving.append(frame)
@@ -194,6 +224,8 @@
         return self._listen.port
 
     def set_peers(self, addresses):
+        if not self.is_running:
+            addresses = set()
         for address in sorted(set(self._opener_by_address) - addresses):
             self._opener_by_address.pop(address).close()
         for address in sorted(addresses - set(self._opener_by_address)):
--- a/tests/simulated_vm.py
+++ b/tests/simulated_vm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextvars
+import itertools
 import weakref
 
 from camphorlink.internal.shell.connection.mesh import Address
@@ -24,7 +25,9 @@
         self.zone = zone
         self.store = StoreAccess(fleet.store)
         self.backends = BackendAccess(name, fleet.backend_by_id)
-        self.tasks = weakref.WeakSet()
+        # A set would be cancelled in the order of memory addresses.
+        self._tasks = weakref.WeakValueDictionary()
+        self._task_numbers = itertools.count()
         self.is_live = True
         self.context = contextvars.copy_context()
         self.context.run(CURRENT_VM.set, name)
@@ -50,6 +53,10 @@
         loop = asyncio.get_running_loop()
         return loop.create_task(coroutine, context=self.context)
 
+    def add_task(self, task):
+        """Adds a task that ends with the process."""
+        self._tasks[next(self._task_numbers)] = task
+
     def kill(self, is_silent):
         """Ends the process abruptly, or with ``is_silent`` the whole VM.
 
@@ -59,5 +66,5 @@
         self.store.is_cut = True
         self.backends.is_dead = True
         self.node.peers._mesh.kill(is_silent)
-        for task in list(self.tasks):
+        for task in list(self._tasks.values()):
             task.cancel()
