New owners adopt listed runs as soon as their tasks are assigned

Cause: a run that was listed before its job was known was only remembered by its task; the task waited 0.6 s, in which each back end was expected to list its runs again, and then started elsewhere.

Change: back end and number of such runs are kept, and the run is adopted when the task is assigned; from then on it ends like any other run.

Evidence: test_a_reassigned_run_is_not_started_beside_one_on_a_silent_back_end fails on the code before and passes now.

--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -163,6 +163,7 @@
                 leases,
                 self.transient,
                 self.waiting,
+                self.commander,
                 self.registry,
                 self._completions,
                 self._deferred_tasks,
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -290,6 +290,9 @@
             self._handle_active_run(runs, entry, now) for entry in answer.active
         ]
         runs.lists_unclaimed_run = not all(is_claimed)
+        self.registry.forget_unclaimed(
+            runs, {entry.task for entry in answer.active}
+        )
         for run in find_absent_runs(runs, answer.active):
             self._handle_absent_run(runs, run, sent_s, now)
         if not runs.has_listed_runs:
@@ -332,14 +335,45 @@
             if self._callbacks.is_handed_over(now):
                 self.registry.send_stop(runs, entry.task, entry.run)
             else:
-                self.registry.unclaimed_tasks.add(entry.task)
+                self.registry.unclaimed_runs.setdefault(entry.task, {})[
+                    runs.listed.backend_id
+                ] = entry.run
             return False
-        adopted_run = Run(entry.task, entry.run, needs, now)
+        self._adopt(runs, entry.task, entry.run, needs, now)
+        return True
+
+    def adopt_unclaimed(
+        self, task: TaskKey, needs: Resources, now: float
+    ) -> bool:
+        """Adopts the runs of a task that were listed before its job was known.
+
+        The back end may not answer again for long, so a later list is not
+        waited for.
+
+        Returns:
+            Whether there is such a run.
+        """
+        unclaimed = self.registry.unclaimed_runs.pop(task, {})
+        for backend_id, number in unclaimed.items():
+            runs = self.registry.runs_by_backend.get(backend_id)
+            if runs is not None and task not in runs.run_by_task:
+                self._adopt(runs, task, number, needs, now)
+        return task in self.registry.backends_by_task
+
+    def _adopt(
+        self,
+        runs: BackendRuns,
+        task: TaskKey,
+        number: int,
+        needs: Resources,
+        now: float,
+    ) -> None:
+        adopted_run = Run(task, number, needs, now)
         adopted_run.is_started_by_owner = False
         adopted_run.change_state(RunState.RUNNING, now)
         # An earlier owner may have renewed the lease of this run until now.
         runs.record_lease_sent(now)
-        is_duplicate = entry.task in self.registry.backends_by_task
+        is_duplicate = task in self.registry.backends_by_task
         self.registry.add(runs, adopted_run)
         if is_duplicate:
             # A back end that had not answered this owner yet executed a
@@ -347,7 +381,6 @@
             # before both runs have ended.
             self.registry.count('second_runs', 'order-of-an-earlier-owner')
             self.registry.stop(runs, adopted_run, now)
-        return True
 
     def _handle_absent_run(
         self,
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -42,8 +42,8 @@
         backends_by_task: Back ends with an active run of each task.  A task has
             more than one only while a run that a late command of an earlier
             owner started is being stopped.
-        unclaimed_tasks: Tasks without a known job that had a run listed at the
-            start of the term.
+        unclaimed_runs: Numbers of the runs without a known job that back ends
+            listed at the start of the term, by task and back end.
         freed_count: Number of runs that have ended so far.
     """
 
@@ -57,7 +57,7 @@
         self.term = term
         self.runs_by_backend: dict[str, BackendRuns] = {}
         self.backends_by_task: dict[TaskKey, set[str]] = {}
-        self.unclaimed_tasks: set[TaskKey] = set()
+        self.unclaimed_runs: dict[TaskKey, dict[str, int]] = {}
         self.freed_count = 0
         self._effects = effects
         self._run_count = 0
@@ -132,6 +132,17 @@
         )
         return run
 
+    def forget_unclaimed(
+        self, runs: BackendRuns, listed_tasks: set[TaskKey]
+    ) -> None:
+        """Forgets unclaimed runs that a back end does not list any more."""
+        backend_id = runs.listed.backend_id
+        for task, unclaimed in list(self.unclaimed_runs.items()):
+            if task not in listed_tasks:
+                unclaimed.pop(backend_id, None)
+            if not unclaimed:
+                self.unclaimed_runs.pop(task)
+
     def claim_task(self, task: TaskKey) -> None:
         """Makes a task start again when its runs, which may be stopped, end."""
         for backend_id in self.backends_by_task.get(task, ()):
--- a/src/camphorlink/internal/core/process/transient_assignments.py
+++ b/src/camphorlink/internal/core/process/transient_assignments.py
@@ -11,6 +11,7 @@
     CountEvent,
     LogEvent,
 )
+from camphorlink.internal.core.process.commander import Commander
 from camphorlink.internal.core.process.completion_handler import (
     CompletionHandler,
 )
@@ -39,6 +40,7 @@
         leases: Leases of the coordinators.
         transient: Transient jobs of the cell.
         waiting: Tasks that wait for free capacity.
+        commander: Processes the answers of back ends.
         registry: Runs of the term.
         completions: Handles listed completions.
         deferred: Tasks that an earlier owner may have started.
@@ -49,6 +51,7 @@
     leases: CoordinatorLeases
     transient: TransientJobTable
     waiting: WaitingTasks
+    commander: Commander
     registry: RunRegistry
     completions: CompletionHandler
     deferred: DeferredTasks
@@ -194,12 +197,10 @@
         context = self._context
         # A run that is being stopped makes way for the next one.
         context.registry.claim_task(task)
-        may_have_started = (
-            may_have_run or task in context.registry.unclaimed_tasks
-        )
         if context.completions.report_unclaimed(live, task, now):
             return
-        if not context.deferred.defer_if_needed(
-            live, task, now, may_have_started
-        ):
+        needs = live.job.steps[task.step].needs
+        if context.commander.adopt_unclaimed(task, needs, now):
+            return
+        if not context.deferred.defer_if_needed(live, task, now, may_have_run):
             context.enqueue(live, task)
--- a/tests/core/test_coordinator_leases.py
+++ b/tests/core/test_coordinator_leases.py
@@ -152,6 +152,23 @@
     assert sum(len(backend.starts) for backend in backends) == 1
 
 
+def test_a_reassigned_run_is_not_started_beside_one_on_a_silent_back_end():
+    rig, backends = make_rig()
+    job = make_job()
+    rig.submit(job)
+    rig.run_for(0.1)
+    rig.take_over('m#2')
+    rig.run_for(0.005)
+    (active,) = [backend for backend in backends if backend.active]
+    active.loses_answers = True
+    rig.lose_pending_answers()
+    rig.submit(job, may_have_run=True)
+    for _ in range(100):
+        rig.run_for(0.01)
+        assert not rig.overlapping_runs()
+    assert sum(len(backend.starts) for backend in backends) == 1
+
+
 @pytest.mark.parametrize('may_have_run', [False, True])
 def test_a_job_that_returns_while_it_is_stopped_runs_again(may_have_run):
     rig, backends = make_rig(count=1, run_s=0.5)
--- a/tests/simulated_backends.py
+++ b/tests/simulated_backends.py
@@ -360,6 +360,13 @@
         _, _, command, answer, sent_s = heapq.heappop(self._pending_answers)
         self._deliver(command, answer, sent_s)
 
+    def lose_pending_answers(self):
+        """Loses the answers that are under way."""
+        pending = self._pending_answers
+        self._pending_answers = []
+        for _, _, command, _, sent_s in pending:
+            self._answer_later(CALL_TIMEOUT_S, command, None, sent_s)
+
     def deliver_pending_answers(self):
         """Delivers the answers that are due next, without a tick."""
         for _ in list(self._pending_answers):
