Former owners in contact hold tasks back for a limited time

Callers would see: a job that waits for its time limit, because its cell's owner is lost and some former owner of the cell, healthy and long replaced, is in contact.

Cause: a former owner in contact counted as one that may still run the tasks, for as long as it stayed in contact.

--- a/src/camphorlink/internal/core/request/owner_contacts.py
+++ b/src/camphorlink/internal/core/request/owner_contacts.py
@@ -10,6 +10,7 @@
 from camphorlink.internal.core.process.coordinator_leases import (
     LOST_OWNER_TIMEOUT_S,
 )
+from camphorlink.internal.core.process.predecessor import OWNERSHIP_VALID_S
 
 
 class OwnerContacts:
@@ -29,21 +30,19 @@
         self._linked: set[str] = set()
         self._heard_s_by_member: dict[str, float] = {}
         self._owner_by_cell: dict[str, str] = {}
-        self._former_by_cell: dict[str, set[str]] = {}
-        self._own_end_s_by_cell: dict[str, float] = {}
+        #: Time at which each former owner was replaced.
+        self._former_by_cell: dict[str, dict[str, float]] = {}
 
     def record_owner(self, cell: str, member: str, now: float) -> None:
         """Records the owner of a cell; the former one may still run tasks."""
         former = self._owner_by_cell.get(cell, '')
         if former and former != member:
             active = {
-                other
-                for other in self._former_by_cell.get(cell, ())
-                if now - self._contact_s(cell, other) <= LOST_OWNER_TIMEOUT_S
+                other: replaced_s
+                for other, replaced_s in self._former_of(cell).items()
+                if now - self._last_s(other, replaced_s) <= LOST_OWNER_TIMEOUT_S
             }
-            self._former_by_cell[cell] = active | {former}
-            if former == self._own_member:
-                self._own_end_s_by_cell[cell] = now
+            self._former_by_cell[cell] = active | {former: now}
         self._owner_by_cell[cell] = member
 
     def record_link(self, member: str) -> None:
@@ -74,15 +73,31 @@
         owner = self._owner_by_cell.get(cell, '')
         if owner == self._own_member or owner in self._linked:
             return False
-        members = self._former_by_cell.get(cell, set()) | {owner}
-        return all(
-            now - self._contact_s(cell, member) > LOST_OWNER_TIMEOUT_S
-            for member in members
-        )
+        last_contacts_s = [
+            self._last_s(member, replaced_s)
+            for member, replaced_s in self._former_of(cell).items()
+        ]
+        last_contacts_s.append(self._last_s(owner, math.inf))
+        return now - max(last_contacts_s) > LOST_OWNER_TIMEOUT_S
 
-    def _contact_s(self, cell: str, member: str) -> float:
+    def former_in_contact(self, cell: str) -> list[str]:
+        """Returns the former owners of a cell that messages can reach."""
+        return [
+            member for member in self._former_of(cell) if member in self._linked
+        ]
+
+    def _former_of(self, cell: str) -> dict[str, float]:
+        return self._former_by_cell.get(cell, {})
+
+    def _last_s(self, member: str, replaced_s: float) -> float:
+        """Returns when a member can last have acted for this coordinator.
+
+        An owner acts for ``OWNERSHIP_VALID_S`` after the store has confirmed
+        it, and the store confirms none that was replaced.
+        """
         if member == self._own_member:
-            return self._own_end_s_by_cell.get(cell, -math.inf)
+            return replaced_s
         if member in self._linked:
-            return math.inf
-        return self._heard_s_by_member.get(member, -math.inf)
+            return replaced_s + OWNERSHIP_VALID_S
+        heard_s = self._heard_s_by_member.get(member, -math.inf)
+        return min(heard_s, replaced_s + OWNERSHIP_VALID_S)
