Drops reach former owners, refused assignments are repeated

Callers could see: two runs of a task for up to 0.171 s, when the owner of a cell was replaced without knowing it and their job was dropped and sent again; a job that waits for its time limit, because its assignment came later than its lease, or because owners that send on different channels closed only one of them; a job that ends with no outcome, because its former coordinator dropped it late.

Causes: a drop went to the new owner only; a refused assignment told nobody; a restart closed only the sender's channel; a drop did not name its coordinator. A frame with a number that is too large for a time ended the task that keeps a channel open. Sets were iterated in an order that differs between processes.

Change: drops go to former owners in contact as well and are void when another coordinator has the job; a refusal restarts the channels; a restart closes all channels of the member; a stamp must be a finite number; orders are sorted. New owners stop runs without an assignment after 0.4 s instead of 0.6 s, so that fewer outlive the time after which callers send again.

--- a/src/camphorlink/internal/core/connection/node_message_codec.py
+++ b/src/camphorlink/internal/core/connection/node_message_codec.py
@@ -1,5 +1,6 @@
 """Encodes messages between entry VMs as plain lists, and decodes them."""
 
+import math
 from collections.abc import Callable, Sequence
 from functools import singledispatch
 from typing import Any
@@ -138,6 +139,16 @@
 }
 
 
+def _decode_time(encoded: Any) -> float:
+    try:
+        time_s = float(encoded)
+    except OverflowError as exc:
+        raise ValueError('not a time: the number is too large') from exc
+    if not math.isfinite(time_s):
+        raise ValueError(f'not a time: {encoded!r}')
+    return time_s
+
+
 def encode_stamped(message: NodeMessage, stamp: Stamp) -> list[Any]:
     """Encodes a message and its times as a plain list."""
     return [*stamp, *encode_message(message)]
@@ -151,7 +162,10 @@
     """
     try:
         sent_s, echo_s, kind, *fields = encoded
-        stamp = Stamp(float(sent_s), None if echo_s is None else float(echo_s))
+        stamp = Stamp(
+            _decode_time(sent_s),
+            None if echo_s is None else _decode_time(echo_s),
+        )
         return _DECODE_BY_KIND[kind](*fields), stamp
     except (LookupError, TypeError, ValueError) as exc:
         raise PeerMessageError(f'cannot decode the message: {exc!r}') from exc
--- a/src/camphorlink/internal/core/connection/node_messages.py
+++ b/src/camphorlink/internal/core/connection/node_messages.py
@@ -90,8 +90,12 @@
 
 
 class DropTasks(NamedTuple):
-    """Command to the owner of a cell to stop all tasks of a transient job."""
+    """Command to the owner of a cell to stop all tasks of a transient job.
 
+    It is void if another coordinator has assigned the job since.
+    """
+
+    coordinator: str
     cell: str
     job_id: str
 
--- a/src/camphorlink/internal/core/process/completion_handler.py
+++ b/src/camphorlink/internal/core/process/completion_handler.py
@@ -44,7 +44,7 @@
 
 #: Time in seconds in which coordinators resend the tasks assigned to an earlier
 #: owner.  Until then, runs of unknown tasks are not stopped.
-ASSIGNMENT_RESEND_S = 0.6
+ASSIGNMENT_RESEND_S = 0.4
 
 #: Queues the task of an ended run again.
 Requeue = Callable[[LiveJob, Run], None]
--- a/src/camphorlink/internal/core/process/transient_assignments.py
+++ b/src/camphorlink/internal/core/process/transient_assignments.py
@@ -135,15 +135,18 @@
     def _stop_dropped(
         self, command: DropJob, coordinator: str, now: float
     ) -> None:
-        self.drop_job(command.job_id, now)
+        known = self._context.transient.get(command.job_id)
+        if known is not None and known.coordinator == coordinator:
+            self.drop_job(command.job_id, now)
 
     @stop.register
     def _stop_unlisted(
         self, command: KeepJobs, coordinator: str, now: float
     ) -> None:
         jobs = self._context.transient.jobs_of_coordinator(coordinator)
-        for job_id in set(jobs).difference(command.job_ids):
-            self.drop_job(job_id, now)
+        for job_id in jobs:
+            if job_id not in command.job_ids:
+                self.drop_job(job_id, now)
 
     def drop_coordinator(self, member: str, now: float) -> None:
         """Stops the tasks of all jobs of a coordinator that is lost."""
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -192,13 +192,14 @@
         ]
 
     @property
-    def cells(self) -> set[str]:
+    def cells(self) -> list[str]:
         """Cells with open tasks."""
-        return {
+        cells = {
             cell
             for open_job in self._open_by_id.values()
             for cell in open_job.cell_by_task.values()
         }
+        return sorted(cells)
 
     def list_open(self, cell: str) -> list[TransientEffect]:
         """Lists the open tasks of a cell for its owner, on a new channel."""
--- a/src/camphorlink/internal/shell/process/cell_sender.py
+++ b/src/camphorlink/internal/shell/process/cell_sender.py
@@ -58,6 +58,8 @@
 
     def send_to_cell(self, cell: str, command: CellCommand) -> None:
         """Sends a command of the local coordinator to the owner of a cell."""
+        if isinstance(command, DropJob):
+            self._send_to_former_owners(cell, command)
         host = self._cells.host_by_cell.get(cell)
         if host is None:
             owner = self._job_log.table.owner_of(cell).member
@@ -100,9 +102,15 @@
             self._sent_by_key[key] = (load, now_s())
             self._peers.broadcast(LoadTold(load))
 
+    def _send_to_former_owners(self, cell: str, command: DropJob) -> None:
+        """Drops a job also at owners that may not know of their successor."""
+        message = self._build_message(command)
+        for member in self._coordinator.contacts.former_in_contact(cell):
+            self._peers.send(member, message)
+
     def _build_message(self, command: CellCommand) -> NodeMessage:
         if isinstance(command, DropJob):
-            return DropTasks(command.cell, command.job_id)
+            return DropTasks(self._peers.member, command.cell, command.job_id)
         if isinstance(command, KeepJobs):
             return OpenJobs(self._peers.member, command.cell, command.job_ids)
         return RunTasks(
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -145,9 +145,8 @@
             self.job_log,
             self.coordinator,
             self._waiting_by_cell,
-            self.peers.leases,
             self._count,
-            self.peers.send,
+            self.peers,
         )
 
     @property
@@ -310,8 +309,8 @@
             self.coordinator.send_open_tasks(cell)
 
     def _handle_lost_member(self, member: str, silent_s: float) -> None:
-        self.cells.handle_lost_member(member)
         self.coordinator.contacts.record_loss(member, now_s() - silent_s)
+        self.cells.handle_lost_member(member)
         for cell in self.table.cells_of(member):
             self.coordinator.forget_load(cell)
         self.cells.claim_due_cells(self._build_own_view())
--- a/src/camphorlink/internal/shell/process/node_message_handler.py
+++ b/src/camphorlink/internal/shell/process/node_message_handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from functools import singledispatchmethod
+from typing import Protocol
 
 from camphorlink.internal.core.connection.node_messages import (
     Beat,
@@ -32,6 +33,22 @@
 STORELESS_AGE_S = 1.6
 
 
+class PeerChannels(Protocol):
+    """Channels to the other VMs.
+
+    Attributes:
+        leases: Leases of the coordinators.
+    """
+
+    leases: CoordinatorLeases
+
+    def send(self, member: str, message: NodeMessage) -> None:
+        """Sends a message to a member."""
+
+    def restart_channel(self, member: str) -> None:
+        """Closes the channels to a member; a new one starts a new session."""
+
+
 class NodeMessageHandler:
     """Calls the matching part of the VM for each message of a peer."""
 
@@ -41,9 +58,8 @@
         job_log: JobLog,
         coordinator: Coordinator,
         waiting_by_cell: dict[str, dict[str, int]],
-        leases: CoordinatorLeases,
         on_count: Callable[[str, str], None],
-        send: Callable[[str, NodeMessage], None],
+        peers: PeerChannels,
     ) -> None:
         """Creates the handler.
 
@@ -53,17 +69,15 @@
             coordinator: Receives loads of cells and outcomes of tasks.
             waiting_by_cell: Waiting jobs by cell and queue; updated by
                 heartbeats.
-            leases: Leases of the coordinators.
             on_count: Called with the family and the reason of an event to
                 count.
-            send: Sends a message to a member.
+            peers: Channels to the other VMs.
         """
-        self._send = send
+        self._peers = peers
         self._cells = cells
         self._job_log = job_log
         self._coordinator = coordinator
         self._waiting_by_cell = waiting_by_cell
-        self._leases = leases
         self._on_count = on_count
         # Cached: each access to a single-dispatch method builds a function.
         self.handle = self._handle
@@ -83,7 +97,7 @@
         records = self._job_log.recent_records(beat.next_offset)
         if records:
             message = RecordsAppended(beat.next_offset, records)
-            self._send(beat.member, message)
+            self._peers.send(beat.member, message)
 
     @_handle.register
     def _handle_records(self, message: RecordsAppended, _stamp: Stamp) -> None:
@@ -100,8 +114,11 @@
             # The coordinator sends the tasks again to the next owner.
             self._on_count('lost_messages', 'cell-not-owned')
             return
-        if not self._leases.accepts(message.coordinator, stamp.echo_s, now_s()):
+        leases = self._peers.leases
+        if not leases.accepts(message.coordinator, stamp.echo_s, now_s()):
             self._on_count('lost_messages', 'lease-expired')
+            # The coordinator assigns its tasks again on the next channel.
+            self._peers.restart_channel(message.coordinator)
             return
         assignment = AssignTasks(
             message.cell,
@@ -117,7 +134,7 @@
         host = self._cells.host_by_cell.get(message.cell)
         if host is not None:
             command = DropJob(message.cell, message.job_id)
-            host.stop_jobs(command, '')
+            host.stop_jobs(command, message.coordinator)
 
     @_handle.register
     def _handle_open(self, message: OpenJobs, _stamp: Stamp) -> None:
--- a/src/camphorlink/internal/shell/process/peers.py
+++ b/src/camphorlink/internal/shell/process/peers.py
@@ -222,7 +222,7 @@
                 return
             if self._outbox.may_resend(member, now):
                 return
-            self._mesh.abort(link.channel)
+            self.restart_channel(member)
         kind = type(message).__name__
         self.counts[kind] += 1
         self._log.info(
@@ -256,7 +256,7 @@
             for member, link in self._link_by_member.items()
             if has_news or link.needs_heartbeat(now, member in owners)
         }
-        for member in due_links.keys() & owners:
+        for member in sorted(due_links.keys() & owners):
             link = due_links.pop(member)
             frame = encode_frame(self._last_beat, link.echo_s)
             if self._mesh.send_frame(link.channel, frame):
@@ -271,14 +271,17 @@
         for member, link in list(self._link_by_member.items()):
             if now - link.heard_s > PEER_TIMEOUT_S:
                 self._remove_peer(member, 'silent')
-                # The channel may transmit nothing any more; a new one may.
-                self._mesh.abort(link.channel)
+                # The channels may transmit nothing any more; a new one may.
+                self.restart_channel(member)
 
     def restart_channel(self, member: str) -> None:
-        """Closes the channel to a member; a new one starts a new session."""
-        link = self._link_by_member.get(member)
-        if link is not None:
-            self._mesh.abort(link.channel)
+        """Closes the channels to a member; a new one starts a new session.
+
+        Two owners have a channel each, and may send on different ones.
+        """
+        for channel, other in list(self._member_by_channel.items()):
+            if other == member:
+                self._mesh.abort(channel)
 
     async def withdraw(self) -> None:
         """Removes this VM from the list of members if the store accepts it."""
@@ -372,8 +375,10 @@
         )
         link = self._link_by_member.pop(member)
         self._outbox.forget(member)
-        self._on_lost(member, now_s() - link.heard_s)
-        self.leases.forget(member)
+        try:
+            self._on_lost(member, now_s() - link.heard_s)
+        finally:
+            self.leases.forget(member)
 
     def _build_beat(
         self,
--- a/tests/core/test_coordinator_leases.py
+++ b/tests/core/test_coordinator_leases.py
@@ -11,8 +11,12 @@
     LOST_OWNER_TIMEOUT_S,
     CoordinatorLeases,
 )
+from camphorlink.internal.core.process.predecessor import OWNERSHIP_VALID_S
 from camphorlink.internal.core.request.owner_contacts import OwnerContacts
-from camphorlink.internal.core.request.transient_jobs import KeepJobs
+from camphorlink.internal.core.request.transient_jobs import (
+    DropJob,
+    KeepJobs,
+)
 from simulated_backends import CellRig, SimulatedBackend, listed
 from simulated_backends import make_job as make_any_job
 
@@ -206,6 +210,18 @@
     assert kept == {'b' * 16, 'c' * 16}
 
 
+def test_a_late_drop_of_a_former_coordinator_does_not_stop_its_successor():
+    rig, _ = make_rig()
+    job = make_job()
+    rig.submit(job, coordinator='c#1')
+    rig.submit(job, coordinator='c#2')
+    rig.run_for(0.1)
+    rig.cell.assignments.stop(DropJob('z', job.job_id), 'c#1', rig.now)
+    rig.execute_effects()
+    rig.run_for(0.2)
+    assert len(rig.running_tasks()) == 1
+
+
 def contacts_with(owner='o#1'):
     contacts = OwnerContacts('m#1')
     contacts.record_owner('z', owner, 0.0)
@@ -248,3 +264,13 @@
     contacts.record_owner('z', 'o#2', 99.0)
     assert not contacts.may_move('z', 98.99 + LOST_OWNER_TIMEOUT_S)
     assert contacts.may_move('z', 99.01 + LOST_OWNER_TIMEOUT_S)
+
+
+def test_a_former_owner_in_contact_holds_tasks_back_for_a_limited_time():
+    contacts = contacts_with()
+    contacts.record_link('o#2')
+    contacts.record_owner('z', 'o#2', 10.0)
+    contacts.record_loss('o#2', 11.0)
+    held_until_s = 10.0 + OWNERSHIP_VALID_S + LOST_OWNER_TIMEOUT_S
+    assert not contacts.may_move('z', held_until_s - 0.01)
+    assert contacts.may_move('z', held_until_s + 0.01)
--- a/tests/cover/test_mesh.py
+++ b/tests/cover/test_mesh.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import cbor2
+
 from camphorlink.internal.core.connection.node_messages import (
     Beat,
     DropTasks,
@@ -64,7 +66,7 @@
             sender.set_peers({address})
             await wait_until(lambda: listener.messages)
             assert listener.messages[0].member == 'one'
-            assert sender.send(address, DropTasks('z', 'a'))
+            assert sender.send(address, DropTasks('c#1', 'z', 'a'))
             await wait_until(lambda: len(listener.messages) == 2)
             sender.set_peers(set())
             await wait_until(lambda: listener.closed)
@@ -81,7 +83,7 @@
         async with sender:
             sender.set_peers({address})
             await wait_until(lambda: address in listener.refused)
-            assert not sender.send(address, DropTasks('z', 'a'))
+            assert not sender.send(address, DropTasks('c#1', 'z', 'a'))
 
     asyncio.run(scenario())
 
@@ -91,12 +93,12 @@
         async with open_linked_pair() as pair:
             _, opener_listener, answerer, listener = pair
             await wait_until(lambda: listener.messages)
-            frame = encode_frame(DropTasks('z', 'a'))
+            frame = encode_frame(DropTasks('c#1', 'z', 'a'))
             assert answerer.send_frame(1, frame)
             await wait_until(lambda: len(opener_listener.messages) == 2)
             greeting, answer = opener_listener.messages
             assert greeting.member == 'two'
-            assert answer == DropTasks('z', 'a')
+            assert answer == DropTasks('c#1', 'z', 'a')
 
     asyncio.run(scenario())
 
@@ -122,9 +124,12 @@
                 b'\xff\xff',
                 b'\x81\x63abc',
                 b'\x82\x64beat\x01',
+                cbor2.dumps([10**400, None, 'drop', 'c#1', 'z', 'a']),
+                cbor2.dumps([float('nan'), None, 'drop', 'c#1', 'z', 'a']),
+                cbor2.dumps([1.0, 'soon', 'drop', 'c#1', 'z', 'a']),
             ):
                 assert opener.send_frame(1, frame)
-            assert opener.send(address, DropTasks('z', 'a'))
+            assert opener.send(address, DropTasks('c#1', 'z', 'a'))
             await wait_until(lambda: len(listener.messages) == 2)
             assert not listener.closed
 
@@ -144,7 +149,9 @@
             _, opener_listener, answerer, listener = pair
             opener_listener.handle_message = fail_once
             await wait_until(lambda: handled)
-            assert answerer.send_frame(1, encode_frame(DropTasks('z', 'a')))
+            assert answerer.send_frame(
+                1, encode_frame(DropTasks('c#1', 'z', 'a'))
+            )
             await wait_until(lambda: len(handled) == 2)
             assert not listener.closed
 
--- a/tests/cover/test_node_message_handler.py
+++ b/tests/cover/test_node_message_handler.py
@@ -5,6 +5,9 @@
     RecordsAppended,
     Stamp,
 )
+from camphorlink.internal.core.process.coordinator_leases import (
+    CoordinatorLeases,
+)
 from camphorlink.internal.shell.process.node_message_handler import (
     STORELESS_AGE_S,
     NodeMessageHandler,
@@ -18,6 +21,19 @@
         return self.records[offset:]
 
 
+class Peers:
+    def __init__(self, sent):
+        self.leases = CoordinatorLeases('m#1')
+        self.restarted = []
+        self._sent = sent
+
+    def send(self, member, message):
+        self._sent.append((member, message))
+
+    def restart_channel(self, member):
+        self.restarted.append(member)
+
+
 def messages_after(store_age_s, next_offset):
     """Returns what a peer with this heartbeat is sent."""
     sent = []
@@ -26,9 +42,8 @@
         job_log=Log(),
         coordinator=None,
         waiting_by_cell={},
-        leases=None,
         on_count=None,
-        send=lambda member, message: sent.append((member, message)),
+        peers=Peers(sent),
     )
     beat = Beat('m', '10.0.0.1', 1, 'z', store_age_s, False, {}, next_offset)
     handler.handle(beat, Stamp(0.0))
--- a/tests/nocover/test_partitions.py
+++ b/tests/nocover/test_partitions.py
@@ -81,12 +81,39 @@
     play(scenario, ZONE_BY_VM)
 
 
+FIVE_VMS = {'z-1': 'z', 'z-2': 'z', 'y-1': 'y', 'y-2': 'y', 'x-1': 'x'}
+
+
+@pytest.mark.parametrize('phase_s', [0.6, 0.7, 0.8])
+@pytest.mark.parametrize('break_s', [1.0, 1.1, 1.2])
+def test_a_job_sent_again_does_not_run_beside_one_of_a_replaced_owner(
+    phase_s, break_s
+):
+    async def scenario(fleet):
+        job = fleet.build_job(8.0, 'rack-z')
+        callers_vms = ['y-1', 'x-1', 'x-1', 'x-1']
+        caller = asyncio.create_task(fleet.run_for_caller(job, callers_vms))
+        await fleet.wait_until(lambda: job.job_id in fleet.started_jobs())
+        await asyncio.sleep(phase_s)
+        # Of all VMs, only the coordinator still reaches the owner.
+        for other in ('z-2', 'x-1', 'y-2'):
+            fleet.cut('z-1', other)
+            fleet.cut(other, 'z-1')
+        fleet.vm_by_name['z-1'].store.is_cut = True
+        fleet.set_call_faults('z-2', fleet.spans[-1].backend, is_cut=True)
+        await asyncio.sleep(break_s)
+        fleet.break_connections('y-1')
+        await asyncio.wait({caller}, timeout=4)
+
+    play(scenario, FIVE_VMS)
+
+
 SIX_VMS = {f'{zone}-{number}': zone for zone in 'xyz' for number in (1, 2)}
 #: Time after the last fault after which all VMs must run jobs, in seconds.
 RECOVERY_S = 5.0
 #: Added to the seed of the faults for that of the load.
 LOAD_SEED = 1_000_000
-SEEDS = (*range(16), 31, 40, 91, 96, 97, 100, 116, 124)
+SEEDS = (*range(16), 31, 40, 91, 96, 97, 100, 116, 124, 128)
 
 
 async def play_faults(fleet, seed):
