--- a/src/camphorlink/spec/programs.py
+++ b/src/camphorlink/spec/programs.py
@@ -12,6 +12,7 @@
     handover_properties,
     homes_properties,
     jobs_properties,
+    leases_properties,
 )
 from camphorlink.spec.checking import (
     Report,
@@ -24,6 +25,7 @@
     homes_properties.SPECIFICATION,
     jobs_properties.SPECIFICATION,
     cells_properties.SPECIFICATION,
+    leases_properties.SPECIFICATION,
     handover_properties.SPECIFICATION,
     claims_properties.SPECIFICATION,
     configuration_properties.RACE,
