--- a/tests/nocover/test_partitions.py
+++ b/tests/nocover/test_partitions.py
@@ -113,7 +113,9 @@
 RECOVERY_S = 5.0
 #: Added to the seed of the faults for that of the load.
 LOAD_SEED = 1_000_000
-SEEDS = (*range(16), 31, 40, 91, 96, 97, 100, 116, 124, 128)
+SEEDS = (
+    *range(16), 31, 40, 91, 96, 97, 100, 116, 124, 128, 130, 217, 219, 281
+)  # fmt: skip
 
 
 async def play_faults(fleet, seed):
