Log and count runs that are lost with a back end

Each lost run is now logged and counted by its reason (lost_runs), as is the first refused connection and the first list of an incarnation. No decision changes.

--- a/src/camphorlink/internal/core/connection/backend_commands.py
+++ b/src/camphorlink/internal/core/connection/backend_commands.py
@@ -110,13 +110,18 @@
 
 
 class RenewalVerdict(enum.Enum):
-    """Result of a lease renewal, or of a call that only lists the runs."""
+    """Result of a lease renewal, or of a call that only lists the runs.
+
+    ``REFUSED``: the connection was refused, so that no process seems to listen.
+    ``UNREACHABLE``: no connection could be opened for another reason.
+    """
 
     LISTED = 'listed'
     FENCED = 'fenced'
     OTHER_INCARNATION = 'other-lifetime'
     UNANSWERED = 'unanswered'
     UNREACHABLE = 'unreachable'
+    REFUSED = 'refused'
 
 
 class RenewalAnswer(NamedTuple):
--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -51,12 +51,27 @@
     STOPPED = enum.auto()
 
 
+class RunLoss(enum.Enum):
+    """Why a run counts as ended although no completion was listed.
+
+    ``REJECTED``: its start was rejected.  ``ABSENT``: the back end does not list
+    it.  ``LAPSED``: its lease has lapsed on a silent back end.  ``REPLACED``: its
+    incarnation of the back end has ended.
+    """
+
+    REJECTED = 'start-rejected'
+    ABSENT = 'not-listed'
+    LAPSED = 'lease-lapsed'
+    REPLACED = 'incarnation-ended'
+
+
 class Run:
     """One run of a task on a back end.
 
     Attributes:
         task: Key of the task.
         number: Number of the run.
+        incarnation_ms: Start time in ms of the back end's incarnation.
         needs: Resources that it uses on the back end.
         state: State as known to this owner.
         since_s: Time of the last change of ``state``, in seconds.
@@ -75,7 +90,7 @@
     """
 
     __slots__ = ('checkpoint', 'expected_s', 'has_begun',
-                 'is_started_by_owner', 'must_end_s', 'needs', 'number',
+                 'incarnation_ms', 'is_started_by_owner', 'must_end_s', 'needs', 'number',
                  'percent', 'percent_s', 'since_s', 'started_s', 'state',
                  'stops_sent', 'task', 'wants_retry')  # fmt: skip
 
@@ -89,6 +104,7 @@
         """Creates a run whose start command is sent at ``now``."""
         self.task = task
         self.number = number
+        self.incarnation_ms = 0
         self.needs = needs
         self.state = RunState.COMMANDED
         self.since_s = now
@@ -166,6 +182,7 @@
         self.has_listed_runs = False
         self.lists_unclaimed_run = False
         self.silent_since_s: float | None = None
+        self._has_refused = False
         self.lease_end_s = -math.inf
         self.is_confirmation_requested = False
         self.acknowledged = 0
@@ -249,6 +266,16 @@
         if renews:
             self._unanswered_s = max(self._unanswered_s, sent_s)
 
+    def record_refusal(self) -> bool:
+        """Records a refused connection.
+
+        Returns:
+            Whether it is the first one since the last answer.
+        """
+        is_first = not self._has_refused
+        self._has_refused = True
+        return is_first
+
     def record_answer(self, clock_ms: int | None, now: float) -> None:
         """Records the answer to a call.
 
@@ -256,6 +283,7 @@
         and renew the lease, as the back end is reachable.
         """
         self.silent_since_s = None
+        self._has_refused = False
         if self._unanswered_s > -math.inf:
             self.record_lease_sent(self._unanswered_s + LATE_COMMAND_S)
             self._unanswered_s = -math.inf
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -23,6 +23,7 @@
 from camphorlink.internal.core.connection.backend_runs import (
     BackendRuns,
     Run,
+    RunLoss,
     RunState,
     find_absent_runs,
 )
@@ -135,14 +136,13 @@
                     'Back end was removed from the list.', runs.listed
                 )
 
-    def _drop_lost_run(self, runs: BackendRuns, run: Run) -> None:
+    def _drop_lost_run(
+        self, runs: BackendRuns, run: Run, loss: RunLoss, now: float
+    ) -> None:
         self.registry.drop(runs, run)
+        self.registry.record_loss(runs, run, loss, now)
         self._callbacks.handle_lost_run(runs, run)
 
-    def _drop_lost_runs(self, runs: BackendRuns) -> None:
-        for run in list(runs.run_by_task.values()):
-            self._drop_lost_run(runs, run)
-
     def handle_start_answer(
         self,
         command: StartRun,
@@ -173,7 +173,7 @@
         if run.state is not RunState.RUNNING:
             # No other command starts this run, so it does not exist and
             # will not exist later.
-            self._drop_lost_run(runs, run)
+            self._drop_lost_run(runs, run, RunLoss.REJECTED, now)
 
     def _handle_rejection(
         self,
@@ -260,10 +260,17 @@
                 'Another back end answers at this address.', runs.listed
             )
             self._predecessor.mark_gone(runs.listed.backend_id)
-            self._drop_lost_runs(runs)
+            for run in list(runs.run_by_task.values()):
+                self._drop_lost_run(runs, run, RunLoss.REPLACED, now)
         elif runs.silent_since_s is None:
-            self.registry.log_event('Back end does not answer.', runs.listed)
-        if verdict is RenewalVerdict.UNREACHABLE:
+            self.registry.log_event(
+                'Back end does not answer.', runs.listed, verdict=verdict.value
+            )
+        if verdict is RenewalVerdict.REFUSED and runs.record_refusal():
+            self.registry.log_event(
+                'Back end refuses connections.', runs.listed
+            )
+        if verdict in {RenewalVerdict.UNREACHABLE, RenewalVerdict.REFUSED}:
             self._predecessor.mark_unreachable(runs.listed.backend_id)
 
     def _handle_list(
@@ -298,6 +305,9 @@
         if not runs.has_listed_runs:
             runs.has_listed_runs = True
             listed = runs.listed
+            self.registry.log_event(
+                'Back end lists its runs.', listed, started_ms=listed.started_ms
+            )
             self._predecessor.mark_listed(listed.backend_id, listed.started_ms)
 
     def _handle_finished_run(
@@ -394,4 +404,6 @@
         if run.state is RunState.UNCERTAIN:
             self.registry.stop(runs, run, now)
         elif run.state in {RunState.RUNNING, RunState.STOPPED}:
-            self._drop_lost_run(runs, run)
+            is_replaced = run.incarnation_ms < runs.listed.started_ms
+            loss = RunLoss.REPLACED if is_replaced else RunLoss.ABSENT
+            self._drop_lost_run(runs, run, loss, now)
--- a/src/camphorlink/internal/core/process/lease_monitor.py
+++ b/src/camphorlink/internal/core/process/lease_monitor.py
@@ -7,6 +7,7 @@
     LEASE_S,
     BackendRuns,
     Run,
+    RunLoss,
     RunState,
 )
 from camphorlink.internal.core.process.predecessor import is_ownership_confirmed
@@ -42,7 +43,7 @@
 PRESUMED_ENDED_AFTER_S = LATE_COMMAND_S + LEASE_S + 1.0
 
 #: Handles a run that ended without a listed completion.
-LostRunHandler = Callable[[BackendRuns, Run], None]
+LostRunHandler = Callable[[BackendRuns, Run, RunLoss, float], None]
 
 
 class LeaseMonitor:
@@ -146,7 +147,7 @@
         for run in list(runs.run_by_task.values()):
             if must_have_ended or run.has_begun:
                 self._registry.count('lapsed_runs', 'back-end-silent')
-                self._handle_lost_run(runs, run)
+                self._handle_lost_run(runs, run, RunLoss.LAPSED, now)
 
     def _request_ownership_check(self, runs: BackendRuns, now: float) -> None:
         """Requests one read of the log per lapsed lease; a read takes 4 ms."""
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -12,6 +12,7 @@
 from camphorlink.internal.core.connection.backend_runs import (
     BackendRuns,
     Run,
+    RunLoss,
     RunState,
 )
 from camphorlink.internal.core.process.cell_effects import (
@@ -21,6 +22,7 @@
     LogEvent,
 )
 from camphorlink.internal.core.request.durable_job import Resources, TaskKey
+from camphorlink.internal.core.request.task_placement import MS_PER_S
 
 #: Time in ms for which a back end may delay its answer to a lease renewal
 #: until a run ends: with a lease of 1 s, two answers may be lost before a lease
@@ -91,6 +93,7 @@
 
     def add(self, runs: BackendRuns, run: Run) -> None:
         """Adds a run that was started or adopted."""
+        run.incarnation_ms = runs.listed.started_ms
         runs.add(run)
         backends = self.backends_by_task.setdefault(run.task, set())
         backends.add(runs.listed.backend_id)
@@ -223,6 +226,26 @@
         """Increments a counter by its reason."""
         self._effects.append(CountEvent(family, reason))
 
+    def record_loss(
+        self, runs: BackendRuns, run: Run, loss: RunLoss, now: float
+    ) -> None:
+        """Logs and counts a run that ended without a listed completion."""
+        self.count('lost_runs', loss.value)
+        silent_since_s = runs.silent_since_s
+        self.log_event(
+            'Run was lost.',
+            runs.listed,
+            task=list(run.task),
+            run=run.number,
+            reason=loss.value,
+            age_ms=round((now - run.started_s) * MS_PER_S),
+            silent_ms=(
+                None
+                if silent_since_s is None
+                else round((now - silent_since_s) * MS_PER_S)
+            ),
+        )
+
     def log_event(
         self,
         event: str,
--- a/src/camphorlink/platform/runner_client.py
+++ b/src/camphorlink/platform/runner_client.py
@@ -178,7 +178,7 @@
                 document = orjson.loads(content) if content else {}
         except _CONNECT_ERRORS as exc:
             self._log.debug('connection failed', extra={'error': repr(exc)})
-            return RenewalVerdict.UNREACHABLE
+            return _connect_verdict(exc)
         except _CALL_ERRORS as exc:
             self._log.debug(
                 'call got no usable answer', extra={'error': repr(exc)}
@@ -187,6 +187,13 @@
         return status, document if isinstance(document, dict) else {}
 
 
+def _connect_verdict(exc: Exception) -> RenewalVerdict:
+    cause = getattr(exc, 'os_error', None)
+    if isinstance(cause, ConnectionRefusedError):
+        return RenewalVerdict.REFUSED
+    return RenewalVerdict.UNREACHABLE
+
+
 def _decode_runs(document: dict[str, Any]) -> RenewalAnswer:
     return RenewalAnswer(
         verdict=RenewalVerdict.LISTED,
