--- /dev/null
+++ b/tests/core/test_capacity_changes.py
@@ -0,0 +1,41 @@
+"""Tests that the capacity of a back end is the one that it last reported."""
+
+from camphorlink.internal.core.request.durable_job import Resources
+from simulated_backends import CellRig, SimulatedBackend, listed, make_job
+
+SMALL_CPU = 16_000
+LARGE_CPU = 32_000
+
+
+def make_backend(cpu, run_s=1.0):
+    backend = SimulatedBackend(listed('i-0', cpu=cpu), run_s)
+    backend.guards_capacity = False
+    rig = CellRig([backend])
+    rig.run_for(0.1)
+    return rig, backend
+
+
+def resize(rig, backend, cpu):
+    backend.listed = backend.listed._replace(capacity=Resources(cpu, 100_000))
+    rig.list_backends()
+
+
+def test_starts_beyond_a_capacity_that_has_shrunk():
+    rig, backend = make_backend(LARGE_CPU)
+    resize(rig, backend, SMALL_CPU)
+    rig.submit(make_job(count=4, estimate_ms=1000))
+    rig.run_for(0.5)
+    assert len(backend.active) == 1
+    rig.run_for(5)
+    assert not backend.overloads
+    assert len(rig.done_tasks()) == 4
+
+
+def test_capacity_that_has_grown_stays_unused():
+    rig, backend = make_backend(SMALL_CPU)
+    rig.submit(make_job(count=2, estimate_ms=1000))
+    rig.run_for(0.1)
+    resize(rig, backend, LARGE_CPU)
+    rig.run_for(0.1)
+    assert len(backend.active) == 2
+    assert not backend.overloads
--- /dev/null
+++ b/tests/nocover/test_crashes_in_a_fleet.py
@@ -0,0 +1,93 @@
+"""Tests that crashes under a task are known after its owner or caller changed.
+
+All times are virtual; see ``simulated_fleet``.
+"""
+
+import asyncio
+
+from camphorlink.internal.core.process.job_table import JobState
+from run_overlaps import check_no_overlaps
+from simulated_fleet import run_in_fleet
+
+VMS = {'z-1': 'z', 'z-2': 'z', 'y-1': 'y', 'x-1': 'x'}
+#: Starts of a task after three back ends have crashed under it that the platform
+#: counts as a fault.
+FORBIDDEN_STARTS = 3
+CRASHES_COUNTED = 3
+FIRST_CRASH_KNOWN_S = 2.0
+PLAY_S = 30.0
+
+
+def check_starts(fleet, job_id):
+    """Checks the number of starts after the third crash under a job."""
+    crash_times = fleet.crash_times(job_id)
+    if len(crash_times) >= CRASHES_COUNTED:
+        third_s = crash_times[CRASHES_COUNTED - 1]
+        later = [
+            span.start_s
+            for span in fleet.spans
+            if span.task.job_id == job_id and span.start_s > third_s
+        ]
+        assert len(later) < FORBIDDEN_STARTS, later
+
+
+async def resubmit(fleet, job, vm_names):
+    """Submits a job to one VM after the other until it has an outcome."""
+    for vm_name in vm_names:
+        answer = await fleet.submit(job, vm_name)
+        if answer is not None and answer.state is not None:
+            return answer
+        await asyncio.sleep(1.3)
+    return None
+
+
+def play(disturb, vm_names):
+    """Plays a crashing job beside a disturbance; it must be answered failed."""
+
+    async def scenario(fleet):
+        job = fleet.build_crashing_job('rack-z')
+        caller = asyncio.create_task(resubmit(fleet, job, vm_names))
+        await fleet.wait_until(lambda: fleet.crash_times(job.job_id))
+        disturbance = asyncio.create_task(disturb(fleet))
+        await asyncio.wait({caller}, timeout=PLAY_S)
+        assert caller.done()
+        check_starts(fleet, job.job_id)
+        assert caller.result().state is JobState.FAILED
+        await disturbance
+
+    fleet = run_in_fleet(scenario, VMS, backends_per_zone=3)
+    check_no_overlaps(fleet)
+
+
+async def leave_alone(fleet):
+    """Does nothing."""
+
+
+async def kill_owners(fleet):
+    """Kills the owner of the task's cell again and again."""
+    for _ in range(4):
+        await asyncio.sleep(FIRST_CRASH_KNOWN_S)
+        owner = fleet.owner_of('z')
+        fleet.kill(owner)
+        await asyncio.sleep(1)
+        await fleet.start_vm(owner)
+
+
+async def break_connections(fleet):
+    """Breaks the connections of the callers again and again."""
+    for _ in range(4):
+        await asyncio.sleep(FIRST_CRASH_KNOWN_S)
+        for vm in fleet.live_vms():
+            fleet.break_connections(vm.name)
+
+
+def test_task_that_crashes_back_ends_is_restarted_until_its_caller_leaves():
+    play(leave_alone, ['y-1'] * 2)
+
+
+def test_crashes_are_forgotten_when_their_owner_is_lost():
+    play(kill_owners, ['y-1'] * 4)
+
+
+def test_crashes_are_forgotten_when_the_job_is_sent_again():
+    play(break_connections, ['y-1', 'x-1', 'y-1', 'x-1', 'y-1'])
--- a/tests/recording_backends.py
+++ b/tests/recording_backends.py
@@ -18,6 +18,8 @@
     CALL_DURATION_S,
     CALL_TIMEOUT_S,
     CONNECT_TIMEOUT_S,
+    REFUSED,
+    RESTART_S,
     SimulatedBackend,
 )
 
@@ -58,11 +60,13 @@
 class RecordingBackend(SimulatedBackend):
     """A back end in the time of the event loop that records its runs.
 
-    The specification of a job is the duration of its runs in seconds.
+    The specification of a job is the duration of its runs in seconds.  After a
+    crash it has another identifier at the same address.
     """
 
-    def __init__(self, entry, spans):
+    def __init__(self, entry, spans, on_restart):
         super().__init__(entry)
+        self._on_restart = on_restart
         self.changed = asyncio.Event()
         self._spans = spans
         self._span_by_run = {}
@@ -86,6 +90,16 @@
                 if term > span.term:
                     span.kept_s = min(span.kept_s, self._loop.time())
 
+    def crash(self, now):
+        for task, (run, _) in self.active.items():
+            self._close_span(task, run, 'crashed')
+        former_id = self.listed.backend_id
+        super().crash(now)
+        self.listed = self.listed._replace(backend_id=f'{former_id}+')
+        self._loop.call_later(RESTART_S, self._on_restart, self, former_id)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def record_stop(self, command, is_lost):
         span = self._span_by_run.get((command.task, command.run))
         if span is not None:
@@ -132,7 +146,7 @@
             self._timer.cancel()
         if self.active:
             ends = [end_s for _, end_s in self.active.values()]
-            due_s = min(*ends, self.lease_end_s) + CHECK_DELAY_S
+            due_s = min(*ends, self.lease_end_s, self._crash_s) + CHECK_DELAY_S
             self._timer = self._loop.call_at(due_s, self._advance)
 
     def _advance(self):
@@ -208,6 +222,10 @@
             await asyncio.sleep(CALL_TIMEOUT_S)
             return None
         await asyncio.sleep(CALL_DURATION_S / 2)
+        if backend.is_down(asyncio.get_running_loop().time()):
+            return REFUSED
+        if backend.listed.backend_id != backend_id:
+            return _other_incarnation(command)
         answer = await self._execute(backend, command)
         if faults.is_cut or faults.loses_answers:
             await asyncio.sleep(CALL_TIMEOUT_S)
@@ -225,5 +243,15 @@
             return answer
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(backend.changed.wait(), wait_ms / 1000)
+        if backend.is_down(asyncio.get_running_loop().time()):
+            return None
         listing = command._replace(lease_until_clock_ms=None)
         return backend.execute_from(self._vm, listing)
+
+
+def _other_incarnation(command):
+    if isinstance(command, RenewLeases):
+        return RenewalAnswer(RenewalVerdict.OTHER_INCARNATION)
+    if isinstance(command, StartRun):
+        return StartAnswer(StartVerdict.OTHER_INCARNATION)
+    return False
--- a/tests/simulated_backends.py
+++ b/tests/simulated_backends.py
@@ -45,6 +45,12 @@
 CALL_TIMEOUT_S = 0.25
 CONNECT_TIMEOUT_S = 0.15
 UNREACHABLE = RenewalAnswer(RenewalVerdict.UNREACHABLE)
+REFUSED = RenewalAnswer(RenewalVerdict.REFUSED)
+#: Time from the start of a task that crashes its back end to the crash, in
+#: seconds.
+CRASH_DELAY_S = 0.01
+#: Time from a crash to the next incarnation, in seconds.
+RESTART_S = 3.0
 
 
 def make_job(job_id='a' * 16, count=1, cpu=14_000, **fields):
@@ -97,9 +103,24 @@
     """A back end with leases, fencing and numbered completions.
 
     Its attributes switch faults on, such as lost or late commands.
+
+    Attributes:
+        crashing_jobs: Jobs whose first task crashes the back end.
+        crashes: Time and tasks of each crash.
+        cpu_by_job: CPU in millicores of the tasks of each job, 14,000 by default.
+        guards_capacity: Whether a start beyond the capacity is rejected.
+        overloads: Starts that exceeded the capacity.
     """
 
     def __init__(self, entry, run_s=0.1):
+        self.crashing_jobs = set()
+        self.crashes = []
+        self.cpu_by_job = {}
+        self.guards_capacity = True
+        self.overloads = []
+        self.is_dark = False
+        self.down_until_s = 0.0
+        self._crash_s = float('inf')
         self.listed = entry
         self.run_s = run_s
         self.fence = 0
@@ -119,8 +140,29 @@
         self.fails = False
         self.is_stalled = False
 
+    def is_down(self, now):
+        """Returns whether it has crashed and not started again."""
+        return now < self.down_until_s
+
+    def crash(self, now):
+        """Ends all runs without a trace, and starts anew after a while."""
+        self.crashes.append((now, sorted(self.active)))
+        self._crash_s = float('inf')
+        self.active.clear()
+        self.finished.clear()
+        self.highest_stopped.clear()
+        self.numbers = itertools.count(1)
+        self.fence = 0
+        self.lease_end_s = 0.0
+        self.down_until_s = now + RESTART_S
+        self.listed = self.listed._replace(
+            started_ms=self.listed.started_ms + 1
+        )
+
     def advance(self, now):
         """Ends runs that are done, and kills runs with a lapsed lease."""
+        if now >= self._crash_s:
+            self.crash(now)
         for task, (run, end_s) in sorted(self.active.items()):
             if now > self.lease_end_s:
                 self._end(task, run, RunResult.LAPSED)
@@ -180,13 +222,23 @@
         self._extend(command.lease_until_clock_ms, now)
         if command.run <= self.highest_stopped.get(command.task, 0):
             return StartAnswer(StartVerdict.RUN_TOO_LOW, clock_ms)
-        used = sum(command.run and 14_000 for _ in self.active)
-        if used + 14_000 > self.listed.capacity.cpu_milli:
-            return StartAnswer(StartVerdict.NO_CAPACITY, clock_ms)
+        used = sum(self._cpu_of(task) for task in (*self.active, command.task))
+        if used > self.listed.capacity.cpu_milli:
+            if self.guards_capacity:
+                return StartAnswer(StartVerdict.NO_CAPACITY, clock_ms)
+            self.overloads.append((command.task, now))
         self.starts.append((command.task, command.run, now))
+        if (
+            command.task.job_id in self.crashing_jobs
+            and not command.task.number
+        ):
+            self._crash_s = min(self._crash_s, now + CRASH_DELAY_S)
         self.active[command.task] = (command.run, now + self.run_s)
         return StartAnswer(StartVerdict.STARTED, clock_ms)
 
+    def _cpu_of(self, task):
+        return self.cpu_by_job.get(task.job_id, 14_000)
+
 
 class CellRig:
     """Runs a cell against simulated back ends and transmits calls in time."""
@@ -273,11 +325,15 @@
     def _call(self, command):
         backend = self.backend_by_id[command.backend.backend_id]
         sent_s = self.now
+        if backend.is_down(self.now) and not backend.is_dark:
+            self._answer_later(CALL_DURATION_S, command, REFUSED, sent_s)
+            return
         if backend.is_unreachable:
             self._answer_later(CONNECT_TIMEOUT_S, command, UNREACHABLE, sent_s)
             return
         is_lost = (
             backend.is_silent
+            or backend.is_down(self.now)
             or (backend.loses_starts and isinstance(command, StartRun))
             or (backend.loses_stops and isinstance(command, StopRun))
         )
@@ -319,7 +375,7 @@
     def _deliver(self, command, answer, sent_s):
         commander = self.cell.commander
         if isinstance(command, StartRun):
-            if answer is UNREACHABLE:
+            if answer in {UNREACHABLE, REFUSED}:
                 answer = None
             verdict = answer or StartAnswer(StartVerdict.UNANSWERED)
             commander.handle_start_answer(command, verdict, sent_s, self.now)
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -56,6 +56,7 @@
         self.vm_by_name = {}
         self.backend_by_id = {}
         self.listed_by_id = {}
+        self.crashing_jobs = set()
         self._attempts_by_vm = collections.defaultdict(dict)
         self._job_numbers = itertools.count(1)
         numbers = itertools.count(1)
@@ -68,7 +69,20 @@
             backend_id, zone, BACKEND_CPU_MILLI, labels=('a', f'rack-{zone}')
         )
         self.listed_by_id[backend_id] = entry
-        self.backend_by_id[backend_id] = RecordingBackend(entry, self.spans)
+        backend = RecordingBackend(entry, self.spans, self._relist)
+        backend.crashing_jobs = self.crashing_jobs
+        self.backend_by_id[backend_id] = backend
+
+    def _relist(self, backend, former_id):
+        """Lists a back end that has started again under another identifier."""
+        backend_id = backend.listed.backend_id
+        self.backend_by_id[backend_id] = backend
+        self.listed_by_id[backend_id] = backend.listed
+        self.listed_by_id.pop(former_id)
+        topic = self.store.topics[BACKENDS_TOPIC]
+        encode_keyed = StoreAccess(self.store).encode_keyed
+        topic.append([encode_keyed(backend_id, b'listed')], None)
+        topic.append([encode_keyed(former_id, b'')], None)
 
     def cores_of(self, vm):
         """Returns the size of a VM: the first of a zone claims its cell."""
@@ -170,6 +184,12 @@
 
     # Jobs.
 
+    def build_crashing_job(self, rack=''):
+        """Returns a job that crashes the back ends that start it."""
+        job = self.build_job(1.0, rack)
+        self.crashing_jobs.add(job.job_id)
+        return job
+
     def build_job(self, run_s, rack=''):
         """Returns a job of one task that runs for a duration in seconds."""
         job = make_job(
@@ -220,6 +240,15 @@
 
     # Checks.
 
+    def crash_times(self, job_id):
+        """Returns the times in seconds at which a job crashed a back end."""
+        return sorted(
+            crash_s
+            for backend in set(self.backend_by_id.values())
+            for crash_s, tasks in backend.crashes
+            if any(task.job_id == job_id for task in tasks)
+        )
+
     def started_jobs(self):
         """Returns the identifiers of the jobs that have had a run."""
         return {span.task.job_id for span in self.spans}
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -129,4 +129,4 @@
 
     def decode_backends(self, records):
         keys = [key for key, _ in map(decode_keyed, records)]
-        return {key: self._listed_by_id[key] for key in keys}
+        return {key: self._listed_by_id.get(key) for key in keys}
