--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -17,6 +17,7 @@
     RunResult,
 )
 from camphorlink.internal.core.request.durable_job import (
+    NO_RESOURCES,
     Resources,
     TaskKey,
 )
@@ -154,7 +155,8 @@
         listed: Latest directory entry of the back end.
         run_by_task: Runs that have not certainly ended.
         first_listed_s: Time at which this owner first knew of the back end.
-        free: Capacity that no run uses.
+        free: Capacity that no run uses; negative if the capacity has shrunk
+            below what runs use.
         is_listed: Whether the platform's directory lists the back end.
         renewal_number: Number of the pending lease renewal, 0 for none.
         polled_s: Time at which its runs were last listed, or requested without
@@ -179,6 +181,7 @@
         self.run_by_task: dict[TaskKey, Run] = {}
         self.first_listed_s = now
         self.free = listed.capacity
+        self._used = NO_RESOURCES
         self.has_listed_runs = False
         self.lists_unclaimed_run = False
         self.silent_since_s: float | None = None
@@ -226,18 +229,34 @@
         """Whether it lists completions that the log does not have yet."""
         return len(self._known_completions) > len(self._stored)
 
+    def update_listing(self, listed: ListedBackend) -> bool:
+        """Applies a newer directory entry of the incarnation.
+
+        Returns:
+            Whether its capacity has changed.
+        """
+        is_resized = listed.capacity != self.listed.capacity
+        self.listed = listed
+        self._update_free()
+        return is_resized
+
     def add(self, run: Run) -> None:
         """Adds a commanded or listed run and reserves its capacity."""
         self.run_by_task[run.task] = run
-        self.free = self.free.minus(run.needs)
+        self._used = self._used.plus(run.needs)
+        self._update_free()
 
     def drop(self, task: TaskKey) -> Run | None:
         """Removes a run that has certainly ended and frees its capacity."""
         run = self.run_by_task.pop(task, None)
         if run is not None:
-            self.free = self.free.plus(run.needs)
+            self._used = self._used.minus(run.needs)
+            self._update_free()
         return run
 
+    def _update_free(self) -> None:
+        self.free = self.listed.capacity.minus(self._used)
+
     def lease_clock_ms(self, now: float) -> int | None:
         """Returns the end of a full lease that starts now.
 
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -31,7 +31,11 @@
 from camphorlink.internal.core.process.lease_monitor import LeaseMonitor
 from camphorlink.internal.core.process.predecessor import Predecessor
 from camphorlink.internal.core.process.run_registry import RunRegistry
-from camphorlink.internal.core.request.durable_job import Resources, TaskKey
+from camphorlink.internal.core.request.durable_job import (
+    NO_RESOURCES,
+    Resources,
+    TaskKey,
+)
 
 #: Pause in seconds between lease renewals while completions are not stored yet
 #: or the back end does not answer.
@@ -126,7 +130,7 @@
             elif known.listed.started_ms < backend.started_ms:
                 self.registry.replace_incarnation(known, backend, now)
             elif known.listed.started_ms == backend.started_ms:
-                known.listed = backend
+                self._update_listing(known, backend)
         for backend_id, runs in list(self.registry.runs_by_backend.items()):
             runs.is_listed = backend_id in listed_by_id
             is_silent = runs.silent_since_s is not None
@@ -136,6 +140,21 @@
                     'Back end was removed from the list.', runs.listed
                 )
 
+    def _update_listing(
+        self, runs: BackendRuns, backend: ListedBackend
+    ) -> None:
+        former = runs.listed.capacity
+        if runs.update_listing(backend):
+            # Waiting tasks may fit now.
+            self.registry.freed_count += 1
+            self.registry.count('resized_backends', 'capacity-changed')
+            self.registry.log_event(
+                'Capacity of a back end changed.',
+                backend,
+                former_cpu_milli=former.cpu_milli,
+                cpu_milli=backend.capacity.cpu_milli,
+            )
+
     def _drop_lost_run(
         self, runs: BackendRuns, run: Run, loss: RunLoss, now: float
     ) -> None:
@@ -281,7 +300,10 @@
         now: float,
     ) -> None:
         if answer.started_ms > runs.listed.started_ms:
-            newer = runs.listed._replace(started_ms=answer.started_ms)
+            # Its capacity is unknown until the list has its entry.
+            newer = runs.listed._replace(
+                started_ms=answer.started_ms, capacity=NO_RESOURCES
+            )
             self.registry.replace_incarnation(runs, newer, now)
             return
         if runs.silent_since_s is not None:
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -46,7 +46,7 @@
             owner started is being stopped.
         unclaimed_runs: Numbers of the runs without a known job that back ends
             listed at the start of the term, by task and back end.
-        freed_count: Number of runs that have ended so far.
+        freed_count: Number of times so far that capacity became free.
     """
 
     def __init__(self, term: int, effects: list[CellEffect]) -> None:
--- a/tests/core/test_capacity_changes.py
+++ b/tests/core/test_capacity_changes.py
@@ -39,3 +39,26 @@
     rig.run_for(0.1)
     assert len(backend.active) == 2
     assert not backend.overloads
+
+
+def test_starts_by_the_capacity_of_an_incarnation_that_has_ended():
+    rig, backend = make_backend(LARGE_CPU)
+    former = backend.listed
+    backend.crash(rig.now)
+    backend.down_until_s = rig.now
+    rig.submit(make_job(count=4, estimate_ms=1000))
+    # The list still has the entry of the former incarnation.
+    for _ in range(4):
+        rig.run_for(0.5)
+        rig.cell.update_backends({'i-0': former}, rig.now)
+        rig.execute_effects()
+    assert not starts_since_restart(backend)
+    resize(rig, backend, SMALL_CPU)
+    rig.run_for(6)
+    assert not backend.overloads
+    assert len(rig.done_tasks()) == 4
+
+
+def starts_since_restart(backend):
+    (crash_s, _), *_ = backend.crashes
+    return [start for start in backend.starts if start[-1] > crash_s]
