--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -32,6 +32,8 @@
 #: end before its lease is not renewed any more: two lost stops are repeated
 #: within it.
 STOP_CONFIRMATION_S = 0.1
+#: Free capacity of a back end on which no other run may be started.
+NOTHING_FREE = Resources(-1, -1, -1)
 #: Longest delay after which a command without an answer may still be executed;
 #: the platform's documentation says 2 to 12 s.
 LATE_COMMAND_S = 12.0
@@ -72,8 +74,8 @@
     Attributes:
         task: Key of the task.
         number: Number of the run.
-        incarnation_ms: Start time in ms of the back end's incarnation.
         needs: Resources that it uses on the back end.
+        is_alone: Whether no other run may be started on the back end.
         state: State as known to this owner.
         since_s: Time of the last change of ``state``, in seconds.
         started_s: Time of the start command, in seconds.
@@ -91,7 +93,7 @@
     """
 
     __slots__ = ('checkpoint', 'expected_s', 'has_begun',
-                 'incarnation_ms', 'is_started_by_owner', 'must_end_s', 'needs', 'number',
+                 'is_alone', 'is_started_by_owner', 'must_end_s', 'needs', 'number',
                  'percent', 'percent_s', 'since_s', 'started_s', 'state',
                  'stops_sent', 'task', 'wants_retry')  # fmt: skip
 
@@ -105,8 +107,8 @@
         """Creates a run whose start command is sent at ``now``."""
         self.task = task
         self.number = number
-        self.incarnation_ms = 0
         self.needs = needs
+        self.is_alone = False
         self.state = RunState.COMMANDED
         self.since_s = now
         self.started_s = now
@@ -182,6 +184,7 @@
         self.first_listed_s = now
         self.free = listed.capacity
         self._used = NO_RESOURCES
+        self._reserved_for: TaskKey | None = None
         self.has_listed_runs = False
         self.lists_unclaimed_run = False
         self.silent_since_s: float | None = None
@@ -224,6 +227,11 @@
             for run in self.run_by_task.values()
         )
 
+    @property
+    def has_refused(self) -> bool:
+        """Whether it has refused a connection since its last answer."""
+        return self._has_refused
+
     @property
     def has_unstored_completions(self) -> bool:
         """Whether it lists completions that the log does not have yet."""
@@ -254,8 +262,22 @@
             self._update_free()
         return run
 
+    def reserve(self, task: TaskKey | None) -> None:
+        """Starts no runs but that of a task, or with ``None`` any again."""
+        self._reserved_for = task
+        self._update_free()
+
+    def is_empty_for(self, task: TaskKey) -> bool:
+        """Returns whether a task would be alone here."""
+        return not self.run_by_task and self._reserved_for in {None, task}
+
     def _update_free(self) -> None:
-        self.free = self.listed.capacity.minus(self._used)
+        is_taken = self._reserved_for is not None or any(
+            run.is_alone for run in self.run_by_task.values()
+        )
+        self.free = (
+            NOTHING_FREE if is_taken else self.listed.capacity.minus(self._used)
+        )
 
     def lease_clock_ms(self, now: float) -> int | None:
         """Returns the end of a full lease that starts now.
--- a/src/camphorlink/internal/core/connection/node_message_codec.py
+++ b/src/camphorlink/internal/core/connection/node_message_codec.py
@@ -22,10 +22,7 @@
     FreeCapacity,
 )
 from camphorlink.internal.core.request.durable_job import TaskKey
-from camphorlink.internal.core.request.job_record_codec import (
-    decode_job,
-    encode_job,
-)
+from camphorlink.internal.core.request.job_codec import decode_job, encode_job
 
 
 @singledispatch
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -44,6 +44,7 @@
     LiveJob,
     OwnerChanged,
     TasksDue,
+    TasksGivenUp,
 )
 from camphorlink.internal.core.process.open_jobs import OpenJobs
 from camphorlink.internal.core.process.predecessor import (
@@ -59,6 +60,7 @@
 from camphorlink.internal.core.process.transient_job_table import (
     TransientJobTable,
 )
+from camphorlink.internal.core.request.crash_assessment import Assessment
 from camphorlink.internal.core.request.durable_job import (
     Resources,
     TaskKey,
@@ -128,6 +130,7 @@
             term,
             self,
             self._predecessor,
+            table.crashes,
             self._effects,
         )
         self.registry = self.commander.registry
@@ -194,12 +197,13 @@
     def handle_change(self, change: Change, now: float) -> None:
         """Applies a change of the job table.
 
-        ``OwnerChanged`` is ignored here; ``JobNode`` handles it.
+        ``OwnerChanged`` and ``TasksGivenUp`` are ignored here; ``JobNode``
+        handles them.
 
         Raises:
             TypeError: If the change is of an unknown type.
         """
-        if not isinstance(change, OwnerChanged):
+        if not isinstance(change, OwnerChanged | TasksGivenUp):
             raise TypeError(change)
 
     @handle_change.register
@@ -304,11 +308,18 @@
         self.commander.tick(now, confirmed_s)
         self._completions.tick(now)
         if may_renew:
-            for live, task in self._deferred_tasks.pop_due(now):
-                self._enqueue(live, task)
+            self._release_deferred(now)
             self._starter.restart_stalled(now)
             self.place(now)
 
+    def _release_deferred(self, now: float) -> None:
+        earlier = self._deferred_tasks.pop_earlier(now)
+        self.commander.crashes.infer(
+            self._predecessor.ended, [task for _, task in earlier]
+        )
+        for live, task in self._deferred_tasks.pop_new(now) + earlier:
+            self._enqueue(live, task)
+
     def place(self, now: float) -> None:
         """Starts waiting tasks on back ends with free capacity."""
         self.assignments.expire(now)
@@ -332,11 +343,20 @@
         is_open = self._jobs.find_by_task(task) is live
         if not is_open or task in self._completions.tasks_being_stored:
             return
+        assessment = self.commander.crashes.assess(task)
+        if assessment is Assessment.GIVEN_UP:
+            self._completions.give_up(task)
+            return
+        objective = objective_s(live.job, self.speeds)
         if live.due_s is None:
-            live.due_s = self._now + objective_s(live.job, self.speeds)
+            live.due_s = self._now + objective
+        due_s = live.due_s
+        if assessment.must_run_alone:
+            # Otherwise all tasks that are on time would precede it.
+            due_s = max(due_s, self._now + objective)
         step = live.job.steps[task.step]
         work_s = self.speeds.work_s(
             live.job.queue,
             step.estimate_ms / MS_PER_S,
         )
-        self.waiting.add(task, live.job, live.due_s, work_s)
+        self.waiting.add(task, live.job, due_s, work_s, assessment)
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -28,6 +28,8 @@
     find_absent_runs,
 )
 from camphorlink.internal.core.process.cell_effects import CellEffect
+from camphorlink.internal.core.process.crash_monitor import CrashMonitor
+from camphorlink.internal.core.process.crash_table import CrashTable
 from camphorlink.internal.core.process.lease_monitor import LeaseMonitor
 from camphorlink.internal.core.process.predecessor import Predecessor
 from camphorlink.internal.core.process.run_registry import RunRegistry
@@ -92,6 +94,7 @@
 
     Attributes:
         registry: Runs of the term; it also issues the commands.
+        crashes: Crashes of back ends, and the tasks that may have caused them.
         tick: Sends the commands that are due.  Takes the time and the time of
             the last confirmation of the owner, both in seconds.
     """
@@ -101,6 +104,7 @@
         term: int,
         callbacks: RunCallbacks,
         predecessor: Predecessor,
+        stored_crashes: CrashTable,
         effects: list[CellEffect],
     ) -> None:
         """Creates a commander without back ends.
@@ -109,12 +113,16 @@
             term: Fencing token of the owner.
             callbacks: Receives completions and lost runs.
             predecessor: Back ends that an earlier owner commanded.
+            stored_crashes: Crashes that the job log holds.
             effects: List that commands are appended to.
         """
         self.registry = RunRegistry(term, effects)
         self._callbacks = callbacks
         self._predecessor = predecessor
-        self._lease_monitor = LeaseMonitor(self.registry, self._drop_lost_run)
+        self.crashes = CrashMonitor(stored_crashes, self.registry, effects)
+        self._lease_monitor = LeaseMonitor(
+            self.registry, self.crashes, self._drop_lost_run
+        )
         self.tick = self._lease_monitor.tick
 
     def update_backends(
@@ -128,7 +136,7 @@
             if known is None:
                 self.registry.open_incarnation(backend, now)
             elif known.listed.started_ms < backend.started_ms:
-                self.registry.replace_incarnation(known, backend, now)
+                self._replace_incarnation(known, backend, now)
             elif known.listed.started_ms == backend.started_ms:
                 self._update_listing(known, backend)
         for backend_id, runs in list(self.registry.runs_by_backend.items()):
@@ -140,6 +148,12 @@
                     'Back end was removed from the list.', runs.listed
                 )
 
+    def _replace_incarnation(
+        self, runs: BackendRuns, newer: ListedBackend, now: float
+    ) -> None:
+        self.crashes.record_end(runs)
+        self.registry.replace_incarnation(runs, newer, now)
+
     def _update_listing(
         self, runs: BackendRuns, backend: ListedBackend
     ) -> None:
@@ -279,6 +293,7 @@
                 'Another back end answers at this address.', runs.listed
             )
             self._predecessor.mark_gone(runs.listed.backend_id)
+            self.crashes.record_end(runs)
             for run in list(runs.run_by_task.values()):
                 self._drop_lost_run(runs, run, RunLoss.REPLACED, now)
         elif runs.silent_since_s is None:
@@ -304,8 +319,9 @@
             newer = runs.listed._replace(
                 started_ms=answer.started_ms, capacity=NO_RESOURCES
             )
-            self.registry.replace_incarnation(runs, newer, now)
+            self._replace_incarnation(runs, newer, now)
             return
+        self.crashes.record_answer(runs)
         if runs.silent_since_s is not None:
             self.registry.log_event('Back end answers again.', runs.listed)
         runs.record_answer(answer.clock_ms, now)
@@ -402,6 +418,7 @@
     ) -> None:
         adopted_run = Run(task, number, needs, now)
         adopted_run.is_started_by_owner = False
+        adopted_run.is_alone = self.crashes.assess(task).must_run_alone
         adopted_run.change_state(RunState.RUNNING, now)
         # An earlier owner may have renewed the lease of this run until now.
         runs.record_lease_sent(now)
@@ -426,6 +443,6 @@
         if run.state is RunState.UNCERTAIN:
             self.registry.stop(runs, run, now)
         elif run.state in {RunState.RUNNING, RunState.STOPPED}:
-            is_replaced = run.incarnation_ms < runs.listed.started_ms
+            is_replaced = run.started_s < runs.first_listed_s
             loss = RunLoss.REPLACED if is_replaced else RunLoss.ABSENT
             self._drop_lost_run(runs, run, loss, now)
--- a/src/camphorlink/internal/core/process/completion_handler.py
+++ b/src/camphorlink/internal/core/process/completion_handler.py
@@ -23,6 +23,8 @@
 from camphorlink.internal.core.process.cell_effects import (
     AppendRecord,
     CellEffect,
+    CountEvent,
+    LogEvent,
 )
 from camphorlink.internal.core.process.commander import CompletionAction
 from camphorlink.internal.core.process.job_table import (
@@ -155,6 +157,22 @@
         )
         return CompletionAction.KEEP
 
+    def give_up(self, task: TaskKey) -> None:
+        """Reports a task that does not run again, as back ends crash under it.
+
+        A durable job fails when the crash is stored.
+        """
+        self._context.effects.append(
+            CountEvent('given_up_tasks', 'crashes-back-ends')
+        )
+        self._context.effects.append(
+            LogEvent(
+                'Task given up: back ends crash under it.',
+                {'task': list(task)},
+            )
+        )
+        self._report_completion(task, is_done=False)
+
     def report_unclaimed(
         self, live: LiveJob, task: TaskKey, now: float
     ) -> bool:
--- /dev/null
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -0,0 +1,221 @@
+"""Notices crashes of a cell's back ends, and assesses the tasks on them.
+
+A crash is certain when another incarnation is known.  A back end that refuses
+connections when its lease has lapsed has most likely crashed; if it answers
+again after all, the crash is retracted.  One that is only silent may be cut
+off: its tasks run alone until it is known what became of it.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from camphorlink.internal.core.connection.backend_runs import BackendRuns, Run
+from camphorlink.internal.core.process.cell_effects import (
+    AppendRecord,
+    CellEffect,
+    CountEvent,
+    LogEvent,
+)
+from camphorlink.internal.core.process.crash_table import (
+    CrashTable,
+    Incarnation,
+)
+from camphorlink.internal.core.process.run_registry import RunRegistry
+from camphorlink.internal.core.request.crash_assessment import (
+    Assessment,
+    CrashKind,
+    assess,
+)
+from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.core.request.job_records import (
+    BackendCrashed,
+    BackendSurvived,
+)
+
+#: Longest time between the first unanswered calls to back ends that failed at
+#: once, in seconds: a call may wait for a completion for 0.3 s.
+COMMON_FAILURE_S = 0.5
+#: Back ends that must fail at once for a common cause.
+MIN_COMMON_FAILURES = 3
+
+
+def have_common_cause(
+    failed: BackendRuns, others: Iterable[BackendRuns]
+) -> bool:
+    """Returns whether a back end failed at once with its whole rack or cell.
+
+    Back ends that were away before tell nothing.
+
+    Args:
+        failed: A back end that does not answer.
+        others: All back ends of its cell.
+    """
+    listed = [runs for runs in others if runs.is_listed]
+    # The first label is the kind of a back end; the others say where it is.
+    groups = [listed] + [
+        [runs for runs in listed if label in runs.listed.labels]
+        for label in failed.listed.labels[1:]
+    ]
+    return any(_failed_at_once(failed, group) for group in groups)
+
+
+def _failed_at_once(failed: BackendRuns, group: list[BackendRuns]) -> bool:
+    if failed.silent_since_s is None:
+        return False
+    silent_s = [runs.silent_since_s for runs in group]
+    if any(since_s is None for since_s in silent_s):
+        return False
+    failures = [
+        since_s
+        for since_s in silent_s
+        if since_s is not None
+        and abs(since_s - failed.silent_since_s) <= COMMON_FAILURE_S
+    ]
+    return len(failures) >= MIN_COMMON_FAILURES
+
+
+class CrashMonitor:
+    """Records the crashes of one cell's back ends during one term."""
+
+    def __init__(
+        self,
+        stored: CrashTable,
+        registry: RunRegistry,
+        effects: list[CellEffect],
+    ) -> None:
+        """Creates a monitor that has observed nothing.
+
+        Args:
+            stored: Crashes that the job log holds.
+            registry: Runs of the term.
+            effects: List that effects are appended to.
+        """
+        self._stored = stored
+        self._effects = effects
+        self._registry = registry
+        self._observed = CrashTable()
+        self._recorded: set[Incarnation] = set()
+        self._doubtful: dict[Incarnation, BackendCrashed] = {}
+        self._doubted_tasks: set[TaskKey] = set()
+
+    def assess(self, task: TaskKey) -> Assessment:
+        """Assesses a task by stored crashes and by those observed here."""
+        crashes = self._stored.crashes_of(task) | self._observed.crashes_of(
+            task
+        )
+        assessment = assess(crashes.values())
+        if task in self._doubted_tasks:
+            return max(assessment, Assessment.DOUBTED)
+        return assessment
+
+    def record_lapse(self, runs: BackendRuns) -> None:
+        """Handles a back end whose lease has lapsed in silence."""
+        incarnation = _incarnation_of(runs)
+        is_known = incarnation in self._recorded | self._doubtful.keys()
+        if is_known or runs.listed.is_draining or not _find_present(runs):
+            return
+        crash = self._describe(runs)
+        if runs.has_refused:
+            self._record(crash)
+        elif crash.kind is CrashKind.OBSERVED:
+            self._doubtful[incarnation] = crash
+            self._update_doubted()
+
+    def record_end(self, runs: BackendRuns) -> None:
+        """Handles an incarnation that has ended; a drained one did not crash."""
+        incarnation = _incarnation_of(runs)
+        crash = self._doubtful.pop(incarnation, None)
+        self._update_doubted()
+        if incarnation in self._recorded or runs.listed.is_draining:
+            return
+        if crash is None and _find_present(runs):
+            crash = self._describe(runs)
+        if crash is not None:
+            self._record(crash)
+
+    def record_answer(self, runs: BackendRuns) -> None:
+        """Handles a back end that answers again: it did not crash."""
+        incarnation = _incarnation_of(runs)
+        if self._doubtful.pop(incarnation, None) is not None:
+            self._update_doubted()
+        if incarnation in self._recorded:
+            self._recorded.discard(incarnation)
+            survived = BackendSurvived(*incarnation)
+            self._observed.retract(survived)
+            self._effects.append(AppendRecord(survived))
+            self._registry.log_event(
+                'Back end had not crashed; its crash is retracted.', runs.listed
+            )
+
+    def infer(
+        self, ended_ms_by_backend: Mapping[str, int], tasks: list[TaskKey]
+    ) -> None:
+        """Records a crash whose runs were known to a lost owner only.
+
+        One crash stands for all, as a task was on one of the back ends at most.
+
+        Args:
+            ended_ms_by_backend: Start time of each ended incarnation that the
+                lost owner commanded, by back end.
+            tasks: Tasks that may have been there.
+        """
+        unknown = [
+            incarnation
+            for incarnation in map(
+                Incarnation._make, ended_ms_by_backend.items()
+            )
+            if incarnation not in self._recorded
+            and not self._stored.knows(incarnation)
+        ]
+        if tasks and unknown:
+            self._record(
+                BackendCrashed(*min(unknown), tuple(tasks), CrashKind.INFERRED)
+            )
+
+    def _describe(self, runs: BackendRuns) -> BackendCrashed:
+        by_start = sorted(
+            _find_present(runs),
+            key=lambda run: run.started_s,
+            reverse=True,
+        )
+        is_common = have_common_cause(
+            runs, self._registry.runs_by_backend.values()
+        )
+        return BackendCrashed(
+            *_incarnation_of(runs),
+            tuple(run.task for run in by_start),
+            CrashKind.COMMON if is_common else CrashKind.OBSERVED,
+        )
+
+    def _record(self, crash: BackendCrashed) -> None:
+        self._recorded.add(Incarnation(crash.backend_id, crash.started_ms))
+        self._observed.record(crash)
+        self._effects.append(AppendRecord(crash))
+        self._effects.append(CountEvent('backend_crashes', crash.kind.value))
+        self._effects.append(
+            LogEvent(
+                'Back end crashed under tasks.',
+                {
+                    'backend': crash.backend_id,
+                    'kind': crash.kind.value,
+                    'tasks': [list(task) for task in crash.tasks],
+                },
+            )
+        )
+
+    def _update_doubted(self) -> None:
+        self._doubted_tasks = {
+            task for crash in self._doubtful.values() for task in crash.tasks
+        }
+
+
+def _find_present(runs: BackendRuns) -> list[Run]:
+    """Returns the runs of an incarnation, without those of the one before."""
+    return [
+        run
+        for run in runs.run_by_task.values()
+        if run.started_s >= runs.first_listed_s
+    ]
+
+
+def _incarnation_of(runs: BackendRuns) -> Incarnation:
+    return Incarnation(runs.listed.backend_id, runs.listed.started_ms)
--- /dev/null
+++ b/src/camphorlink/internal/core/process/crash_table.py
@@ -0,0 +1,114 @@
+"""Crashes of back ends and the tasks that were there.
+
+The same crash may be recorded more than once, so that a table can be filled
+from the job log and from an owner's own observations.
+"""
+
+from typing import NamedTuple
+
+from camphorlink.internal.core.request.crash_assessment import (
+    Assessment,
+    Crash,
+    CrashKind,
+    assess,
+)
+from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.core.request.job_records import (
+    BackendCrashed,
+    BackendSurvived,
+)
+
+#: Number of crashes that are remembered: 300 back ends that crash every 4 s do
+#: so in 13 s, and callers give up within a few seconds.
+MAX_CRASHES_KEPT = 1000
+
+
+class Incarnation(NamedTuple):
+    """Identifies one incarnation of a back end.
+
+    Attributes:
+        backend_id: Identifier of the back end.
+        started_ms: Start time of the incarnation, in ms.
+    """
+
+    backend_id: str
+    started_ms: int
+
+
+class CrashTable:
+    """Remembers the latest crashes, by incarnation and by job."""
+
+    def __init__(self) -> None:
+        """Creates an empty table."""
+        self._crash_by_incarnation: dict[Incarnation, BackendCrashed] = {}
+        self._incarnations_by_job: dict[str, set[Incarnation]] = {}
+
+    @property
+    def records(self) -> list[BackendCrashed]:
+        """The remembered crashes, oldest first."""
+        return list(self._crash_by_incarnation.values())
+
+    def record(self, crash: BackendCrashed) -> None:
+        """Records a crash unless it is known."""
+        incarnation = Incarnation(crash.backend_id, crash.started_ms)
+        if incarnation in self._crash_by_incarnation:
+            return
+        self._crash_by_incarnation[incarnation] = crash
+        for task in crash.tasks:
+            self._incarnations_by_job.setdefault(task.job_id, set()).add(
+                incarnation
+            )
+        if len(self._crash_by_incarnation) > MAX_CRASHES_KEPT:
+            self._forget(next(iter(self._crash_by_incarnation)))
+
+    def knows(self, incarnation: Incarnation) -> bool:
+        """Returns whether the crash of an incarnation is recorded."""
+        return incarnation in self._crash_by_incarnation
+
+    def retract(self, survived: BackendSurvived) -> None:
+        """Forgets a crash that did not happen."""
+        self._forget(Incarnation(survived.backend_id, survived.started_ms))
+
+    def crashes_of(self, task: TaskKey) -> dict[Incarnation, Crash]:
+        """Returns the crashes under a task, by incarnation."""
+        return {
+            incarnation: _describe(
+                self._crash_by_incarnation[incarnation], task
+            )
+            for incarnation in self._incarnations_by_job.get(task.job_id, ())
+            if task in self._crash_by_incarnation[incarnation].tasks
+        }
+
+    def assess(self, task: TaskKey) -> Assessment:
+        """Assesses a task by the crashes under it."""
+        return assess(self.crashes_of(task).values())
+
+    def find_given_up(self, job_id: str) -> TaskKey | None:
+        """Returns a task of a job that was given up, or ``None``."""
+        tasks = {
+            task
+            for incarnation in self._incarnations_by_job.get(job_id, ())
+            for task in self._crash_by_incarnation[incarnation].tasks
+            if task.job_id == job_id
+        }
+        for task in sorted(tasks):
+            if self.assess(task) is Assessment.GIVEN_UP:
+                return task
+        return None
+
+    def _forget(self, incarnation: Incarnation) -> None:
+        crash = self._crash_by_incarnation.pop(incarnation, None)
+        for task in () if crash is None else crash.tasks:
+            incarnations = self._incarnations_by_job.get(task.job_id, set())
+            incarnations.discard(incarnation)
+            if not incarnations:
+                self._incarnations_by_job.pop(task.job_id, None)
+
+
+def _describe(crash: BackendCrashed, task: TaskKey) -> Crash:
+    is_observed = crash.kind is CrashKind.OBSERVED
+    return Crash(
+        crash.kind,
+        is_observed and len(crash.tasks) == 1,
+        is_observed and task == crash.tasks[0],
+    )
--- a/src/camphorlink/internal/core/process/job_snapshot.py
+++ b/src/camphorlink/internal/core/process/job_snapshot.py
@@ -17,12 +17,13 @@
     LiveJob,
     Owner,
 )
-from camphorlink.internal.core.request.durable_job import TaskKey
-from camphorlink.internal.core.request.job_record_codec import (
-    DECODE_ERRORS,
-    decode_job,
-    encode_job,
+from camphorlink.internal.core.request.crash_codec import (
+    decode_crash,
+    encode_crash,
 )
+from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.core.request.job_codec import decode_job, encode_job
+from camphorlink.internal.core.request.job_record_codec import DECODE_ERRORS
 from camphorlink.store_errors import JobRecordError
 
 _STATES = tuple(JobState)
@@ -100,6 +101,7 @@
             [job_id, _STATES.index(ended.state), ended.accepted_ms]
             for job_id, ended in table.ended_by_id.items()
         ],
+        [encode_crash(crash) for crash in table.crashes.records],
     ]
 
 
@@ -122,6 +124,7 @@
     commanded: dict[str, dict[str, int]],
     live_rows: list[list[Any]],
     ended: list[list[Any]],
+    crashes: list[list[Any]],
 ) -> JobTable:
     table = JobTable()
     table.next_offset = offset
@@ -136,6 +139,8 @@
         job_id: EndedJob(_STATES[state], accepted_ms)
         for job_id, state, accepted_ms in ended
     }
+    for crash in crashes:
+        table.crashes.record(decode_crash(*crash))
     return table
 
 
--- a/src/camphorlink/internal/core/process/job_table.py
+++ b/src/camphorlink/internal/core/process/job_table.py
@@ -6,13 +6,17 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
+from camphorlink.internal.core.process.crash_table import CrashTable
+from camphorlink.internal.core.request.crash_assessment import Assessment
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     TaskKey,
     task_keys,
 )
 from camphorlink.internal.core.request.job_records import (
+    BackendCrashed,
     BackendsCommanded,
+    BackendSurvived,
     CellClaimed,
     JobAccepted,
     JobCancelled,
@@ -160,6 +164,16 @@
     state: JobState
 
 
+class TasksGivenUp(NamedTuple):
+    """Reports that tasks don't run again, as back ends crash under them.
+
+    Attributes:
+        tasks: The tasks, of durable and of transient jobs.
+    """
+
+    tasks: tuple[TaskKey, ...]
+
+
 class OwnerChanged(NamedTuple):
     """Reports that a cell has a new owner.
 
@@ -172,7 +186,7 @@
     owner: Owner
 
 
-Change = TasksDue | CompletionsStored | JobEnded | OwnerChanged
+Change = TasksDue | CompletionsStored | JobEnded | TasksGivenUp | OwnerChanged
 
 
 class EndedJob(NamedTuple):
@@ -198,6 +212,7 @@
         owner_by_cell: The last owner of each cell.
         commanded_by_cell: For each cell, start time in ms of the last known
             incarnation of each back end that its owners sent commands to.
+        crashes: Crashes of back ends and the tasks that were there.
         last_term: Highest term assigned so far.
         snapshot_offset: Offset of the first record that the latest snapshot
             does not cover.
@@ -210,6 +225,7 @@
         self.ended_by_id: dict[str, EndedJob] = {}
         self.owner_by_cell: dict[str, Owner] = {}
         self.commanded_by_cell: dict[str, dict[str, int]] = {}
+        self.crashes = CrashTable()
         self.last_term = 0
         self.snapshot_offset = 0
         self.next_offset = 0
@@ -307,6 +323,28 @@
                 changes.append(TasksDue(live, (task,), is_first_start=True))
         return changes
 
+    @_fold.register
+    def _fold_crashed(self, record: BackendCrashed) -> list[Change]:
+        self.crashes.record(record)
+        given_up = tuple(
+            task
+            for task in record.tasks
+            if self.crashes.assess(task) is Assessment.GIVEN_UP
+        )
+        if not given_up:
+            return []
+        changes: list[Change] = [TasksGivenUp(given_up)]
+        for task in given_up:
+            live = self.live_by_id.get(task.job_id)
+            if live is not None and not live.is_task_done(task):
+                changes.append(self._end_job(live, JobState.FAILED))
+        return changes
+
+    @_fold.register
+    def _fold_survived(self, record: BackendSurvived) -> list[Change]:
+        self.crashes.retract(record)
+        return []
+
     @_fold.register
     def _fold_snapshot(self, record: SnapshotTaken) -> list[Change]:
         self.snapshot_offset = max(self.snapshot_offset, record.offset)
--- a/src/camphorlink/internal/core/process/lease_monitor.py
+++ b/src/camphorlink/internal/core/process/lease_monitor.py
@@ -10,6 +10,7 @@
     RunLoss,
     RunState,
 )
+from camphorlink.internal.core.process.crash_monitor import CrashMonitor
 from camphorlink.internal.core.process.predecessor import is_ownership_confirmed
 from camphorlink.internal.core.process.run_registry import RunRegistry
 
@@ -54,14 +55,19 @@
     """
 
     def __init__(
-        self, registry: RunRegistry, handle_lost_run: LostRunHandler
+        self,
+        registry: RunRegistry,
+        crashes: CrashMonitor,
+        handle_lost_run: LostRunHandler,
     ) -> None:
         """Creates a monitor.
 
         Args:
             registry: Runs of the term.
+            crashes: Assesses the tasks on back ends that may have crashed.
             handle_lost_run: Called for each run whose lease has lapsed.
         """
+        self._crashes = crashes
         self.may_renew = False
         self._registry = registry
         self._handle_lost_run = handle_lost_run
@@ -144,6 +150,7 @@
             self._request_ownership_check(runs, now)
             return
         runs.is_confirmation_requested = False
+        self._crashes.record_lapse(runs)
         for run in list(runs.run_by_task.values()):
             if must_have_ended or run.has_begun:
                 self._registry.count('lapsed_runs', 'back-end-silent')
--- a/src/camphorlink/internal/core/process/predecessor.py
+++ b/src/camphorlink/internal/core/process/predecessor.py
@@ -43,6 +43,7 @@
     Attributes:
         unlisted_ms_by_backend: Start time of each such incarnation, in ms, by
             back end.
+        ended: Such incarnations that have ended, by back end.
     """
 
     def __init__(self, commanded: Mapping[str, int], now: float) -> None:
@@ -54,21 +55,24 @@
             now: Time in seconds.
         """
         self.unlisted_ms_by_backend = dict(commanded)
+        self.ended: dict[str, int] = {}
         self._commands_expired_s = now + COMMANDS_EXPIRED_AFTER_S
         self._new_tasks_due_s = now + NEW_TASK_WAIT_S
         self._unreachable: set[str] = set()
 
     def mark_listed(self, backend_id: str, started_ms: int) -> None:
         """Records that an incarnation, or a later one, has listed its runs."""
-        if (
-            self.unlisted_ms_by_backend.get(backend_id, started_ms)
-            <= started_ms
-        ):
+        unlisted_ms = self.unlisted_ms_by_backend.get(backend_id, started_ms)
+        if unlisted_ms < started_ms:
+            self.mark_gone(backend_id)
+        elif unlisted_ms == started_ms:
             self.unlisted_ms_by_backend.pop(backend_id, None)
 
     def mark_gone(self, backend_id: str) -> None:
         """Records that an incarnation has certainly ended."""
-        self.unlisted_ms_by_backend.pop(backend_id, None)
+        started_ms = self.unlisted_ms_by_backend.pop(backend_id, None)
+        if started_ms is not None:
+            self.ended[backend_id] = started_ms
 
     def mark_unreachable(self, backend_id: str) -> None:
         """Records that a back end refuses connections and has likely failed.
@@ -148,14 +152,18 @@
             return True
         return False
 
-    def pop_due(self, now: float) -> list[tuple[LiveJob, TaskKey]]:
-        """Removes and returns the tasks that need not wait any longer."""
-        due: list[tuple[LiveJob, TaskKey]] = []
-        if self._new_tasks and not self._predecessor.may_run_unlisted(now):
-            due += self._new_tasks
-            self._new_tasks = []
-        is_due = now >= self._due_s and self._predecessor.is_settled(now)
-        if self._earlier_tasks and is_due:
-            due += self._earlier_tasks
-            self._earlier_tasks = []
+    def pop_new(self, now: float) -> list[tuple[LiveJob, TaskKey]]:
+        """Removes and returns the new tasks that need not wait any longer."""
+        if self._predecessor.may_run_unlisted(now):
+            return []
+        due = self._new_tasks
+        self._new_tasks = []
+        return due
+
+    def pop_earlier(self, now: float) -> list[tuple[LiveJob, TaskKey]]:
+        """Removes and returns the other tasks that need not wait any longer."""
+        if now < self._due_s or not self._predecessor.is_settled(now):
+            return []
+        due = self._earlier_tasks
+        self._earlier_tasks = []
         return due
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -93,7 +93,6 @@
 
     def add(self, runs: BackendRuns, run: Run) -> None:
         """Adds a run that was started or adopted."""
-        run.incarnation_ms = runs.listed.started_ms
         runs.add(run)
         backends = self.backends_by_task.setdefault(run.task, set())
         backends.add(runs.listed.backend_id)
@@ -115,11 +114,13 @@
         spec: str,
         checkpoint: str,
         now: float,
+        is_alone: bool = False,
     ) -> Run:
         """Sends a command to start a task on a back end."""
         self._run_count += 1
         number = self.term * RUNS_PER_TERM + self._run_count
         run = Run(task, number, needs, now)
+        run.is_alone = is_alone
         self.add(runs, run)
         runs.record_lease_sent(now)
         self._effects.append(
--- a/src/camphorlink/internal/core/process/task_starter.py
+++ b/src/camphorlink/internal/core/process/task_starter.py
@@ -10,7 +10,12 @@
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.job_table import JobTable, LiveJob
 from camphorlink.internal.core.process.run_registry import RunRegistry
+from camphorlink.internal.core.request.crash_assessment import Assessment
 from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.core.request.suspect_limit import (
+    SuspectLimit,
+    max_back_ends,
+)
 from camphorlink.internal.core.request.task_placement import (
     Candidates,
 )
@@ -61,6 +66,8 @@
         self._ranked_s = -math.inf
         self._placed_changes = (0, 0)
         self._candidates = Candidates((), speeds, 0)
+        self._suspect_limit = SuspectLimit()
+        self._reserved_by_task: dict[TaskKey, BackendRuns] = {}
 
     def place(self, now: float) -> None:
         """Starts waiting tasks on back ends with free capacity.
@@ -75,6 +82,7 @@
         ):
             return
         self._placed_changes = changes
+        self._release_reservations(now)
         if is_ranking_due:
             self._ranked_s = now
             self._candidates = Candidates(
@@ -112,10 +120,16 @@
             # tasks of the same size.
             self._registry.count('dropped_tasks', 'ended-while-waiting')
             return True
+        if not self._may_try(entry, now):
+            return False
         chosen = self._candidates.choose(entry, now)
         if chosen is None or not self._is_current(chosen.runs):
+            if entry.assessment.must_run_alone:
+                self._reserve(entry, now)
             return False
         live.has_begun = True
+        if entry.assessment is Assessment.SUSPECTED:
+            self._suspect_limit.record_start(chosen.runs, entry.task, now)
         run = self._registry.start(
             chosen.runs,
             entry.task,
@@ -123,10 +137,34 @@
             entry.job.spec,
             live.checkpoint_by_task.get(entry.task, ''),
             now,
+            entry.assessment.must_run_alone,
         )
         run.expected_s = entry.work_s / max(chosen.speed, MIN_SPEED)
         return True
 
+    def _may_try(self, entry: WaitingTask, now: float) -> bool:
+        if entry.assessment is not Assessment.SUSPECTED:
+            return True
+        backends = len(self._registry.runs_by_backend)
+        return self._suspect_limit.may_start(backends, now)
+
+    def _reserve(self, entry: WaitingTask, now: float) -> None:
+        """Keeps a back end free for a task that must be alone there."""
+        limit = max_back_ends(len(self._registry.runs_by_backend))
+        is_reserved = entry.task in self._reserved_by_task
+        if is_reserved or len(self._reserved_by_task) >= limit:
+            return
+        runs = self._candidates.choose_to_reserve(entry, now)
+        if runs is not None and self._is_current(runs):
+            runs.reserve(entry.task)
+            self._reserved_by_task[entry.task] = runs
+
+    def _release_reservations(self, now: float) -> None:
+        for task, runs in list(self._reserved_by_task.items()):
+            if task not in self._waiting or not runs.is_usable(now):
+                self._reserved_by_task.pop(task)
+                runs.reserve(None)
+
     def _is_current(self, runs: BackendRuns) -> bool:
         """Returns whether this is the newest incarnation of its back end."""
         known = self._registry.runs_by_backend.get(runs.listed.backend_id)
--- a/src/camphorlink/internal/core/process/transient_assignments.py
+++ b/src/camphorlink/internal/core/process/transient_assignments.py
@@ -24,6 +24,7 @@
 from camphorlink.internal.core.process.transient_job_table import (
     TransientJobTable,
 )
+from camphorlink.internal.core.request.crash_assessment import Assessment
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.transient_jobs import (
     AssignTasks,
@@ -202,6 +203,9 @@
         context.registry.claim_task(task)
         if context.completions.report_unclaimed(live, task, now):
             return
+        if context.commander.crashes.assess(task) is Assessment.GIVEN_UP:
+            context.completions.give_up(task)
+            return
         needs = live.job.steps[task.step].needs
         if context.commander.adopt_unclaimed(task, needs, now):
             return
--- /dev/null
+++ b/src/camphorlink/internal/core/request/crash_codec.py
@@ -0,0 +1,25 @@
+"""Encodes crashes of back ends as plain lists, and decodes them."""
+
+from typing import Any
+
+from camphorlink.internal.core.request.crash_assessment import CrashKind
+from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.core.request.job_records import BackendCrashed
+
+
+def encode_crash(crash: BackendCrashed) -> list[Any]:
+    """Encodes a crash as a list of its fields."""
+    tasks = [list(task) for task in crash.tasks]
+    return [crash.backend_id, crash.started_ms, tasks, crash.kind.value]
+
+
+def decode_crash(
+    backend_id: str, started_ms: int, tasks: list[list[Any]], kind: str
+) -> BackendCrashed:
+    """Decodes the fields that ``encode_crash`` returned."""
+    return BackendCrashed(
+        backend_id,
+        started_ms,
+        tuple(TaskKey(*task) for task in tasks),
+        CrashKind(kind),
+    )
--- a/src/camphorlink/internal/core/request/job_record_codec.py
+++ b/src/camphorlink/internal/core/request/job_record_codec.py
@@ -6,14 +6,16 @@
 
 import cbor2
 
-from camphorlink.internal.core.request.durable_job import (
-    DurableJob,
-    Resources,
-    Step,
-    TaskKey,
+from camphorlink.internal.core.request.crash_codec import (
+    decode_crash,
+    encode_crash,
 )
+from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.core.request.job_codec import decode_job, encode_job
 from camphorlink.internal.core.request.job_records import (
+    BackendCrashed,
     BackendsCommanded,
+    BackendSurvived,
     CellClaimed,
     JobAccepted,
     JobCancelled,
@@ -25,42 +27,10 @@
 )
 from camphorlink.store_errors import JobRecordError
 
-#: Index of the steps among the fields of a job.
-STEPS_INDEX = DurableJob._fields.index('steps')
 #: Exceptions that decoding malformed bytes may raise.
 DECODE_ERRORS = (cbor2.CBORError, LookupError, TypeError, ValueError)
 
 
-def encode_job(job: DurableJob) -> list[Any]:
-    """Encodes a job as a list of its fields."""
-    encoded: list[Any] = list(job)
-    encoded[STEPS_INDEX] = [
-        [step.width, list(step.needs), *step[2:]] for step in job.steps
-    ]
-    return encoded
-
-
-def decode_job(encoded: list[Any]) -> DurableJob:
-    """Decodes a job that ``encode_job`` encoded."""
-    fields = list(encoded)
-    fields[STEPS_INDEX] = tuple(
-        _decode_step(*step) for step in encoded[STEPS_INDEX]
-    )
-    return DurableJob(*fields)
-
-
-def _decode_step(
-    width: int,
-    needs: list[int],
-    estimate_ms: int,
-    after: list[int],
-    *optional_fields: Any,
-) -> Step:
-    return Step(
-        width, Resources(*needs), estimate_ms, tuple(after), *optional_fields
-    )
-
-
 @singledispatch
 def _encode_fields(record: Any) -> list[Any]:
     raise TypeError(record)
@@ -104,6 +74,16 @@
     return ['moved', *record[:3], [list(task) for task in record.tasks]]
 
 
+@_encode_fields.register
+def _encode_crashed(record: BackendCrashed) -> list[Any]:
+    return ['crashed', *encode_crash(record)]
+
+
+@_encode_fields.register
+def _encode_survived(record: BackendSurvived) -> list[Any]:
+    return ['survived', *record]
+
+
 @_encode_fields.register
 def _encode_snapshot(record: SnapshotTaken) -> list[Any]:
     return ['snapshot', record.offset]
@@ -153,6 +133,8 @@
     'claimed': CellClaimed,
     'commanded': _decode_commanded,
     'moved': _decode_moved,
+    'crashed': decode_crash,
+    'survived': BackendSurvived,
     'snapshot': SnapshotTaken,
 }
 
--- a/src/camphorlink/internal/core/request/job_records.py
+++ b/src/camphorlink/internal/core/request/job_records.py
@@ -9,6 +9,7 @@
 
 from typing import NamedTuple
 
+from camphorlink.internal.core.request.crash_assessment import CrashKind
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     TaskKey,
@@ -93,6 +94,37 @@
     tasks: tuple[TaskKey, ...]
 
 
+class BackendCrashed(NamedTuple):
+    """Records that a back end crashed, and the tasks that were there.
+
+    It holds whoever owns the cell, and for transient tasks, too.
+
+    Attributes:
+        backend_id: Identifier of the back end.
+        started_ms: Start time of the incarnation that ended, in ms.
+        tasks: Tasks that were there; of an observed crash all of them, the
+            last started one first.
+        kind: What is known of the crash.
+    """
+
+    backend_id: str
+    started_ms: int
+    tasks: tuple[TaskKey, ...]
+    kind: CrashKind
+
+
+class BackendSurvived(NamedTuple):
+    """Records that a back end had not crashed although it was recorded.
+
+    Attributes:
+        backend_id: Identifier of the back end.
+        started_ms: Start time of the incarnation, in ms.
+    """
+
+    backend_id: str
+    started_ms: int
+
+
 class SnapshotTaken(NamedTuple):
     """Records that a snapshot covers all records before an offset."""
 
@@ -106,5 +138,7 @@
     | CellClaimed
     | BackendsCommanded
     | TasksMoved
+    | BackendCrashed
+    | BackendSurvived
     | SnapshotTaken
 )
--- a/src/camphorlink/internal/core/request/task_placement.py
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -18,7 +18,10 @@
 from camphorlink.internal.core.connection.backend_monitor import (
     estimate_slowdown,
 )
-from camphorlink.internal.core.connection.backend_runs import BackendRuns
+from camphorlink.internal.core.connection.backend_runs import (
+    NOTHING_FREE,
+    BackendRuns,
+)
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
@@ -117,10 +120,33 @@
 
     def choose(self, entry: WaitingTask, now: float) -> RatedBackend | None:
         """Returns the back end for a task, or ``None`` if it fits on none."""
+        if entry.assessment.must_run_alone:
+            return self._first_empty(entry, now)
         rack = entry.step.rack
         near = self._first_fitting(entry, rack, now) if rack else None
         return near or self._first_fitting(entry, '', now)
 
+    def choose_to_reserve(
+        self, entry: WaitingTask, now: float
+    ) -> BackendRuns | None:
+        """Returns the back end that will be empty first for a task."""
+        usable = [
+            rated.runs
+            for rated in self._rated
+            if _could_run_alone(entry, rated.runs, now)
+            and rated.runs.free != NOTHING_FREE
+        ]
+        return min(usable, key=_empty_s, default=None)
+
+    def _first_empty(
+        self, entry: WaitingTask, now: float
+    ) -> RatedBackend | None:
+        for rated in self._rated:
+            is_empty = rated.runs.is_empty_for(entry.task)
+            if is_empty and _could_run_alone(entry, rated.runs, now):
+                return rated
+        return None
+
     def _first_fitting(
         self,
         entry: WaitingTask,
@@ -153,6 +179,22 @@
     return rated.speed
 
 
+def _could_run_alone(entry: WaitingTask, runs: BackendRuns, now: float) -> bool:
+    return (
+        entry.needs.fits_in(runs.listed.capacity)
+        and _is_allowed(entry, runs)
+        and runs.is_usable(now)
+    )
+
+
+def _empty_s(runs: BackendRuns) -> float:
+    """Returns when all runs are expected to have ended, in seconds."""
+    return max(
+        (run.started_s + run.expected_s for run in runs.run_by_task.values()),
+        default=0,
+    )
+
+
 def _is_allowed(entry: WaitingTask, runs: BackendRuns) -> bool:
     step: Step = entry.step
     if runs.listed.service != entry.job.service:
--- a/src/camphorlink/internal/core/request/waiting_tasks.py
+++ b/src/camphorlink/internal/core/request/waiting_tasks.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from camphorlink.internal.core.request.crash_assessment import Assessment
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     Resources,
@@ -32,6 +33,7 @@
         task: Key of the task.
         job: Job of the task.
         work_s: Expected run time of the task at speed 1, in seconds.
+        assessment: Whether the task may crash its back end.
     """
 
     due_s: float
@@ -39,6 +41,7 @@
     task: TaskKey
     job: DurableJob
     work_s: float
+    assessment: Assessment = Assessment.CLEAR
 
     def can_be_on_time(self, now: float) -> bool:
         """Returns whether the task would end in time if it started now."""
@@ -71,17 +74,20 @@
         label: Label that the back end must have, empty for none.
         job_step: Job and step of a task that only a limited number of back
             ends may share; empty for all other tasks.
+        assessment: Whether the task may crash its back end.
     """
 
     service: str
     needs: Resources
     label: str
     job_step: tuple[str, int] | tuple[()]
+    assessment: Assessment = Assessment.CLEAR
 
     def includes(self, other: 'Requirements') -> bool:
         """Returns whether a back end for this task could run the other."""
         return (
             other.service == self.service
+            and other.assessment <= self.assessment
             and other.label == self.label
             and not other.job_step
             and other.needs.fits_in(self.needs)
@@ -94,7 +100,9 @@
     job_step = (
         (entry.task.job_id, entry.task.step) if step.max_per_backend else ()
     )
-    return Requirements(entry.job.service, step.needs, step.label, job_step)
+    return Requirements(
+        entry.job.service, step.needs, step.label, job_step, entry.assessment
+    )
 
 
 class _Group:
@@ -148,6 +156,7 @@
         job: DurableJob,
         due_s: float,
         work_s: float,
+        assessment: Assessment = Assessment.CLEAR,
     ) -> None:
         """Adds a task unless it is already waiting.
 
@@ -156,11 +165,14 @@
             job: Job of the task.
             due_s: Due time of the job, in seconds.
             work_s: Expected run time of the task at speed 1, in seconds.
+            assessment: Whether the task may crash its back end.
         """
         if task in self._entry_by_task:
             return
         self.added_count += 1
-        entry = WaitingTask(due_s, self.added_count, task, job, work_s)
+        entry = WaitingTask(
+            due_s, self.added_count, task, job, work_s, assessment
+        )
         self._entry_by_task[task] = entry
         requirements = requirements_of(entry)
         group = self._group_by_requirements.get(requirements)
@@ -188,13 +200,15 @@
             try_place: Tries to place a task, and returns whether it was
                 placed.
             now: Time in seconds.
-            most_free: Upper bound of the free capacity of each back end.
+            most_free: Upper bound of the free capacity of each back end, for
+                tasks that may share one.
         """
         refused: list[Requirements] = []
         groups = [
             group
             for group in self._group_by_requirements.values()
-            if group.requirements.needs.fits_in(most_free)
+            if group.requirements.assessment.must_run_alone
+            or group.requirements.needs.fits_in(most_free)
         ]
         for group in groups:
             self._drop_discarded(group.on_time)
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -17,6 +17,7 @@
     JobEnded,
     JobTable,
     OwnerChanged,
+    TasksGivenUp,
 )
 from camphorlink.internal.core.request.cell_selector import CellPlan
 from camphorlink.internal.core.request.durable_job import DurableJob
@@ -256,7 +257,10 @@
     def handle_change(self, change: Change) -> None:
         """Processes a change of the job table."""
         self.cells.handle_change(change)
-        if isinstance(change, OwnerChanged):
+        if isinstance(change, TasksGivenUp):
+            for task in change.tasks:
+                self.coordinator.record_completion(task, is_done=False)
+        elif isinstance(change, OwnerChanged):
             self.peers.link_owners(self.table.owners)
             self._handle_owner(change.cell)
         elif isinstance(change, JobEnded):
--- a/src/camphorlink/internal/shell/request/job_handler.py
+++ b/src/camphorlink/internal/shell/request/job_handler.py
@@ -175,6 +175,13 @@
         """
         if self._node.is_closed:
             return self._refuse(VM_LEAVING)
+        given_up = self._node.table.crashes.find_given_up(job.job_id)
+        if given_up is not None:
+            self._log.info(
+                'job failed: back ends crash under its task',
+                extra={'job': job.job_id, 'task': list(given_up)},
+            )
+            return JobAnswer(Verdict.DONE, JobState.FAILED)
         started_s = now_s()
         completion = await self._node.coordinator.run(job, wait_s)
         if isinstance(completion, JobRefused):
