Read the list of back ends when one has started again

What callers saw: after a crash their jobs waited for capacity that was back. An answer of another incarnation now requests the list at once, each 0.05 s at most.

--- a/src/camphorlink/internal/core/process/cell_effects.py
+++ b/src/camphorlink/internal/core/process/cell_effects.py
@@ -25,6 +25,10 @@
     """Read the job log to its end, as another VM may have claimed the cell."""
 
 
+class ReadBackends(NamedTuple):
+    """Read the list of back ends, as one has another incarnation."""
+
+
 class CountEvent(NamedTuple):
     """Increment a counter.
 
@@ -65,6 +69,7 @@
     | RenewLeases
     | AppendRecord
     | CheckOwnership
+    | ReadBackends
     | CountEvent
     | LogEvent
     | CoordinatorExpired
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -27,7 +27,10 @@
     RunState,
     find_absent_runs,
 )
-from camphorlink.internal.core.process.cell_effects import CellEffect
+from camphorlink.internal.core.process.cell_effects import (
+    CellEffect,
+    ReadBackends,
+)
 from camphorlink.internal.core.process.crash_monitor import CrashMonitor
 from camphorlink.internal.core.process.crash_table import CrashTable
 from camphorlink.internal.core.process.lease_monitor import LeaseMonitor
@@ -117,6 +120,7 @@
             effects: List that commands are appended to.
         """
         self.registry = RunRegistry(term, effects)
+        self._effects = effects
         self._callbacks = callbacks
         self._predecessor = predecessor
         self.crashes = CrashMonitor(stored_crashes, self.registry, effects)
@@ -294,6 +298,7 @@
             )
             self._predecessor.mark_gone(runs.listed.backend_id)
             self.crashes.record_end(runs)
+            self._effects.append(ReadBackends())
             for run in list(runs.run_by_task.values()):
                 self._drop_lost_run(runs, run, RunLoss.REPLACED, now)
         elif runs.silent_since_s is None:
@@ -319,6 +324,7 @@
             newer = runs.listed._replace(
                 started_ms=answer.started_ms, capacity=NO_RESOURCES
             )
+            self._effects.append(ReadBackends())
             self._replace_incarnation(runs, newer, now)
             return
         self.crashes.record_answer(runs)
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
 from types import TracebackType
-from typing import Self
+from typing import NamedTuple, Self
 
 from camphorlink.internal.core.connection.backend_commands import (
     ListedBackend,
@@ -20,6 +20,7 @@
     CoordinatorExpired,
     CountEvent,
     LogEvent,
+    ReadBackends,
 )
 from camphorlink.internal.core.process.job_table import Change
 from camphorlink.internal.core.process.predecessor import is_ownership_confirmed
@@ -44,6 +45,26 @@
 OnCount = Callable[[str, str], None]
 
 
+class CellCallbacks(NamedTuple):
+    """Callbacks of a cell's host to the other parts of its VM.
+
+    Attributes:
+        on_count: Called with the family and the reason of each event to count.
+        on_report: Called with the name of the cell and the report of each
+            transient task that has ended.
+        on_expired: Called with each coordinator whose lease has expired.
+        on_suspended: Called with the name of the cell when this process was
+            suspended; must leave the context of the host.
+        on_list_outdated: Called when the list of back ends must be read.
+    """
+
+    on_count: OnCount
+    on_report: Callable[[str, TaskReport], None]
+    on_expired: Callable[[str], None]
+    on_suspended: Callable[[str], None]
+    on_list_outdated: Callable[[], None]
+
+
 class CellHost:
     """Carries out the effects of a cell and passes results back to it.
 
@@ -56,10 +77,7 @@
         cell: Cell,
         job_log: JobLog,
         backends: BackendPort,
-        on_count: OnCount,
-        on_report: Callable[[str, TaskReport], None],
-        on_expired: Callable[[str], None],
-        on_suspended: Callable[[str], None],
+        callbacks: CellCallbacks,
     ) -> None:
         """Creates the host; it runs nothing before the context is entered.
 
@@ -67,21 +85,12 @@
             cell: The state machine of the cell.
             job_log: Stores the records of the cell.
             backends: Sends commands to back ends.
-            on_count: Called with the family and the reason of each event to
-                count.
-            on_report: Called with the name of the cell and the report of
-                each transient task that has ended.
-            on_expired: Called with each coordinator whose lease has expired.
-            on_suspended: Called with the name of the cell when this process
-                was suspended; must leave the context of the host.
+            callbacks: Receives what the cell has to tell others.
         """
         self.cell = cell
-        self._on_expired = on_expired
-        self._on_suspended = on_suspended
+        self._callbacks = callbacks
         self._suspension = SuspensionDetector(now_s())
         self._job_log = job_log
-        self._on_count = on_count
-        self._on_report = on_report
         self._log = PartLog('cell', cell=cell.name)
         self._calls = BackendCalls(backends, cell.commander, self._place_tasks)
         self._ticker: asyncio.Task[None] | None = None
@@ -169,8 +178,8 @@
         """
         if self._is_open and self._suspension.has_been_suspended(now_s()):
             self._log.warning('process was suspended; giving up the cell')
-            self._on_count('released_cells', 'process-suspended')
-            self._on_suspended(self.cell.name)
+            self._callbacks.on_count('released_cells', 'process-suspended')
+            self._callbacks.on_suspended(self.cell.name)
         return self._is_open
 
     def _place_tasks(self) -> None:
@@ -200,19 +209,22 @@
 
     @_carry_out.register
     def _report_task(self, effect: TaskReport) -> None:
-        self._on_report(self.cell.name, effect)
+        self._callbacks.on_report(self.cell.name, effect)
 
     @_carry_out.register
-    def _check_ownership(self, effect: CheckOwnership) -> None:
-        self._calls.run(self._job_log.catch_up())
+    def _read_store(self, effect: CheckOwnership | ReadBackends) -> None:
+        if isinstance(effect, ReadBackends):
+            self._callbacks.on_list_outdated()
+        else:
+            self._calls.run(self._job_log.catch_up())
 
     @_carry_out.register
     def _notify_expired(self, effect: CoordinatorExpired) -> None:
-        self._on_expired(effect.member)
+        self._callbacks.on_expired(effect.member)
 
     @_carry_out.register
     def _count_event(self, effect: CountEvent) -> None:
-        self._on_count(effect.family, effect.reason)
+        self._callbacks.on_count(effect.family, effect.reason)
 
     @_carry_out.register
     def _log_event(self, effect: LogEvent) -> None:
--- a/src/camphorlink/internal/shell/process/cell_manager.py
+++ b/src/camphorlink/internal/shell/process/cell_manager.py
@@ -16,7 +16,7 @@
 from camphorlink.internal.core.process.transient_job_table import TaskReport
 from camphorlink.internal.core.request.job_records import CellClaimed
 from camphorlink.internal.shell.ports import BackendPort
-from camphorlink.internal.shell.process.cell_host import CellHost
+from camphorlink.internal.shell.process.cell_host import CellCallbacks, CellHost
 from camphorlink.internal.shell.process.job_log import SNAPSHOT_PERIOD_S, JobLog
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.peers import NodeSettings, Peers
@@ -195,10 +195,13 @@
             ),
             shared.job_log,
             shared.backends,
-            shared.on_count,
-            shared.on_report,
-            shared.on_expired,
-            self._release,
+            CellCallbacks(
+                shared.on_count,
+                shared.on_report,
+                shared.on_expired,
+                self._release,
+                shared.published.read_soon,
+            ),
         )
         self.host_by_cell[cell] = host
         host.__enter__()
--- a/src/camphorlink/internal/shell/process/published_state.py
+++ b/src/camphorlink/internal/shell/process/published_state.py
@@ -1,6 +1,7 @@
 """Follows the published configuration and the published list of back ends."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
@@ -24,6 +25,9 @@
 BACKENDS_PERIOD_S = 0.5
 #: The same on other VMs, which only need to know what kinds of back ends exist.
 DISTANT_BACKENDS_PERIOD_S = 1.0
+#: Shortest time between two reads, in seconds: a back end that has started
+#: again is listed 0.05 to 0.1 s after it answers.
+MIN_BACKENDS_PERIOD_S = 0.05
 READ_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.2
 #: Time for which entries are kept that expired during an outage of the store,
@@ -66,6 +70,7 @@
         self._on_listing = on_listing
         self._drop_s_by_id: dict[str, float] = {}
         self._is_list_changed = True
+        self._is_outdated = asyncio.Event()
         self._part_log = PartLog('published')
         self._answered_s = now_s()
         self._returned_s = now_s()
@@ -154,11 +159,22 @@
             self._drop_lapsed()
             self._on_listing(self._is_list_changed)
             self._is_list_changed = False
-            await asyncio.sleep(
-                BACKENDS_PERIOD_S
-                if self.is_owner
-                else DISTANT_BACKENDS_PERIOD_S
+            await self._wait_for_next_read()
+
+    def read_soon(self) -> None:
+        """Reads the list of back ends soon, as an entry is outdated."""
+        self._is_outdated.set()
+
+    async def _wait_for_next_read(self) -> None:
+        period_s = (
+            BACKENDS_PERIOD_S if self.is_owner else DISTANT_BACKENDS_PERIOD_S
+        )
+        await asyncio.sleep(MIN_BACKENDS_PERIOD_S)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                self._is_outdated.wait(), period_s - MIN_BACKENDS_PERIOD_S
             )
+        self._is_outdated.clear()
 
     async def _read_backends(self, offset: int | None) -> int:
         topic = self._directory.backends_topic
--- a/tests/core/test_crashing_tasks.py
+++ b/tests/core/test_crashing_tasks.py
@@ -232,3 +232,12 @@
     assert [report.coordinator for report in rig.reports] == ['c#1', 'c#2']
     play(rig, 5)
     assert starts_of_job(backends, CRASHING_JOB) == starts
+
+
+def test_list_of_back_ends_is_not_read_after_a_restart():
+    rig, backends = make_site(crashing_jobs=())
+    backends[0].crash(rig.now)
+    rig.run_for(2.9)
+    assert not rig.outdated_lists
+    rig.run_for(0.3)
+    assert rig.outdated_lists
--- a/tests/cover/test_cell_host.py
+++ b/tests/cover/test_cell_host.py
@@ -95,12 +95,15 @@
             cell,
             log,
             backends,
-            lambda family, reason: None,
-            lambda name, report: None,
-            lambda member: None,
-            lambda name: (
-                given_up.append(name),
-                host.__exit__(None, None, None),
+            cell_host.CellCallbacks(
+                lambda family, reason: None,
+                lambda name, report: None,
+                lambda member: None,
+                lambda name: (
+                    given_up.append(name),
+                    host.__exit__(None, None, None),
+                ),
+                lambda: None,
             ),
         )
         backend = listed('i-1', cpu=32_000)
--- a/tests/cover/test_published_state.py
+++ b/tests/cover/test_published_state.py
@@ -107,3 +107,16 @@
         assert set(state.listed_by_id) == {'i-2', 'i-3'}
 
     follow(scenario)
+
+
+def test_back_end_that_has_started_again_waits_for_the_next_read(monkeypatch):
+    monkeypatch.setattr(published_state, 'DISTANT_BACKENDS_PERIOD_S', 60)
+
+    async def scenario(store, state):
+        await asyncio.sleep(0.1)
+        store.write('i-4', b'entry')
+        state.read_soon()
+        await asyncio.sleep(0.2)
+        assert 'i-4' in state.listed_by_id
+
+    follow(scenario)
--- a/tests/simulated_backends.py
+++ b/tests/simulated_backends.py
@@ -24,6 +24,7 @@
     CoordinatorExpired,
     CountEvent,
     LogEvent,
+    ReadBackends,
 )
 from camphorlink.internal.core.process.coordinator_leases import (
     CoordinatorLeases,
@@ -258,6 +259,8 @@
         self.reports = []
         self.counts = []
         self.expired = []
+        #: Times at which the cell requested the list of back ends.
+        self.outdated_lists = []
         #: Time in seconds at which the store last confirmed the owner; with
         #: ``None``, it confirms the owner continuously.
         self.confirmed_s = None
@@ -325,6 +328,8 @@
                 self.counts.append(effect)
             elif isinstance(effect, CoordinatorExpired):
                 self.expired.append(effect.member)
+            elif isinstance(effect, ReadBackends):
+                self.outdated_lists.append(self.now)
             elif not isinstance(effect, CheckOwnership | LogEvent):
                 self._call(effect)
 
