Suspect the run with the highest number first

Runs that start within one reading of the clock were sorted by time, which left the first one first, so that the neighbour of a crashing task was suspected. Run numbers tell the order. The test fails without it.

--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -174,7 +174,7 @@
     def _describe(self, runs: BackendRuns) -> BackendCrashed:
         by_start = sorted(
             _find_present(runs),
-            key=lambda run: run.started_s,
+            key=lambda run: run.number,
             reverse=True,
         )
         is_common = have_common_cause(
--- a/tests/core/test_crashing_tasks.py
+++ b/tests/core/test_crashing_tasks.py
@@ -241,3 +241,13 @@
     assert not rig.outdated_lists
     rig.run_for(0.3)
     assert rig.outdated_lists
+
+
+def test_first_of_two_runs_that_started_at_once_is_suspected():
+    rig, backends = make_site()
+    slow(backends)
+    start_pair(rig, backends)
+    rig.run_for(1.5)
+    assess = rig.cell.commander.crashes.assess
+    assert assess(TaskKey(NEIGHBOUR_JOB, 0, 0)) is Assessment.DOUBTED
+    assert assess(TaskKey(CRASHING_JOB, 0, 0)) is Assessment.SUSPECTED
