Leases of back ends end with their coordinators' leases

Cause: an owner stops a coordinator's tasks in time, but a back end kept the lease that it had been granted until then, up to 1 s, if all stops were lost or the owner was lost first. A back end is now granted no lease that ends more than 0.1 s after the coordinators' leases of its runs, and no run starts with less than 0.3 s. Evidence: two tests of test_cell.py fail without it.

--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -279,8 +279,8 @@
             NOTHING_FREE if is_taken else self.listed.capacity.minus(self._used)
         )
 
-    def lease_clock_ms(self, now: float) -> int | None:
-        """Returns the end of a full lease that starts now.
+    def lease_clock_ms(self, now: float, lease_s: float) -> int | None:
+        """Returns the end of a lease of ``lease_s`` that starts now.
 
         Returns:
             Time on the back end's clock in ms, or ``None`` if the clock was
@@ -288,11 +288,11 @@
         """
         if self.clock is None:
             return None
-        return self.clock.estimate_ms(now) + int(LEASE_S * 1000)
+        return self.clock.estimate_ms(now) + int(lease_s * 1000)
 
-    def record_lease_sent(self, now: float) -> None:
+    def record_lease_sent(self, now: float, lease_s: float = LEASE_S) -> None:
         """Records a call that may renew the lease, answered or not."""
-        renewed_s = now + LEASE_S * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
+        renewed_s = now + lease_s * (1 + CLOCK_DRIFT) + LAPSE_MARGIN_S
         self.lease_end_s = max(self.lease_end_s, renewed_s)
 
     def record_no_answer(self, sent_s: float, renews: bool) -> None:
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -7,6 +7,7 @@
 jobs, and their completions are reported to these VMs.
 """
 
+import math
 from functools import singledispatchmethod
 
 from camphorlink.internal.core.connection.backend_commands import (
@@ -120,6 +121,7 @@
         self._jobs = OpenJobs(table, self.transient)
         self.speeds = speeds
         self._now = now
+        self._leases = leases
         self._table = table
         self._effects: list[CellEffect] = []
         self._predecessor = Predecessor(
@@ -266,6 +268,16 @@
         self.waiting.discard(task)
         return live.job.steps[task.step].needs
 
+    def coordinator_lease_end_s(self, task: TaskKey) -> float:
+        """Returns the time until which a task may run, in seconds.
+
+        It is infinite for a durable task.
+        """
+        known = self.transient.get(task.job_id)
+        return (
+            math.inf if known is None else self._leases.end_s(known.coordinator)
+        )
+
     def handle_completion(
         self,
         runs: BackendRuns,
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -82,6 +82,9 @@
         Returns ``None`` if the task must not run.
         """
 
+    def coordinator_lease_end_s(self, task: TaskKey) -> float:
+        """Returns the time until which a task may run, in seconds."""
+
     def is_handed_over(self, now: float) -> bool:
         """Returns whether all coordinators have resent their open tasks.
 
@@ -119,7 +122,9 @@
             stored_crashes: Crashes that the job log holds.
             effects: List that commands are appended to.
         """
-        self.registry = RunRegistry(term, effects)
+        self.registry = RunRegistry(
+            term, callbacks.coordinator_lease_end_s, effects
+        )
         self._effects = effects
         self._callbacks = callbacks
         self._predecessor = predecessor
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -3,6 +3,8 @@
 Commands are returned as effects; the commander processes their answers.
 """
 
+from collections.abc import Callable
+
 from camphorlink.internal.core.connection.backend_commands import (
     ListedBackend,
     RenewLeases,
@@ -21,6 +23,7 @@
     CountEvent,
     LogEvent,
 )
+from camphorlink.internal.core.process.lease_limit import longest_lease_s
 from camphorlink.internal.core.request.durable_job import Resources, TaskKey
 from camphorlink.internal.core.request.task_placement import MS_PER_S
 
@@ -40,6 +43,8 @@
 
     Attributes:
         term: Fencing token.
+        coordinator_lease_end_s: Returns the time in seconds until which a
+            task's coordinator lets it run.
         runs_by_backend: Known state of each back end.
         backends_by_task: Back ends with an active run of each task.  A task has
             more than one only while a run that a late command of an earlier
@@ -49,13 +54,21 @@
         freed_count: Number of times so far that capacity became free.
     """
 
-    def __init__(self, term: int, effects: list[CellEffect]) -> None:
+    def __init__(
+        self,
+        term: int,
+        coordinator_lease_end_s: Callable[[TaskKey], float],
+        effects: list[CellEffect],
+    ) -> None:
         """Creates a registry without back ends.
 
         Args:
             term: Fencing token of the owner.
+            coordinator_lease_end_s: Returns the time in seconds until which a
+                task's coordinator lets it run.
             effects: List that commands are appended to.
         """
+        self.coordinator_lease_end_s = coordinator_lease_end_s
         self.term = term
         self.runs_by_backend: dict[str, BackendRuns] = {}
         self.backends_by_task: dict[TaskKey, set[str]] = {}
@@ -122,7 +135,8 @@
         run = Run(task, number, needs, now)
         run.is_alone = is_alone
         self.add(runs, run)
-        runs.record_lease_sent(now)
+        lease_s = longest_lease_s(runs, self.coordinator_lease_end_s, now)
+        runs.record_lease_sent(now, lease_s)
         self._effects.append(
             StartRun(
                 runs.listed,
@@ -130,7 +144,7 @@
                 task,
                 number,
                 spec,
-                runs.lease_clock_ms(now) or 0,
+                runs.lease_clock_ms(now, lease_s) or 0,
                 checkpoint,
             ),
         )
@@ -198,11 +212,17 @@
         runs.
         """
         is_in_contact = runs.has_listed_runs and runs.silent_since_s is None
-        renews = may_renew and is_in_contact and runs.may_extend_lease(now)
+        lease_s = longest_lease_s(runs, self.coordinator_lease_end_s, now)
+        renews = (
+            may_renew
+            and is_in_contact
+            and lease_s > 0
+            and runs.may_extend_lease(now)
+        )
         can_wait = is_in_contact and not runs.has_unstored_completions
-        lease_ms = runs.lease_clock_ms(now) if renews else None
+        lease_ms = runs.lease_clock_ms(now, lease_s) if renews else None
         if lease_ms is not None:
-            runs.record_lease_sent(now)
+            runs.record_lease_sent(now, lease_s)
         runs.renewal_number = self._send_renewal(
             runs,
             lease_ms,
--- a/src/camphorlink/internal/core/process/task_starter.py
+++ b/src/camphorlink/internal/core/process/task_starter.py
@@ -9,6 +9,7 @@
 from camphorlink.internal.core.connection.backend_runs import BackendRuns
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.job_table import JobTable, LiveJob
+from camphorlink.internal.core.process.lease_limit import longest_lease_s
 from camphorlink.internal.core.process.run_registry import RunRegistry
 from camphorlink.internal.core.request.crash_assessment import Assessment
 from camphorlink.internal.core.request.durable_job import TaskKey
@@ -30,6 +31,9 @@
 #: it, each of 300 passes a second ranks 59 back ends again, although their
 #: speeds change more slowly.
 RANKING_VALID_S = 0.02
+#: Shortest lease with which a run is started, in seconds: a shorter one may lapse
+#: before it can be renewed.
+MIN_LEASE_S = 0.3
 #: Lower bound of the speed that expected run times are divided by: the rounded
 #: speed of a stalled back end may be zero.
 MIN_SPEED = 0.05
@@ -104,9 +108,16 @@
             runs
             for runs in self._registry.runs_by_backend.values()
             if runs.is_usable(now)
+            and self._may_grant_lease(runs, now)
             and commanded.get(runs.listed.backend_id) == runs.listed.started_ms
         ]
 
+    def _may_grant_lease(self, runs: BackendRuns, now: float) -> bool:
+        lease_s = longest_lease_s(
+            runs, self._registry.coordinator_lease_end_s, now
+        )
+        return lease_s > MIN_LEASE_S
+
     def _try_start(self, entry: WaitingTask, now: float) -> bool:
         """Starts a task if a back end has enough free capacity.
 
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -1,6 +1,9 @@
 """Tests that a cell runs each task, never twice at once, and reports it."""
 
 from camphorlink.internal.core.connection.backend_commands import StartRun
+from camphorlink.internal.core.connection.backend_runs import (
+    STOP_CONFIRMATION_S,
+)
 from camphorlink.internal.core.process.cell_effects import (
     CountEvent,
     LogEvent,
@@ -9,6 +12,9 @@
     MAX_REPORTED_BACKENDS,
     list_loads,
 )
+from camphorlink.internal.core.process.coordinator_leases import (
+    COORDINATOR_LEASE_S,
+)
 from camphorlink.internal.core.process.job_table import JobState
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.job_records import (
@@ -488,3 +494,27 @@
     rig.execute_effects()
     rig.run_for(2.0)
     assert 5 <= len(stops) <= 9
+
+
+def test_run_whose_stops_are_lost_outlives_its_coordinator_by_a_lease():
+    rig, backends = make_rig(run_s=5.0)
+    rig.submit(make_job(estimate_ms=5000))
+    rig.run_for(0.5)
+    running, _ = running_and_idle(backends)
+    running.loses_stops = True
+    rig.coordinators.clear()
+    rig.run_for(COORDINATOR_LEASE_S + STOP_CONFIRMATION_S + 0.05)
+    assert not running.active
+
+
+def test_run_whose_owner_is_lost_outlives_its_coordinator_by_a_lease():
+    rig, backends = make_rig(run_s=5.0)
+    rig.submit(make_job(estimate_ms=5000))
+    rig.run_for(0.5)
+    running, _ = running_and_idle(backends)
+    rig.coordinators.clear()
+    rig.run_for(COORDINATOR_LEASE_S * 0.9)
+    for backend in backends:
+        backend.is_silent = True
+    rig.run_for(COORDINATOR_LEASE_S * 0.1 + STOP_CONFIRMATION_S + 0.05)
+    assert not running.active
