--- a/tests/core/test_capacity_changes.py
+++ b/tests/core/test_capacity_changes.py
@@ -62,3 +62,20 @@
 def starts_since_restart(backend):
     (crash_s, _), *_ = backend.crashes
     return [start for start in backend.starts if start[-1] > crash_s]
+
+
+def test_starts_beside_runs_whose_stops_are_not_confirmed():
+    rig, backend = make_backend(LARGE_CPU, run_s=5.0)
+    rig.submit(make_job(count=2, estimate_ms=5000))
+    rig.run_for(0.1)
+    backend.loses_stops = True
+    rig.cell.assignments.drop_job('a' * 16, rig.now)
+    rig.execute_effects()
+    rig.submit(make_job('b' * 16, count=2, estimate_ms=1000))
+    rig.run_for(0.5)
+    assert len(backend.active) == 2
+    backend.loses_stops = False
+    backend.run_s = 1.0
+    rig.run_for(3)
+    assert not backend.overloads
+    assert len(rig.done_tasks()) == 2
