Count a crash when connections are refused, not when the lease lapses

What callers saw: a job whose task was to be given up got no answer: its second crash counted 1.2 s after it happened, when most callers had left (504, or a broken connection); an owner that was lost meanwhile took the crash with it. Cause: crashes were recorded where lost runs are dropped. A back end that has refused connections for 0.1 s is now recorded as crashed. Its runs still end with the lease only, so nothing starts sooner; a task that is given up needs no wait, and its coordinator fails the job as soon as it reads the record. A back end that answers again retracts it, as before. The new test failed before (answer 1.07 s after the crash, now below 0.5 s).

--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -188,7 +188,7 @@
         self.has_listed_runs = False
         self.lists_unclaimed_run = False
         self.silent_since_s: float | None = None
-        self._has_refused = False
+        self._refused_s: float | None = None
         self.lease_end_s = -math.inf
         self.is_confirmation_requested = False
         self.acknowledged = 0
@@ -227,10 +227,9 @@
             for run in self.run_by_task.values()
         )
 
-    @property
-    def has_refused(self) -> bool:
-        """Whether it has refused a connection since its last answer."""
-        return self._has_refused
+    def has_refused(self, now: float, for_s: float = 0) -> bool:
+        """Returns whether it has refused connections for a time in seconds."""
+        return self._refused_s is not None and now - self._refused_s >= for_s
 
     @property
     def has_unstored_completions(self) -> bool:
@@ -307,14 +306,15 @@
         if renews:
             self._unanswered_s = max(self._unanswered_s, sent_s)
 
-    def record_refusal(self) -> bool:
+    def record_refusal(self, now: float) -> bool:
         """Records a refused connection.
 
         Returns:
             Whether it is the first one since the last answer.
         """
-        is_first = not self._has_refused
-        self._has_refused = True
+        is_first = self._refused_s is None
+        if is_first:
+            self._refused_s = now
         return is_first
 
     def record_answer(self, clock_ms: int | None, now: float) -> None:
@@ -324,7 +324,7 @@
         and renew the lease, as the back end is reachable.
         """
         self.silent_since_s = None
-        self._has_refused = False
+        self._refused_s = None
         if self._unanswered_s > -math.inf:
             self.record_lease_sent(self._unanswered_s + LATE_COMMAND_S)
             self._unanswered_s = -math.inf
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -310,7 +310,7 @@
             self.registry.log_event(
                 'Back end does not answer.', runs.listed, verdict=verdict.value
             )
-        if verdict is RenewalVerdict.REFUSED and runs.record_refusal():
+        if verdict is RenewalVerdict.REFUSED and runs.record_refusal(now):
             self.registry.log_event(
                 'Back end refuses connections.', runs.listed
             )
--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -107,14 +107,18 @@
             return max(assessment, Assessment.DOUBTED)
         return assessment
 
-    def record_lapse(self, runs: BackendRuns) -> None:
-        """Handles a back end whose lease has lapsed in silence."""
+    def record_silence(self, runs: BackendRuns, now: float) -> None:
+        """Handles a back end that refuses connections, or whose lease lapsed.
+
+        Its runs may go on until their lease lapses, but a task that is given up
+        need not wait for that.
+        """
         incarnation = _incarnation_of(runs)
         is_known = incarnation in self._recorded | self._doubtful.keys()
         if is_known or runs.listed.is_draining or not _find_present(runs):
             return
         crash = self._describe(runs)
-        if runs.has_refused:
+        if runs.has_refused(now):
             self._record(crash)
         elif crash.kind is CrashKind.OBSERVED:
             self._doubtful[incarnation] = crash
--- a/src/camphorlink/internal/core/process/lease_monitor.py
+++ b/src/camphorlink/internal/core/process/lease_monitor.py
@@ -43,6 +43,10 @@
 #: ``LATE_COMMAND_S``, and a lease that starts then has lapsed.
 PRESUMED_ENDED_AFTER_S = LATE_COMMAND_S + LEASE_S + 1.0
 
+#: Time in seconds for which a back end must refuse connections to count as
+#: crashed: by then, others that failed at once have been noticed.
+REFUSAL_CONFIRMED_S = 0.1
+
 #: Handles a run that ended without a listed completion.
 LostRunHandler = Callable[[BackendRuns, Run, RunLoss, float], None]
 
@@ -86,6 +90,8 @@
                 self._registry.renew_leases(runs, now, self.may_renew)
             self._poll_unlisted(runs, now)
             self._check_runs(runs, now)
+            if runs.has_refused(now, REFUSAL_CONFIRMED_S):
+                self._crashes.record_silence(runs, now)
             if runs.silent_since_s is not None:
                 self._handle_lapse(runs, now, confirmed_s)
 
@@ -150,7 +156,7 @@
             self._request_ownership_check(runs, now)
             return
         runs.is_confirmation_requested = False
-        self._crashes.record_lapse(runs)
+        self._crashes.record_silence(runs, now)
         for run in list(runs.run_by_task.values()):
             if must_have_ended or run.has_begun:
                 self._registry.count('lapsed_runs', 'back-end-silent')
--- a/tests/core/test_crashing_tasks.py
+++ b/tests/core/test_crashing_tasks.py
@@ -247,7 +247,7 @@
     rig, backends = make_site()
     slow(backends)
     start_pair(rig, backends)
-    rig.run_for(1.5)
+    rig.run_for(0.5)
     assess = rig.cell.commander.crashes.assess
     assert assess(TaskKey(NEIGHBOUR_JOB, 0, 0)) is Assessment.DOUBTED
     assert assess(TaskKey(CRASHING_JOB, 0, 0)) is Assessment.SUSPECTED
--- a/tests/nocover/test_crashes_in_a_fleet.py
+++ b/tests/nocover/test_crashes_in_a_fleet.py
@@ -16,6 +16,8 @@
 CRASHES_COUNTED = 3
 FIRST_CRASH_KNOWN_S = 2.0
 PLAY_S = 30.0
+#: Time in seconds from the crash that decides to the answer: less than a lease.
+ANSWERED_S = 0.5
 
 
 def check_starts(fleet, job_id):
@@ -85,6 +87,17 @@
     play(leave_alone, ['y-1'] * 2)
 
 
+def test_caller_of_a_given_up_task_waits_for_the_lease_of_its_last_run():
+    async def scenario(fleet):
+        job = fleet.build_crashing_job('rack-z')
+        answer = await fleet.submit(job, 'y-1')
+        assert answer.state is JobState.FAILED
+        *_, crash_s = fleet.crash_times(job.job_id)
+        assert fleet.now_s - crash_s < ANSWERED_S
+
+    run_in_fleet(scenario, VMS, backends_per_zone=3)
+
+
 def test_crashes_are_forgotten_when_their_owner_is_lost():
     play(kill_owners, ['y-1'] * 4)
 
