--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -359,13 +359,12 @@
         if assessment is Assessment.GIVEN_UP:
             self._completions.give_up(task)
             return
-        objective = objective_s(live.job, self.speeds)
-        if live.due_s is None:
-            live.due_s = self._now + objective
         due_s = live.due_s
-        if assessment.must_run_alone:
-            # Otherwise all tasks that are on time would precede it.
-            due_s = max(due_s, self._now + objective)
+        if due_s is None or assessment.must_run_alone:
+            # A lost run would be late, so that all tasks on time precede it.
+            due_s = self._now + objective_s(live.job, self.speeds)
+        if live.due_s is None:
+            live.due_s = due_s
         step = live.job.steps[task.step]
         work_s = self.speeds.work_s(
             live.job.queue,
--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -114,8 +114,9 @@
         need not wait for that.
         """
         incarnation = _incarnation_of(runs)
-        is_known = incarnation in self._recorded | self._doubtful.keys()
-        if is_known or runs.listed.is_draining or not _find_present(runs):
+        if incarnation in self._recorded or incarnation in self._doubtful:
+            return
+        if runs.listed.is_draining or not _find_present(runs):
             return
         crash = self._describe(runs)
         if runs.has_refused(now):
--- a/tests/nocover/test_crashes_in_a_fleet.py
+++ b/tests/nocover/test_crashes_in_a_fleet.py
@@ -4,8 +4,12 @@
 """
 
 import asyncio
+from random import Random
+
+import pytest
 
 from camphorlink.internal.core.process.job_table import JobState
+from random_faults import RandomFaults, SteadyLoad
 from run_overlaps import check_no_overlaps
 from simulated_fleet import run_in_fleet
 
@@ -104,3 +108,63 @@
 
 def test_crashes_are_forgotten_when_the_job_is_sent_again():
     play(break_connections, ['y-1', 'x-1', 'y-1', 'x-1', 'y-1'])
+
+
+SIX_VMS = {f'{zone}-{number}': zone for zone in 'xyz' for number in (1, 2)}
+#: Time between two jobs that crash back ends, in seconds.
+CRASHING_PERIOD_S = 2.0
+#: Added to the seed of the faults for that of the load.
+LOAD_SEED = 1_000_000
+
+
+async def submit_crashing_jobs(fleet, random, until):
+    """Submits jobs that crash back ends until a task ends; returns them."""
+    jobs = []
+    async with asyncio.TaskGroup() as callers:
+        while not until.done():
+            job = fleet.build_crashing_job(f'rack-{random.choice(fleet.zones)}')
+            jobs.append(job)
+            vms = random.choices(sorted(fleet.zone_by_vm), k=4)
+            callers.create_task(resubmit(fleet, job, vms))
+            await asyncio.sleep(CRASHING_PERIOD_S)
+    return jobs
+
+
+async def play_faults(fleet, seed):
+    """Plays random faults under good jobs and jobs that crash back ends."""
+    faults = asyncio.create_task(RandomFaults(fleet, Random(seed)).run())
+    load = SteadyLoad(fleet, Random(seed + LOAD_SEED))
+    good = asyncio.create_task(load.run(until=faults))
+    jobs = await submit_crashing_jobs(fleet, Random(seed), until=faults)
+    await good
+    for job in jobs:
+        check_starts(fleet, job.job_id)
+    assert not [
+        record
+        for vm in fleet.live_vms()
+        for job_id in fleet.started_jobs() - fleet.crashing_jobs
+        if (record := vm.node.table.crashes.find_given_up(job_id))
+        and not crashed_twice(fleet, record)
+    ]
+
+
+def crashed_twice(fleet, task):
+    """Returns whether two back ends crashed under a task."""
+    return (
+        len(
+            [
+                span
+                for span in fleet.spans
+                if span.task == task and span.how == 'crashed'
+            ]
+        )
+        > 1
+    )
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_crashing_tasks_are_restarted_without_end_under_random_faults(seed):
+    fleet = run_in_fleet(
+        lambda fleet: play_faults(fleet, seed), SIX_VMS, backends_per_zone=4
+    )
+    check_no_overlaps(fleet, f'seed {seed}')
