--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -1,8 +1,8 @@
 """Notices crashes of a cell's back ends, and assesses the tasks on them.
 
 A crash is certain when another incarnation is known.  A back end that refuses
-connections when its lease has lapsed has most likely crashed; if it answers
-again after all, the crash is retracted.  One that is only silent may be cut
+connections has most likely crashed; if it answers again after all, the crash is
+retracted.  One that is only silent may be cut
 off: its tasks run alone until it is known what became of it.
 """
 
