Release the back end that was reserved for a dropped task

A task that must run alone has a back end reserved. When its job was dropped and nothing else waited, the reservation stayed until the next task was queued, so that the cell reported less free capacity than it had. Reservations are now checked before the pass looks at the queue; the test fails without it.

--- a/src/camphorlink/internal/core/process/task_starter.py
+++ b/src/camphorlink/internal/core/process/task_starter.py
@@ -79,6 +79,7 @@
         Nothing can start if no task was added and no run has ended since the
         last pass, unless the ranking is renewed.
         """
+        self._release_reservations(now)
         changes = (self._waiting.added_count, self._registry.freed_count)
         is_ranking_due = now - self._ranked_s > RANKING_VALID_S
         if not self._waiting or (
@@ -86,7 +87,6 @@
         ):
             return
         self._placed_changes = changes
-        self._release_reservations(now)
         if is_ranking_due:
             self._ranked_s = now
             self._candidates = Candidates(
--- a/tests/core/test_crashing_tasks.py
+++ b/tests/core/test_crashing_tasks.py
@@ -251,3 +251,25 @@
     assess = rig.cell.commander.crashes.assess
     assert assess(TaskKey(NEIGHBOUR_JOB, 0, 0)) is Assessment.DOUBTED
     assert assess(TaskKey(CRASHING_JOB, 0, 0)) is Assessment.SUSPECTED
+
+
+def test_back_end_stays_reserved_for_a_task_that_was_dropped():
+    rig, backends = make_site(count=2, crashing_jobs=())
+    slow(backends)
+    rig.submit(make_job(NEIGHBOUR_JOB))
+    rig.run_for(0.1)
+    (crashed,) = [backend for backend in backends if backend.active]
+    crashed.crash(rig.now)
+    rig.run_for(1.0)
+    rig.submit(make_job('b' * 16, count=2))
+    rig.run_for(0.3)
+    (reserved,) = [
+        runs
+        for runs in rig.cell.registry.runs_by_backend.values()
+        if runs.listed.backend_id != crashed.listed.backend_id
+    ]
+    assert not reserved.is_empty_for(TaskKey('b' * 16, 0, 0))
+    rig.cell.assignments.drop_job(NEIGHBOUR_JOB, rig.now)
+    rig.execute_effects()
+    rig.run_for(1)
+    assert reserved.free == reserved.listed.capacity
