Learn run times with a fixed scale

Cause: a run time shows only the ratio of a queue's factor and a back end's speed. Both were arithmetic averages of a noisy ratio and of its inverse, so that both grew without bounds: after 8 s of a burst, speeds stood at 6 and the objectives of jobs at two to six times the true ones. No waiting job counted as late, and the admission control never refused one.

Change: averages are geometric, and factors and speeds are scaled together so that the mean factor over the queues is 1. Objectives no longer depend on how many back ends are slow.

--- a/src/camphorlink/internal/core/connection/run_speeds.py
+++ b/src/camphorlink/internal/core/connection/run_speeds.py
@@ -6,6 +6,7 @@
 learned from successful runs.
 """
 
+import math
 from typing import NamedTuple
 
 #: Weight of a new measurement in a moving average over about ten runs.
@@ -44,14 +45,21 @@
 
 
 class RunSpeeds:
-    """Learns estimate factors per queue, and speeds per kind and back end."""
+    """Learns estimate factors per queue, and speeds per kind and back end.
+
+    Only the ratio of a factor and a speed shows in a run time, so that both
+    could grow without bounds.  The factors are therefore kept at a mean of 1
+    over the queues: on average, the estimates are right, and response time
+    objectives, which follow from the factors, do not depend on how many of the
+    back ends are slow.  All averages are geometric; arithmetic ones of a ratio
+    and of its inverse would both grow with the errors of the estimates.
+    """
 
     def __init__(self) -> None:
         """Creates the model with all factors and speeds 1."""
-        self._factor_by_queue: dict[str, float] = {}
-        self._speed_by_kind: dict[str, float] = {}
-        self._speed_by_backend: dict[str, float] = {}
-        self._runs_by_backend: dict[str, int] = {}
+        self._factor_by_queue: dict[str, _Average] = {}
+        self._speed_by_kind: dict[str, _Average] = {}
+        self._speed_by_backend: dict[str, _Average] = {}
         self._kind_by_backend: dict[str, str] = {}
 
     def speed_of(self, kind: str, backend_id: str) -> float:
@@ -60,53 +68,75 @@
         It is the mean of the back end's own speed and that of its kind,
         weighted by the number of runs on the back end.
         """
-        kind_speed = self._speed_by_kind.get(kind, 1.0)
-        runs = self._runs_by_backend.get(backend_id, 0)
-        own_speed = self._speed_by_backend.get(backend_id, kind_speed)
-        weight = runs / (runs + FIRST_RUNS)
-        return own_speed * weight + kind_speed * (1 - weight)
+        return math.exp(self._log_speed_of(kind, backend_id))
 
     def work_s(self, queue: str, estimate_s: float) -> float:
         """Returns the expected run time of a task at speed 1, in seconds."""
-        return estimate_s * self._factor_by_queue.get(queue, 1.0)
+        factor = self._factor_by_queue.get(queue)
+        return estimate_s if factor is None else estimate_s * factor.mean
 
     def record(self, run: RunTime) -> None:
         """Updates the factor and the speeds with a successful run."""
         if run.estimate_s <= 0 or run.run_s <= 0:
             return
-        speed = self.speed_of(run.kind, run.backend_id)
-        _learn(
-            self._factor_by_queue,
-            run.queue,
-            run.run_s * speed / run.estimate_s,
+        log_ratio = math.log(
+            min(max(run.run_s / run.estimate_s, MIN_RATIO), MAX_RATIO)
         )
-        measured = self.work_s(run.queue, run.estimate_s) / run.run_s
-        _learn(self._speed_by_kind, run.kind, measured)
-        _learn(
-            self._speed_by_backend,
-            run.backend_id,
-            measured,
-            BACKEND_RATE,
+        log_speed = self._log_speed_of(run.kind, run.backend_id)
+        factor = self._factor_by_queue.setdefault(run.queue, _Average())
+        factor.add(log_ratio + log_speed, LEARNING_RATE)
+        measured = factor.log - log_ratio
+        kind_speed = self._speed_by_kind.setdefault(run.kind, _Average())
+        kind_speed.add(measured, LEARNING_RATE)
+        own_speed = self._speed_by_backend.setdefault(
+            run.backend_id, _Average(kind_speed.log)
         )
-        runs = self._runs_by_backend.get(run.backend_id, 0)
-        self._runs_by_backend[run.backend_id] = runs + 1
+        own_speed.add(measured, BACKEND_RATE)
         self._kind_by_backend[run.backend_id] = run.kind
+        self._center()
 
     def relax(self) -> None:
         """Moves each back end's speed a little towards that of its kind."""
         for backend_id, kind in self._kind_by_backend.items():
-            kind_speed = self._speed_by_kind.get(kind, 1.0)
-            own_speed = self._speed_by_backend.get(backend_id, kind_speed)
-            drift = RELAXATION * (kind_speed - own_speed)
-            self._speed_by_backend[backend_id] = own_speed + drift
-
-
-def _learn(
-    value_by_key: dict[str, float],
-    key: str,
-    measured: float,
-    rate: float = LEARNING_RATE,
-) -> None:
-    bounded = min(max(measured, MIN_RATIO), MAX_RATIO)
-    known = value_by_key.get(key, 1.0)
-    value_by_key[key] = known + rate * (bounded - known)
+            own_speed = self._speed_by_backend[backend_id]
+            kind_log = self._speed_by_kind[kind].log
+            own_speed.log += RELAXATION * (kind_log - own_speed.log)
+
+    def _log_speed_of(self, kind: str, backend_id: str) -> float:
+        kind_speed = self._speed_by_kind.get(kind)
+        kind_log = 0.0 if kind_speed is None else kind_speed.log
+        own_speed = self._speed_by_backend.get(backend_id)
+        if own_speed is None:
+            return kind_log
+        weight = own_speed.count / (own_speed.count + FIRST_RUNS)
+        return own_speed.log * weight + kind_log * (1 - weight)
+
+    def _center(self) -> None:
+        """Scales all factors and speeds so that the mean factor is 1."""
+        factors = self._factor_by_queue.values()
+        shift = sum(factor.log for factor in factors) / len(factors)
+        for averages in (
+            self._factor_by_queue,
+            self._speed_by_kind,
+            self._speed_by_backend,
+        ):
+            for average in averages.values():
+                average.log -= shift
+
+
+class _Average:
+    """Geometric moving average, which starts as the mean of its values."""
+
+    __slots__ = ('count', 'log')
+
+    def __init__(self, log: float = 0.0) -> None:
+        self.log = log
+        self.count = 0
+
+    @property
+    def mean(self) -> float:
+        return math.exp(self.log)
+
+    def add(self, log: float, rate: float) -> None:
+        self.count += 1
+        self.log += max(rate, 1 / (self.count + 1)) * (log - self.log)
--- a/tests/core/test_backend_monitor.py
+++ b/tests/core/test_backend_monitor.py
@@ -3,6 +3,10 @@
 They also cover the run speeds that are learned from successful runs.
 """
 
+from random import Random
+
+import pytest
+
 from camphorlink.internal.core.connection.backend_monitor import (
     BackendMonitor,
     estimate_slowdown,
@@ -134,6 +138,34 @@
     assert 0.24 < expected_s < 0.34
 
 
+@pytest.mark.parametrize('slow_share', [0, 0.5])
+def test_learned_run_times_keep_their_scale(slow_share):
+    """Objectives grew sixfold in 8 s, so that no job counted as late.
+
+    Estimates are off by 40%, run times vary by as much, and a quarter of the
+    back ends run at half of the speed of the others; then more turn slow.
+    """
+    speeds = RunSpeeds()
+    rng = Random(1)
+    speed_by_backend = {
+        f'i-{n}': 0.55 if n % 4 == 0 else 1.2 for n in range(24)
+    }
+    for number in range(6000):
+        backend_id = f'i-{rng.randrange(24)}'
+        speed = speed_by_backend[backend_id]
+        if number > 4000 and rng.random() < slow_share:
+            speed /= 4
+        work_s = 0.2 * rng.lognormvariate(0, 0.35)
+        estimate_s = work_s * rng.lognormvariate(0, 0.35)
+        queue = f'q{number % 3}'
+        run_s = work_s / speed
+        speeds.record(RunTime(queue, 'a', backend_id, estimate_s, run_s))
+    works_s = [speeds.work_s(f'q{n}', 0.2) for n in range(3)]
+    assert all(0.15 < work_s < 0.27 for work_s in works_s)
+    ratio = speeds.speed_of('a', 'i-1') / speeds.speed_of('a', 'i-0')
+    assert ratio > 1.3
+
+
 def test_the_speed_of_a_slow_back_end_returns_to_that_of_its_kind():
     speeds = RunSpeeds()
     for _ in range(30):
