Give back jobs that will be late in an overload, and refuse them truly

Cause: an overloaded cell kept each job until it could no longer end in time, and then started its tasks late or returned them at three times the objective; places went to jobs that were late anyway. A withdrawn job with tasks in another cell was answered as unknown (504), although nothing of it had run anywhere.

While more than a fifth of the arriving tasks will be late, jobs that have not begun and will be late are returned at once (expected-late). The coordinator moves them once to free capacity, or withdraws them: it asks their other cells to return what they have, and refuses the job (503) if none has begun it.

--- a/src/camphorlink/internal/core/connection/node_messages.py
+++ b/src/camphorlink/internal/core/connection/node_messages.py
@@ -105,11 +105,18 @@
     """Command to the owner of a cell to stop all tasks of a transient job.
 
     It is void if another coordinator has assigned the job since.
+
+    Attributes:
+        coordinator: Member that coordinates the job.
+        cell: Name of the cell.
+        job_id: Identifier of the job.
+        must_return: Whether the owner returns the tasks.
     """
 
     coordinator: str
     cell: str
     job_id: str
+    must_return: bool = False
 
 
 class OpenJobs(NamedTuple):
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -187,6 +187,7 @@
                 self._completions,
                 self._deferred_tasks,
                 self._enqueue,
+                self._starter.rank_usable,
                 self._effects,
             )
         )
@@ -346,6 +347,8 @@
         self.drain.return_waiting(self.waiting, self.assignments)
         self.drain.check_empty(now)
         self.assignments.return_unreachable(self._starter.shortest_run_s, now)
+        if self.drain.may_start:
+            self.assignments.return_late(now)
         self._starter.place(now)
 
     def _requeue(self, live: LiveJob, run: Run) -> None:
--- /dev/null
+++ b/src/camphorlink/internal/core/process/load_shedder.py
@@ -0,0 +1,153 @@
+"""Chooses the waiting transient jobs that a cell gives back under overload."""
+
+import collections
+import math
+from collections.abc import Callable, Iterator, Sequence
+
+from camphorlink.internal.core.connection.backend_runs import (
+    NOTHING_FREE,
+    BackendRuns,
+)
+from camphorlink.internal.core.process.transient_job_table import (
+    TransientJobTable,
+)
+from camphorlink.internal.core.request.load_shedding import (
+    LateShare,
+    Place,
+    find_late_jobs,
+)
+from camphorlink.internal.core.request.task_placement import RatedBackend
+from camphorlink.internal.core.request.waiting_tasks import (
+    WaitingTask,
+    WaitingTasks,
+)
+
+#: Period of forecasts while no task is added, in seconds: runs that take longer
+#: than expected delay what waits.
+FORECAST_PERIOD_S = 0.05
+#: Lower bound of the mean speed that work is divided by: the speeds of back ends
+#: that stand still are zero.
+MIN_SPEED = 0.05
+
+
+class LoadShedder:
+    """Forecasts which transient jobs of a cell will be late."""
+
+    def __init__(
+        self,
+        waiting: WaitingTasks,
+        transient: TransientJobTable,
+        rank_usable: Callable[[float], Sequence[RatedBackend]],
+    ) -> None:
+        """Creates a shedder.
+
+        Args:
+            waiting: Tasks that wait for free capacity.
+            transient: Transient jobs of the cell.
+            rank_usable: Returns the usable back ends with their speeds.
+        """
+        self._waiting = waiting
+        self._transient = transient
+        self._rank_usable = rank_usable
+        self._added_count = 0
+        self._forecast_s = -math.inf
+        self._late_share = LateShare()
+        self._late_jobs: frozenset[str] = frozenset()
+
+    def choose(self, now: float) -> list[str]:
+        """Returns the jobs to give back, by identifier.
+
+        Args:
+            now: Time in seconds.
+        """
+        added = self._waiting.added_count - self._added_count
+        is_recent = now - self._forecast_s < FORECAST_PERIOD_S
+        if not self._waiting or (is_recent and not added):
+            return []
+        self._added_count += added
+        self._forecast_s = now
+        late_jobs = self._find_late(now)
+        self._late_share.record(added, self._count_new(late_jobs), now)
+        if self._late_share.is_overload:
+            return late_jobs
+        return []
+
+    def _count_new(self, late_jobs: Sequence[str]) -> int:
+        """Returns the number of tasks of jobs that were not late before."""
+        known = self._late_jobs
+        self._late_jobs = frozenset(late_jobs)
+        return sum(
+            len(job.open_tasks)
+            for job_id in self._late_jobs - known
+            if (job := self._transient.get(job_id)) is not None
+        )
+
+    def _find_late(self, now: float) -> list[str]:
+        waiting_by_service = collections.defaultdict(list)
+        late_jobs: dict[str, None] = {}
+        for entry in self._waiting:
+            job_id = entry.task.job_id
+            if entry.can_be_on_time(now):
+                waiting_by_service[entry.job.service].append(entry)
+            elif job_id not in late_jobs and self._may_shed(job_id):
+                late_jobs[job_id] = None
+        for service, entries in waiting_by_service.items():
+            late_jobs.update(
+                dict.fromkeys(self._find_late_of_service(service, entries, now))
+            )
+        return list(late_jobs)
+
+    def _find_late_of_service(
+        self, service: str, entries: Sequence[WaitingTask], now: float
+    ) -> list[str]:
+        usable = [
+            rated
+            for rated in self._rank_usable(now)
+            if rated.runs.listed.service == service
+        ]
+        capacities = [rated.runs.listed.capacity.cpu_milli for rated in usable]
+        # What fits on no back end waits for one, however low the load.
+        fitting = [
+            entry
+            for entry in entries
+            if entry.needs.cpu_milli <= max(capacities, default=0)
+        ]
+        if not fitting:
+            return []
+        smallest_cpu = min(entry.needs.cpu_milli for entry in fitting)
+        places = [
+            place
+            for rated in usable
+            for place in _list_places(rated.runs, smallest_cpu, now)
+        ]
+        weighted = sum(
+            cpu_milli * rated.speed
+            for cpu_milli, rated in zip(capacities, usable, strict=True)
+        )
+        speed = max(weighted / sum(capacities), MIN_SPEED)
+        return find_late_jobs(fitting, places, speed, self._may_shed, now)
+
+    def _may_shed(self, job_id: str) -> bool:
+        """Returns whether a job has neither begun nor may begin elsewhere."""
+        known = self._transient.get(job_id)
+        return (
+            known is not None
+            and not known.live.has_begun
+            and all(task in self._waiting for task in known.open_tasks)
+        )
+
+
+def _list_places(
+    runs: BackendRuns, smallest_cpu: int, now: float
+) -> Iterator[Place]:
+    """Yields the capacity that is free or becomes free on a back end."""
+    free_cpu = runs.free.cpu_milli if runs.free != NOTHING_FREE else 0
+    if free_cpu >= smallest_cpu:
+        yield Place(now, free_cpu)
+        free_cpu = 0
+    # A fragment that is too small for a task helps the next one that fits in
+    # the place of a run.
+    fragment = max(free_cpu, 0) // max(len(runs.run_by_task), 1)
+    for run in runs.run_by_task.values():
+        end_s = max(run.started_s + run.expected_s, now)
+        yield Place(end_s, run.needs.cpu_milli + fragment)
--- a/src/camphorlink/internal/core/process/task_starter.py
+++ b/src/camphorlink/internal/core/process/task_starter.py
@@ -1,7 +1,7 @@
 """Starts the waiting tasks of a cell and restarts stalled ones."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from camphorlink.internal.core.connection.backend_monitor import (
     find_stalled_runs,
@@ -145,6 +145,11 @@
         for _ in range(reserved):
             self._registry.count('reserved_backends', 'large-task')
 
+    def rank_usable(self, now: float) -> Sequence[RatedBackend]:
+        """Returns the usable back ends with their speeds, fastest first."""
+        self._renew_ranking(now)
+        return self._candidates.rated
+
     def shortest_run_s(self, task: TaskKey, now: float) -> float | None:
         """Returns the run time of a waiting task on the fastest back end.
 
--- a/src/camphorlink/internal/core/process/transient_assignments.py
+++ b/src/camphorlink/internal/core/process/transient_assignments.py
@@ -21,9 +21,11 @@
     CoordinatorLeases,
 )
 from camphorlink.internal.core.process.job_table import LiveJob
+from camphorlink.internal.core.process.load_shedder import LoadShedder
 from camphorlink.internal.core.process.predecessor import DeferredTasks
 from camphorlink.internal.core.process.run_registry import RunRegistry
 from camphorlink.internal.core.process.transient_job_table import (
+    TransientJob,
     TransientJobTable,
 )
 from camphorlink.internal.core.request.cell_selector import CellLoad
@@ -43,7 +45,10 @@
     ReturnedTask,
     ReturnReason,
 )
-from camphorlink.internal.core.request.task_placement import MS_PER_S
+from camphorlink.internal.core.request.task_placement import (
+    MS_PER_S,
+    RatedBackend,
+)
 from camphorlink.internal.core.request.transient_jobs import (
     AssignTasks,
     DropJob,
@@ -67,6 +72,7 @@
         completions: Handles listed completions.
         deferred: Tasks that an earlier owner may have started.
         enqueue: Queues a task unless it runs.
+        rank_usable: Returns the usable back ends with their speeds.
         effects: List that effects are appended to.
     """
 
@@ -78,6 +84,7 @@
     completions: CompletionHandler
     deferred: DeferredTasks
     enqueue: Callable[[LiveJob, TaskKey], None]
+    rank_usable: Callable[[float], Sequence[RatedBackend]]
     effects: list[CellEffect]
 
 
@@ -99,6 +106,9 @@
         self._expiry_due_s = math.inf
         self._latest_starts = LatestStarts()
         self._rebalancer = Rebalancer()
+        self._shedder = LoadShedder(
+            context.waiting, context.transient, context.rank_usable
+        )
         self.reported_loads: Sequence[ReportedLoad] = ()
 
     def accept(
@@ -243,6 +253,19 @@
             )
             self.return_tasks(waiting, ReturnReason.OUT_OF_REACH)
 
+    def return_late(self, now: float) -> None:
+        """Returns the jobs that would be late while the cell is overloaded.
+
+        Args:
+            now: Time in seconds.
+        """
+        for job_id in self._shedder.choose(now):
+            known = self._context.transient.get(job_id)
+            if known is not None:
+                self.return_tasks(
+                    sorted(known.open_tasks), ReturnReason.EXPECTED_LATE
+                )
+
     def return_overload(self, cell: str, now: float) -> None:
         """Returns waiting tasks that other cells are expected to end sooner.
 
@@ -314,8 +337,25 @@
         self, command: DropJob, coordinator: str, now: float
     ) -> None:
         known = self._context.transient.get(command.job_id)
-        if known is not None and known.coordinator == coordinator:
-            self.drop_job(command.job_id, now)
+        if known is None or known.coordinator != coordinator:
+            return
+        if command.must_return:
+            self._return_dropped(known)
+        self.drop_job(command.job_id, now)
+
+    def _return_dropped(self, known: TransientJob) -> None:
+        """Tells the coordinator of a withdrawn job whether it has begun here."""
+        context = self._context
+        tasks = sorted(known.open_tasks)
+        may_run = any(task not in context.waiting for task in tasks)
+        has_begun = known.live.has_begun or may_run
+        returned = tuple(
+            ReturnedTask(task, known.assignment_by_task.get(task, 0), has_begun)
+            for task in tasks
+        )
+        context.effects.append(
+            ReturnTasks(known.coordinator, returned, ReturnReason.WITHDRAWN)
+        )
 
     @stop.register
     def _stop_unlisted(
--- a/src/camphorlink/internal/core/request/returned_tasks.py
+++ b/src/camphorlink/internal/core/request/returned_tasks.py
@@ -16,12 +16,16 @@
 
     ``ZONE_DRAINED``: nothing may start in the cell.  ``CELL_OVERLOADED``:
     another cell has reported free capacity.  ``OUT_OF_REACH``: the tasks cannot
-    end while their job is of use.
+    end while their job is of use.  ``EXPECTED_LATE``: their job is expected to
+    miss its due time and would delay others.  ``WITHDRAWN``: the coordinator has
+    withdrawn the job.
     """
 
     ZONE_DRAINED = 'zone-drained'
     CELL_OVERLOADED = 'cell-overloaded'
     OUT_OF_REACH = 'out-of-reach'
+    EXPECTED_LATE = 'expected-late'
+    WITHDRAWN = 'withdrawn'
 
 
 class ReturnedTask(NamedTuple):
--- a/src/camphorlink/internal/core/request/task_placement.py
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -13,7 +13,7 @@
 import math
 import sys
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from camphorlink.internal.core.connection.backend_monitor import (
@@ -114,6 +114,11 @@
             cpu = runs.listed.capacity.cpu_milli
             self._capacity_by_service[runs.listed.service] += round(cpu * speed)
 
+    @property
+    def rated(self) -> Sequence[RatedBackend]:
+        """Usable back ends with their speeds, the fastest first."""
+        return self._rated
+
     def most_free(self) -> Resources:
         """Returns an upper bound of the free capacity of each back end."""
         free = [rated.runs.free for rated in self._rated]
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from camphorlink.internal.core.process.job_table import JobState, LiveJob
+from camphorlink.internal.core.process.job_table import JobState
 from camphorlink.internal.core.request.cell_selector import CellPlan
 from camphorlink.internal.core.request.cell_wait import MAX_USEFUL_RATIO
 from camphorlink.internal.core.request.durable_job import (
@@ -19,10 +19,12 @@
     TaskKey,
 )
 from camphorlink.internal.core.request.job_planner import Admission, JobPlanner
+from camphorlink.internal.core.request.open_job import OpenJob
 from camphorlink.internal.core.request.returned_tasks import (
     ReturnedTask,
     ReturnReason,
 )
+from camphorlink.internal.core.request.task_moves import MovePlanner, step_of
 
 #: Shortest time in seconds after which a task of a silent owner can start again:
 #: the next owner waits until the back ends have listed their runs once more.
@@ -56,10 +58,18 @@
 
 
 class DropJob(NamedTuple):
-    """Effect that makes a cell stop all tasks of a job."""
+    """Effect that makes a cell stop all tasks of a job.
+
+    Attributes:
+        cell: The cell.
+        job_id: Identifier of the job.
+        must_return: Whether the cell returns the tasks, so that the coordinator
+            learns whether one has begun.
+    """
 
     cell: str
     job_id: str
+    must_return: bool = False
 
 
 class KeepJobs(NamedTuple):
@@ -107,50 +117,6 @@
 CellCommand = AssignTasks | DropJob | KeepJobs
 TransientEffect = CellCommand | TransientJobEnded | JobRefused
 
-#: Plans by the tasks that they are for.
-_Plans = dict[tuple[TaskKey, ...], CellPlan]
-
-
-class _OpenJob:
-    """State of a job whose caller waits for the answer.
-
-    Attributes:
-        objective_s: Response time objective of the job, in seconds.
-        live: Progress of the job.
-        cell_by_task: Cell of each task that has not ended.
-        assignment_by_task: Number of the newest assignment of each of them.
-        submitted_s: Time of its submission, in seconds.
-        useful_s: Time from its submission until which it is of use, in seconds.
-        may_have_begun: Whether a task may have run, besides those in
-            ``cell_by_task``.
-        settled_tasks: Tasks that an overloaded cell has returned; no cell may
-            return them for that reason again.
-    """
-
-    def __init__(
-        self,
-        job: DurableJob,
-        objective: float,
-        submitted_s: float,
-        useful_s: float,
-    ) -> None:
-        self.objective_s = objective
-        self.live = LiveJob(job, (('',),) * len(job.steps), -1)
-        self.cell_by_task: dict[TaskKey, str] = {}
-        self.assignment_by_task: dict[TaskKey, int] = {}
-        self.submitted_s = submitted_s
-        self.useful_s = useful_s
-        self.may_have_begun = False
-        self.settled_tasks: set[TaskKey] = set()
-
-    def is_current(self, cell: str, returned: ReturnedTask) -> bool:
-        """Returns whether a returned task is not assigned anew."""
-        return (
-            self.cell_by_task.get(returned.task) == cell
-            and self.assignment_by_task.get(returned.task)
-            == returned.assignment
-        )
-
 
 class TransientJobs:
     """The open transient jobs that this VM coordinates."""
@@ -162,7 +128,8 @@
             planner: Admits jobs and chooses cells for their tasks.
         """
         self._planner = planner
-        self._open_by_id: dict[str, _OpenJob] = {}
+        self._moves = MovePlanner(planner)
+        self._open_by_id: dict[str, OpenJob] = {}
         self._numbers = itertools.count(1)
 
     def __contains__(self, job_id: str) -> bool:
@@ -198,7 +165,7 @@
         if admission.plan is None:
             return [JobRefused(job.job_id, admission)]
         useful_s = min(wait_s, MAX_USEFUL_RATIO * admission.objective_s)
-        open_job = _OpenJob(job, admission.objective_s, now, useful_s)
+        open_job = OpenJob(job, admission.objective_s, now, useful_s)
         self._open_by_id[job.job_id] = open_job
         due = tuple(open_job.live.due_tasks())
         first = tuple(task for task in due if not task.step)
@@ -218,6 +185,8 @@
         open_job.cell_by_task.pop(task)
         open_job.assignment_by_task.pop(task)
         open_job.may_have_begun = True
+        if open_job.withdrawn_for is not None:
+            return self._end_withdrawn(open_job)
         live = open_job.live
         if not is_done:
             effects = self.drop(task.job_id)
@@ -278,13 +247,15 @@
     def assign_to_new_owner(self, cell: str) -> list[TransientEffect]:
         """Assigns the open tasks of a cell to its new owner."""
         effects: list[TransientEffect] = []
-        for open_job in self._open_by_id.values():
+        for open_job in list(self._open_by_id.values()):
             tasks = tuple(
                 task
                 for task, chosen in open_job.cell_by_task.items()
                 if chosen == cell
             )
-            if tasks:
+            if tasks and open_job.withdrawn_for is not None:
+                effects.extend(self._end_withdrawn(open_job))
+            elif tasks:
                 open_job.may_have_begun = True
                 effects.append(
                     self._build_assignment(
@@ -323,7 +294,7 @@
 
     def _move_returned(
         self,
-        open_job: _OpenJob,
+        open_job: OpenJob,
         rows: list[ReturnedTask],
         reason: ReturnReason,
         now: float,
@@ -333,14 +304,19 @@
         for task in tasks:
             open_job.cell_by_task.pop(task)
             open_job.assignment_by_task.pop(task)
+        if open_job.withdrawn_for is not None:
+            return self._withdraw(open_job, open_job.withdrawn_for, now)
         if reason is ReturnReason.OUT_OF_REACH:
             return self._withdraw(open_job, reason, now)
-        if reason is ReturnReason.CELL_OVERLOADED:
-            open_job.settled_tasks.update(tasks)
         passed_s = now - open_job.submitted_s
-        plans = self._plan_moves(open_job, rows, cell, passed_s)
+        if reason is ReturnReason.EXPECTED_LATE:
+            plans = self._moves.plan_free(open_job, tasks, cell)
+        else:
+            plans = self._moves.plan(open_job, rows, cell, passed_s)
+        if reason is not ReturnReason.ZONE_DRAINED:
+            open_job.settled_tasks.update(tasks)
         if plans is None:
-            if reason is ReturnReason.ZONE_DRAINED:
+            if reason is not ReturnReason.CELL_OVERLOADED:
                 return self._withdraw(open_job, reason, now)
             plans = {tuple(tasks): CellPlan((cell,) * len(tasks), 0)}
         return [
@@ -351,58 +327,35 @@
             )
         ]
 
-    def _plan_moves(
-        self,
-        open_job: _OpenJob,
-        rows: list[ReturnedTask],
-        cell: str,
-        passed_s: float,
-    ) -> _Plans | None:
-        """Chooses other cells for tasks of a cell.
-
-        Returns:
-            Plans for the tasks, or ``None`` if no other cells are expected to
-            end all of them while the job is of use.
-        """
-        plans = {}
-        for group, same_group in itertools.groupby(
-            sorted(rows, key=_move_group_of), _move_group_of
-        ):
-            tasks = tuple(entry.task for entry in same_group)
-            step, target = group
-            plan = self._planner.place(
-                open_job.live.job, step, len(tasks), cell, target
-            )
-            if plan is None or passed_s + plan.end_s > open_job.useful_s:
-                return None
-            plans[tasks] = plan
-        return plans
-
     def _withdraw(
-        self, open_job: _OpenJob, reason: ReturnReason, now: float
+        self, open_job: OpenJob, reason: ReturnReason, now: float
     ) -> list[TransientEffect]:
         """Ends a job that cannot be done while it is of use.
 
-        It is refused if none of its tasks has run.
+        It is refused if none of its tasks has run, which its other cells know.
         """
         job = open_job.live.job
-        may_have_run = open_job.may_have_begun or open_job.cell_by_task
-        effects = self.drop(job.job_id)
-        if may_have_run:
-            effects.append(
-                TransientJobEnded(job.job_id, None, open_job.objective_s)
-            )
-        else:
-            effects.append(
-                JobRefused(
-                    job.job_id, self._planner.refuse_returned(job, now), reason
-                )
-            )
-        return effects
+        if open_job.may_have_begun:
+            return self._end_withdrawn(open_job)
+        if not open_job.cell_by_task:
+            self._open_by_id.pop(job.job_id)
+            admission = self._planner.refuse_returned(job, now)
+            return [JobRefused(job.job_id, admission, reason)]
+        if open_job.withdrawn_for is not None:
+            return []
+        open_job.withdrawn_for = reason
+        cells = sorted(set(open_job.cell_by_task.values()))
+        return [DropJob(cell, job.job_id, must_return=True) for cell in cells]
+
+    def _end_withdrawn(self, open_job: OpenJob) -> list[TransientEffect]:
+        """Ends a withdrawn job of which a task may have run."""
+        job_id = open_job.live.job.job_id
+        ended = TransientJobEnded(job_id, None, open_job.objective_s)
+        return [*self.drop(job_id), ended]
 
     def _build_assignment(
         self,
-        open_job: _OpenJob,
+        open_job: OpenJob,
         cell: str,
         tasks: tuple[TaskKey, ...],
         passed_s: float = 0,
@@ -439,10 +392,10 @@
             open_job = self._open_by_id[job_id]
             run_s = self._planner.shortest_run_s(open_job.live.job)
             end_s = open_job.submitted_s + open_job.useful_s
-            if now + SILENT_CELL_DELAY_S + run_s > end_s:
-                effects.extend(
-                    self._withdraw(open_job, ReturnReason.OUT_OF_REACH, now)
-                )
+            is_lost = now + SILENT_CELL_DELAY_S + run_s > end_s
+            if is_lost or open_job.withdrawn_for is not None:
+                # Whether the job has begun in the cell remains unknown.
+                effects.extend(self._end_withdrawn(open_job))
         return effects
 
     def move_tasks(self, cell: str) -> list[TransientEffect]:
@@ -458,7 +411,9 @@
                 for task, chosen in open_job.cell_by_task.items()
                 if chosen == cell
             ]
-            if tasks:
+            if tasks and open_job.withdrawn_for is not None:
+                effects.extend(self._end_withdrawn(open_job))
+            elif tasks:
                 open_job.may_have_begun = True
                 effects.extend(
                     self._assign(open_job, tasks, excluded_cell=cell)
@@ -467,12 +422,12 @@
 
     def _assign(
         self,
-        open_job: _OpenJob,
+        open_job: OpenJob,
         tasks: Sequence[TaskKey],
         excluded_cell: str = '',
     ) -> list[TransientEffect]:
         effects: list[TransientEffect] = []
-        for step, group in itertools.groupby(tasks, _step_of):
+        for step, group in itertools.groupby(tasks, step_of):
             assigned = self._assign_step(
                 open_job, step, tuple(group), excluded_cell
             )
@@ -487,7 +442,7 @@
 
     def _assign_step(
         self,
-        open_job: _OpenJob,
+        open_job: OpenJob,
         number: int,
         tasks: tuple[TaskKey, ...],
         excluded_cell: str,
@@ -501,7 +456,7 @@
 
     def _assign_to_cells(
         self,
-        open_job: _OpenJob,
+        open_job: OpenJob,
         tasks: tuple[TaskKey, ...],
         plan: CellPlan,
         passed_s: float = 0,
@@ -517,11 +472,3 @@
             )
             for chosen in dict.fromkeys(plan.cells)
         ]
-
-
-def _step_of(task: TaskKey) -> int:
-    return task.step
-
-
-def _move_group_of(returned: ReturnedTask) -> tuple[int, str]:
-    return returned.task.step, returned.target
--- a/src/camphorlink/internal/shell/process/cell_sender.py
+++ b/src/camphorlink/internal/shell/process/cell_sender.py
@@ -117,13 +117,18 @@
 
     def _send_to_former_owners(self, cell: str, command: DropJob) -> None:
         """Drops a job also at owners that may not know of their successor."""
-        message = self._build_message(command)
+        message = self._build_message(command._replace(must_return=False))
         for member in self._coordinator.contacts.former_in_contact(cell):
             self._peers.send(member, message)
 
     def _build_message(self, command: CellCommand) -> NodeMessage:
         if isinstance(command, DropJob):
-            return DropTasks(self._peers.member, command.cell, command.job_id)
+            return DropTasks(
+                self._peers.member,
+                command.cell,
+                command.job_id,
+                command.must_return,
+            )
         if isinstance(command, KeepJobs):
             return OpenJobs(self._peers.member, command.cell, command.job_ids)
         return RunTasks(
--- a/src/camphorlink/internal/shell/process/node_message_handler.py
+++ b/src/camphorlink/internal/shell/process/node_message_handler.py
@@ -150,7 +150,7 @@
     def _handle_drop(self, message: DropTasks, _stamp: Stamp) -> None:
         host = self._cells.host_by_cell.get(message.cell)
         if host is not None:
-            command = DropJob(message.cell, message.job_id)
+            command = DropJob(message.cell, message.job_id, message.must_return)
             host.stop_jobs(command, message.coordinator)
 
     @_handle.register
--- a/tests/cover/test_coordinator.py
+++ b/tests/cover/test_coordinator.py
@@ -133,6 +133,8 @@
         (first, AssignTasks),
         (second, AssignTasks),
         (second, DropJob),
+        # The other cell has not told whether it has begun the job.
+        (second, DropJob),
     ]
 
 
