Spread jobs that waited for a takeover, and count the time they waited

Cause: after the return of all VMs, the jobs that waited went to the first cell that reported a load, whose owner refused most of them while the other cells were taken over 0.03 to 0.06 s later. Their due times began at the end of the wait, so that they counted as on time and delayed jobs that could still be.

Change: for 0.1 s after the first report following a time without any, jobs wait for the loads of all cells that can run them (core/request/cell_wait.py); assignments carry the objective less the time waited.

--- a/src/camphorlink/internal/core/request/cell_index.py
+++ b/src/camphorlink/internal/core/request/cell_index.py
@@ -31,11 +31,14 @@
                 )
                 cells.setdefault(backend.zone, set()).add(backend.capacity)
 
-    def may_have_cell(self, service: str, step: Step) -> bool:
-        """Returns whether a cell can run a step, or no back end is known."""
-        return not self._capacities_by_label or bool(
-            self.cells_for_step(service, step)
-        )
+    def count_cells(self, service: str, step: Step) -> int:
+        """Returns the number of cells that can run a step.
+
+        It is 1 as long as no back end is known.
+        """
+        if not self._capacities_by_label:
+            return 1
+        return len(self.cells_for_step(service, step))
 
     def cells_for_step(self, service: str, step: Step) -> list[str]:
         """Returns the names of the cells that can run a step, sorted."""
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -145,7 +145,11 @@
         return 0 if open_job is None else open_job.objective_s
 
     def submit(
-        self, job: DurableJob, now: float = 0, wait_s: float = math.inf
+        self,
+        job: DurableJob,
+        now: float = 0,
+        wait_s: float = math.inf,
+        passed_s: float = 0,
     ) -> list[TransientEffect]:
         """Assigns the tasks of a new job to cells, or refuses the job.
 
@@ -157,7 +161,10 @@
         Args:
             job: The job.
             now: Time in seconds.
-            wait_s: Time that the caller waits, in seconds.
+            wait_s: Time that the caller waits from the submission on, in
+                seconds.
+            passed_s: Time since the submission, in seconds, in which the job
+                has waited for a cell.
         """
         if job.job_id in self:
             return []
@@ -165,12 +172,14 @@
         if admission.plan is None:
             return [JobRefused(job.job_id, admission)]
         useful_s = min(wait_s, MAX_USEFUL_RATIO * admission.objective_s)
-        open_job = OpenJob(job, admission.objective_s, now, useful_s)
+        open_job = OpenJob(job, admission.objective_s, now - passed_s, useful_s)
         self._open_by_id[job.job_id] = open_job
         due = tuple(open_job.live.due_tasks())
         first = tuple(task for task in due if not task.step)
         others = due[len(first) :]
-        effects = self._assign_to_cells(open_job, first, admission.plan)
+        effects = self._assign_to_cells(
+            open_job, first, admission.plan, passed_s
+        )
         return [*effects, *self._assign(open_job, others)]
 
     def record_completion(
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -13,6 +13,7 @@
     CellLoad,
     CellSelector,
 )
+from camphorlink.internal.core.request.cell_wait import must_wait
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
     Step,
@@ -87,6 +88,8 @@
         self._index = CellIndex()
         self._get_drains = get_drains
         self._load_received_s_by_cell: dict[tuple[str, str], float] = {}
+        #: Time of the first load report after a time without any, in seconds.
+        self._first_load_s = -math.inf
         self._completion_by_id: dict[
             str, asyncio.Future[TransientJobEnded | JobRefused]
         ] = {}
@@ -148,6 +151,9 @@
     def record_load(self, load: CellLoad) -> None:
         """Records the load that the owner of a cell reports."""
         now = now_s()
+        newest_s = max(self._load_received_s_by_cell.values(), default=0)
+        if now - newest_s > MAX_LOAD_AGE_S:
+            self._first_load_s = now
         self._load_received_s_by_cell[load.cell, load.service] = now
         self.planner.record_load(load, now)
         self._load_waiters.wake()
@@ -234,15 +240,21 @@
         started_s = now_s()
         try:
             await self._load_waiters.wait_while(
-                lambda: (
-                    not self._cells_with_recent_load(job.service, job.steps[0])
-                    and self._index.may_have_cell(job.service, job.steps[0])
+                lambda: must_wait(
+                    len(
+                        self._cells_with_recent_load(job.service, job.steps[0])
+                    ),
+                    self._index.count_cells(job.service, job.steps[0]),
+                    self._first_load_s,
+                    now_s(),
                 ),
                 self.planner.cell_wait_s(job, wait_s),
             )
-            self._carry_out_all(self._jobs.submit(job, started_s, wait_s))
-            left_s = started_s + wait_s - now_s()
-            return await asyncio.wait_for(completion, left_s)
+            passed_s = now_s() - started_s
+            self._carry_out_all(
+                self._jobs.submit(job, now_s(), wait_s, passed_s)
+            )
+            return await asyncio.wait_for(completion, wait_s - passed_s)
         except TimeoutError:
             return TransientJobEnded(
                 job.job_id, None, self._jobs.objective_s(job.job_id)
--- a/tests/cover/test_coordinator.py
+++ b/tests/cover/test_coordinator.py
@@ -3,12 +3,15 @@
 import asyncio
 import logging
 
+import pytest
+
 from camphorlink.internal.core.connection.run_speeds import RunSpeeds
 from camphorlink.internal.core.process.job_table import JobState
 from camphorlink.internal.core.request.cell_selector import (
     CellLoad,
     FreeCapacity,
 )
+from camphorlink.internal.core.request.cell_wait import must_wait
 from camphorlink.internal.core.request.returned_tasks import (
     ReturnedTask,
     ReturnReason,
@@ -41,10 +44,11 @@
             lambda *command: sent.append(command),
             lambda: UNKNOWN_DRAINS,
         )
-        coordinator.update_backends([listed('i-1', 'y'), listed('i-2', 'z')])
+        coordinator.update_backends([listed('i-2', 'z')])
         coordinator.record_load(load('z'))
         run = asyncio.create_task(coordinator.run(make_job(), 2.0))
         await asyncio.sleep(0)
+        coordinator.update_backends([listed('i-1', 'y'), listed('i-2', 'z')])
         coordinator.record_load(load('y'))
         coordinator.contacts.record_owner('z', 'm#2', now_s())
         coordinator.contacts.record_loss('m#2', now_s() - 60)
@@ -164,3 +168,58 @@
     assert len(sent) == 1
     assert first.state is None
     assert second.state is JobState.COMPLETED
+
+
+def test_jobs_that_waited_for_a_takeover_use_all_cells():
+    """All of them went to the first cell, which refused most of them."""
+    sent = []
+
+    async def scenario():
+        coordinator = Coordinator(
+            'y',
+            'm#1',
+            RunSpeeds(),
+            lambda *command: sent.append(command),
+            lambda: UNKNOWN_DRAINS,
+        )
+        coordinator.update_backends([listed('i-1', 'y'), listed('i-2', 'z')])
+        runs = [
+            asyncio.create_task(
+                coordinator.run(make_job(f'j{n}', 1, estimate_ms=300), 2.0)
+            )
+            for n in range(8)
+        ]
+        await asyncio.sleep(0.05)
+        coordinator.record_load(load('z'))
+        await asyncio.sleep(0.03)
+        assert not sent
+        coordinator.record_load(load('y'))
+        await asyncio.sleep(0.03)
+        assigned = sent.copy()
+        for run in runs:
+            run.cancel()
+        return assigned
+
+    assigned = asyncio.run(scenario())
+    assert {cell for cell, _ in assigned} == {'y', 'z'}
+    # 1.6 times 0.3 s and the target, less the time that has passed.
+    objectives = [command.objective_s for _, command in assigned]
+    assert max(objectives) < 1.6 * 0.3 + 0.06 - 0.07
+
+
+@pytest.mark.parametrize(
+    ('reported', 'listed_cells', 'since_first_s', 'expected'),
+    [
+        (0, 0, 9.0, False),
+        (0, 2, 9.0, True),
+        (1, 2, 0.05, True),
+        (1, 2, 0.15, False),
+        (2, 2, 0.05, False),
+    ],
+)
+def test_a_job_waits_for_more_cells_right_after_a_takeover_only(
+    reported, listed_cells, since_first_s, expected
+):
+    assert must_wait(reported, listed_cells, 1.0, 1.0 + since_first_s) is (
+        expected
+    )
