Forecast starts on all the capacity of a free back end

Cause: the forecast of late jobs treated a free back end as one place, so that the second task on it was expected after the first had ended.

Change: what a task leaves of a place is free at once if another such task fits in it. 80 tasks on time are assumed before any arrive (40): one refused wave in an idle cell is no overload.

--- a/src/camphorlink/internal/core/request/load_shedding.py
+++ b/src/camphorlink/internal/core/request/load_shedding.py
@@ -35,7 +35,7 @@
 OVERLOAD_SHARE = 0.2
 #: Number of tasks on time that are assumed before any has arrived, so that one late
 #: job is no overload.
-ASSUMED_TASKS = 40
+ASSUMED_TASKS = 80
 
 
 class LateShare:
@@ -195,6 +195,27 @@
             start_s = max(start_s, place.free_s)
             missing -= place.cpu_milli
         end_s = start_s + entry.work_s / speed
-        heapq.heappush(free, Place(end_s, entry.needs.cpu_milli - missing))
+        _give_back_rest(free, entry.needs.cpu_milli, -missing, start_s, end_s)
         job_end_s = max(job_end_s, end_s)
     return job_end_s
+
+
+def _give_back_rest(
+    free: list[Place], used: int, rest: int, start_s: float, end_s: float
+) -> None:
+    """Returns the capacity of a task, and what it leaves of its places.
+
+    A rest that is too small for another such task is free with it.
+
+    Args:
+        free: Heap of places, which is changed.
+        used: Capacity of the task, in thousandths of a core.
+        rest: Capacity that it leaves, in thousandths of a core.
+        start_s: Time at which it starts, in seconds.
+        end_s: Time at which it ends, in seconds.
+    """
+    if rest < used:
+        heapq.heappush(free, Place(end_s, used + rest))
+    else:
+        heapq.heappush(free, Place(end_s, used))
+        heapq.heappush(free, Place(start_s, rest))
--- a/tests/core/test_load_shedding.py
+++ b/tests/core/test_load_shedding.py
@@ -119,6 +119,13 @@
     assert find_late(rows, [Place(0.1, 8000)] * 2) == ['j0']
 
 
+def test_a_large_free_back_end_has_room_for_several_tasks():
+    """Otherwise jobs were given back while back ends were half empty."""
+    rows = [(0, 4, 0.2, 0.38), (0, 1, 0.2, 0.38)]
+    assert find_late(rows, [Place(0.0, 34_000)]) == ['j1']
+    assert not find_late(rows, [Place(0.0, 40_000)])
+
+
 def test_lower_priorities_keep_their_part_of_a_full_cell():
     """Otherwise a burst of urgent jobs makes all others late."""
     urgent = [(0, 1, 0.1, 0.5)] * 10
