End withdrawals that no cell answers, and leave late jobs that fit elsewhere

Such jobs end as unknown after 0.25 s.

The owner keeps a late job that fits in capacity which another cell has reported, and the rebalancing moves it to the cell it names.

Refusals of returned jobs are counted as no-room-in-time, not as no-cell-in-reach, and their log line tells how long they were held.

--- a/src/camphorlink/internal/core/process/load_shedder.py
+++ b/src/camphorlink/internal/core/process/load_shedder.py
@@ -11,11 +11,13 @@
 from camphorlink.internal.core.process.transient_job_table import (
     TransientJobTable,
 )
+from camphorlink.internal.core.request.cell_selector import CellLoad
 from camphorlink.internal.core.request.load_shedding import (
     LateShare,
     Place,
     find_late_jobs,
 )
+from camphorlink.internal.core.request.rebalancing import ReportedLoad
 from camphorlink.internal.core.request.task_placement import RatedBackend
 from camphorlink.internal.core.request.waiting_tasks import (
     WaitingTask,
@@ -54,10 +56,14 @@
         self._late_share = LateShare()
         self._late_jobs: frozenset[str] = frozenset()
 
-    def choose(self, now: float) -> list[str]:
+    def choose(self, others: Sequence[ReportedLoad], now: float) -> list[str]:
         """Returns the jobs to give back, by identifier.
 
+        Those that fit in free capacity which another cell has reported are left
+        to the rebalancing.
+
         Args:
+            others: Newest loads of the other cells.
             now: Time in seconds.
         """
         added = self._waiting.added_count - self._added_count
@@ -68,9 +74,27 @@
         self._forecast_s = now
         late_jobs = self._find_late(now)
         self._late_share.record(added, self._count_new(late_jobs), now)
-        if self._late_share.is_overload:
-            return late_jobs
-        return []
+        if not self._late_share.is_overload:
+            return []
+        return [
+            job_id
+            for job_id in late_jobs
+            if not any(self._fits(job_id, report.load) for report in others)
+        ]
+
+    def _fits(self, job_id: str, load: CellLoad) -> bool:
+        """Returns whether another cell has free capacity for a job's tasks."""
+        known = self._transient.get(job_id)
+        if known is None or load.service != known.live.job.service:
+            return False
+        job = known.live.job
+        needs = [job.steps[task.step].needs for task in known.open_tasks]
+        smallest_cpu = max(min(need.cpu_milli for need in needs), 1)
+        places = sum(
+            capacity.free_cpu_milli // smallest_cpu
+            for capacity in load.free_capacities
+        )
+        return places >= len(needs)
 
     def _count_new(self, late_jobs: Sequence[str]) -> int:
         """Returns the number of tasks of jobs that were not late before."""
--- a/src/camphorlink/internal/core/process/transient_assignments.py
+++ b/src/camphorlink/internal/core/process/transient_assignments.py
@@ -110,6 +110,7 @@
             context.waiting, context.transient, context.rank_usable
         )
         self.reported_loads: Sequence[ReportedLoad] = ()
+        self.other_loads: Sequence[ReportedLoad] = ()
 
     def accept(
         self,
@@ -259,7 +260,7 @@
         Args:
             now: Time in seconds.
         """
-        for job_id in self._shedder.choose(now):
+        for job_id in self._shedder.choose(self.other_loads, now):
             known = self._context.transient.get(job_id)
             if known is not None:
                 self.return_tasks(
--- a/src/camphorlink/internal/core/request/job_planner.py
+++ b/src/camphorlink/internal/core/request/job_planner.py
@@ -249,30 +249,6 @@
             self._selector.reserve(plan, group)
         return plan
 
-    def place_free(
-        self, job: DurableJob, number: int, width: int, excluded_cell: str
-    ) -> CellPlan | None:
-        """Chooses other cells with free capacity for tasks of a step.
-
-        Args:
-            job: The job.
-            number: Number of the step.
-            width: Number of tasks to place.
-            excluded_cell: Cell that must not be chosen.
-
-        Returns:
-            The plan, or ``None`` when the tasks don't fit now.
-        """
-        step = job.steps[number]
-        group = self._group(job, step, width)
-        cells = self._cells_for(job.service, step)
-        plan = self._selector.plan_free(
-            group, [cell for cell in cells if cell != excluded_cell]
-        )
-        if plan is not None:
-            self._selector.reserve(plan, group)
-        return plan
-
     def _unloaded_s(self, job: DurableJob, total_cpu_milli: int) -> float:
         """Returns the run time of a job without other load, in seconds."""
         return sum(
--- a/src/camphorlink/internal/core/request/open_job.py
+++ b/src/camphorlink/internal/core/request/open_job.py
@@ -1,5 +1,7 @@
 """State of an open transient job at its coordinator."""
 
+import math
+
 from camphorlink.internal.core.process.job_table import LiveJob
 from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
 from camphorlink.internal.core.request.returned_tasks import (
@@ -20,10 +22,11 @@
         useful_s: Time from its submission until which it is of use, in seconds.
         may_have_begun: Whether a task may have run, besides those in
             ``cell_by_task``.
-        settled_tasks: Tasks that an overloaded cell has returned; they are not
-            moved for that reason again.
+        settled_tasks: Tasks that an overloaded cell has returned; no cell may
+            return them for that reason again.
         withdrawn_for: Why the job is withdrawn, while cells that may have begun
             it have not answered.
+        withdrawn_s: Time of its withdrawal, in seconds.
     """
 
     def __init__(
@@ -42,6 +45,7 @@
         self.may_have_begun = False
         self.settled_tasks: set[TaskKey] = set()
         self.withdrawn_for: ReturnReason | None = None
+        self.withdrawn_s = math.inf
 
     def is_current(self, cell: str, returned: ReturnedTask) -> bool:
         """Returns whether a returned task is not assigned anew."""
--- a/src/camphorlink/internal/core/request/task_moves.py
+++ b/src/camphorlink/internal/core/request/task_moves.py
@@ -1,7 +1,6 @@
 """Choice of other cells for the tasks that a cell has returned."""
 
 import itertools
-from collections.abc import Sequence
 
 from camphorlink.internal.core.request.cell_selector import CellPlan
 from camphorlink.internal.core.request.durable_job import TaskKey
@@ -24,28 +23,6 @@
         """
         self._planner = planner
 
-    def plan_free(
-        self, open_job: OpenJob, tasks: Sequence[TaskKey], cell: str
-    ) -> Plans | None:
-        """Chooses other cells in which tasks that would be late can start now.
-
-        Returns:
-            Plans for the tasks, or ``None`` if they do not fit or have been
-            returned before.
-        """
-        if not open_job.settled_tasks.isdisjoint(tasks):
-            return None
-        plans = {}
-        for step, same_step in itertools.groupby(tasks, step_of):
-            group = tuple(same_step)
-            plan = self._planner.place_free(
-                open_job.live.job, step, len(group), cell
-            )
-            if plan is None:
-                return None
-            plans[group] = plan
-        return plans
-
     def plan(
         self,
         open_job: OpenJob,
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -30,6 +30,10 @@
 #: the next owner waits until the back ends have listed their runs once more.
 SILENT_CELL_DELAY_S = 0.6
 
+#: Time in seconds for which the cells of a withdrawn job may answer whether they
+#: have begun it: some hundred times that of a message and its answer.
+WITHDRAWAL_TIMEOUT_S = 0.25
+
 
 class AssignTasks(NamedTuple):
     """Effect that assigns tasks of a job to a cell.
@@ -113,6 +117,10 @@
     return_reason: ReturnReason | None = None
 
 
+#: Reasons for which a job is withdrawn when a cell returns its tasks.
+_WITHDRAWING_REASONS = frozenset(
+    (ReturnReason.OUT_OF_REACH, ReturnReason.EXPECTED_LATE)
+)
 #: Commands for the owner of a cell.
 CellCommand = AssignTasks | DropJob | KeepJobs
 TransientEffect = CellCommand | TransientJobEnded | JobRefused
@@ -315,17 +323,14 @@
             open_job.assignment_by_task.pop(task)
         if open_job.withdrawn_for is not None:
             return self._withdraw(open_job, open_job.withdrawn_for, now)
-        if reason is ReturnReason.OUT_OF_REACH:
+        if reason in _WITHDRAWING_REASONS:
             return self._withdraw(open_job, reason, now)
-        passed_s = now - open_job.submitted_s
-        if reason is ReturnReason.EXPECTED_LATE:
-            plans = self._moves.plan_free(open_job, tasks, cell)
-        else:
-            plans = self._moves.plan(open_job, rows, cell, passed_s)
-        if reason is not ReturnReason.ZONE_DRAINED:
+        if reason is ReturnReason.CELL_OVERLOADED:
             open_job.settled_tasks.update(tasks)
+        passed_s = now - open_job.submitted_s
+        plans = self._moves.plan(open_job, rows, cell, passed_s)
         if plans is None:
-            if reason is not ReturnReason.CELL_OVERLOADED:
+            if reason is ReturnReason.ZONE_DRAINED:
                 return self._withdraw(open_job, reason, now)
             plans = {tuple(tasks): CellPlan((cell,) * len(tasks), 0)}
         return [
@@ -353,6 +358,7 @@
         if open_job.withdrawn_for is not None:
             return []
         open_job.withdrawn_for = reason
+        open_job.withdrawn_s = now
         cells = sorted(set(open_job.cell_by_task.values()))
         return [DropJob(cell, job.job_id, must_return=True) for cell in cells]
 
@@ -407,6 +413,21 @@
                 effects.extend(self._end_withdrawn(open_job))
         return effects
 
+    def end_unanswered(self, now: float) -> list[TransientEffect]:
+        """Ends withdrawn jobs of which a cell does not tell whether they began.
+
+        An owner that has lost the tasks, with its lease or in a partition, does
+        not answer.
+
+        Args:
+            now: Time in seconds.
+        """
+        effects: list[TransientEffect] = []
+        for open_job in list(self._open_by_id.values()):
+            if now - open_job.withdrawn_s > WITHDRAWAL_TIMEOUT_S:
+                effects.extend(self._end_withdrawn(open_job))
+        return effects
+
     def move_tasks(self, cell: str) -> list[TransientEffect]:
         """Moves the open tasks of a cell without an owner to other cells.
 
@@ -436,33 +457,19 @@
         excluded_cell: str = '',
     ) -> list[TransientEffect]:
         effects: list[TransientEffect] = []
-        for step, group in itertools.groupby(tasks, step_of):
-            assigned = self._assign_step(
-                open_job, step, tuple(group), excluded_cell
-            )
-            if assigned is None:
-                job_id = open_job.live.job.job_id
+        job = open_job.live.job
+        job_id = job.job_id
+        for step, same_step in itertools.groupby(tasks, step_of):
+            group = tuple(same_step)
+            plan = self._planner.place(job, step, len(group), excluded_cell)
+            if plan is None:
                 return [
                     *self.drop(job_id),
                     TransientJobEnded(job_id, None, open_job.objective_s),
                 ]
-            effects.extend(assigned)
+            effects.extend(self._assign_to_cells(open_job, group, plan))
         return effects
 
-    def _assign_step(
-        self,
-        open_job: OpenJob,
-        number: int,
-        tasks: tuple[TaskKey, ...],
-        excluded_cell: str,
-    ) -> list[TransientEffect] | None:
-        """Assigns tasks of one step; ``None`` if no cell can run them."""
-        job = open_job.live.job
-        plan = self._planner.place(job, number, len(tasks), excluded_cell)
-        if plan is None:
-            return None
-        return self._assign_to_cells(open_job, tasks, plan)
-
     def _assign_to_cells(
         self,
         open_job: OpenJob,
--- a/src/camphorlink/internal/shell/process/cell_sender.py
+++ b/src/camphorlink/internal/shell/process/cell_sender.py
@@ -101,6 +101,11 @@
         loads = self._coordinator.list_loads()
         for owned in self._cells.host_by_cell.values():
             owned.cell.assignments.reported_loads = loads
+            owned.cell.assignments.other_loads = [
+                report
+                for report in loads
+                if report.load.cell != owned.cell.name
+            ]
 
     def send_load(self, load: CellLoad) -> None:
         """Sends a cell's load to all coordinators.
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -206,8 +206,12 @@
         self._carry_out_all(self._jobs.list_open(cell))
 
     def move_lost_tasks(self) -> None:
-        """Moves tasks from cells that are out of reach, once it is safe."""
+        """Moves tasks from cells that are out of reach, once it is safe.
+
+        Also ends the withdrawn jobs whose cells have not answered.
+        """
         now = now_s()
+        self._carry_out_all(self._jobs.end_unanswered(now))
         for cell in self._jobs.cells:
             if self.contacts.may_move(cell, now):
                 self._log.info(
--- a/src/camphorlink/internal/shell/request/job_handler.py
+++ b/src/camphorlink/internal/shell/request/job_handler.py
@@ -251,7 +251,9 @@
         if isinstance(completion, JobRefused):
             if completion.return_reason is ReturnReason.ZONE_DRAINED:
                 return self._refuse_drained(job, completion.admission)
-            return self._refuse_admission(job, completion.admission, prediction)
+            return self._refuse_admission(
+                job, completion.admission, prediction, now_s() - started_s
+            )
         self._log_unsuccessful_job(
             job, completion, now_s() - started_s, prediction
         )
@@ -357,6 +359,7 @@
         job: DurableJob,
         admission: Admission,
         earlier: Prediction | None = None,
+        held_s: float = 0,
     ) -> JobAnswer:
         """Refuses a job that was not admitted, or withdrawn before it ran.
 
@@ -364,8 +367,10 @@
             job: The job.
             admission: The refusal.
             earlier: Prediction with which the job was admitted.
+            held_s: Time since its submission, in seconds.
         """
         has_cell = admission.expected_s < math.inf
+        was_admitted = earlier is not None
         self._log.info(
             'job refused',
             extra={
@@ -375,13 +380,18 @@
                     round(admission.expected_s * MS_PER_S) if has_cell else None
                 ),
                 'latest_ms': round(admission.latest_s * MS_PER_S),
+                'held_ms': round(held_s * MS_PER_S),
                 'retry_after_s': round(admission.retry_after_s, 1),
                 **_prediction_fields(admission.prediction or earlier),
             },
         )
         refusal = JobAnswer(
             Verdict.REFUSED,
-            reason='no-room-in-time' if has_cell else 'no-cell-in-reach',
+            reason=(
+                'no-room-in-time'
+                if has_cell or was_admitted
+                else 'no-cell-in-reach'
+            ),
             retry_after_s=admission.retry_after_s,
         )
         return self._refuse(refusal)
