Measure what the start of a node costs

make measure-start runs the imports of a node, of its libraries alone and of its early listener in turns, each in a new interpreter.

--- a/Makefile
+++ b/Makefile
@@ -96,3 +96,8 @@
 .PHONY: job-slopes
 job-slopes: $(VENV)
 	$(PYTHON) -m camphorlink.bench.job_slopes
+
+# Processor time, modules and memory of the start of a node.
+.PHONY: measure-start
+measure-start: $(VENV)
+	$(PYTHON) -m camphorlink.bench.start_times
