Bound the forecast of late jobs, and keep late jobs that fit now

Cause: a late job was given back in an overload although a back end had room for it at that moment, and each arrival looked at all waiting tasks, of which durable jobs may leave thousands.

Change: late jobs are given back only if they fit on no back end of the cell; a forecast looks at 512 waiting tasks, at most every 5 ms.

--- a/src/camphorlink/internal/core/process/load_shedder.py
+++ b/src/camphorlink/internal/core/process/load_shedder.py
@@ -1,6 +1,7 @@
 """Chooses the waiting transient jobs that a cell gives back under overload."""
 
 import collections
+import itertools
 import math
 from collections.abc import Callable, Iterator, Sequence
 
@@ -27,6 +28,11 @@
 #: Period of forecasts while no task is added, in seconds: runs that take longer
 #: than expected delay what waits.
 FORECAST_PERIOD_S = 0.05
+#: The same while tasks are added: a forecast takes up to 0.5 ms.
+MIN_FORECAST_PERIOD_S = 0.005
+#: Largest number of waiting tasks that a forecast looks at; what a cell keeps that
+#: gives back late jobs is far less, unless thousands of durable tasks wait.
+MAX_CONSIDERED_TASKS = 512
 #: Lower bound of the mean speed that work is divided by: the speeds of back ends
 #: that stand still are zero.
 MIN_SPEED = 0.05
@@ -67,8 +73,9 @@
             now: Time in seconds.
         """
         added = self._waiting.added_count - self._added_count
-        is_recent = now - self._forecast_s < FORECAST_PERIOD_S
-        if not self._waiting or (is_recent and not added):
+        age_s = now - self._forecast_s
+        period_s = MIN_FORECAST_PERIOD_S if added else FORECAST_PERIOD_S
+        if not self._waiting or age_s < period_s:
             return []
         self._added_count += added
         self._forecast_s = now
@@ -109,11 +116,11 @@
     def _find_late(self, now: float) -> list[str]:
         waiting_by_service = collections.defaultdict(list)
         late_jobs: dict[str, None] = {}
-        for entry in self._waiting:
+        for entry in itertools.islice(self._waiting, MAX_CONSIDERED_TASKS):
             job_id = entry.task.job_id
             if entry.can_be_on_time(now):
                 waiting_by_service[entry.job.service].append(entry)
-            elif job_id not in late_jobs and self._may_shed(job_id):
+            elif job_id not in late_jobs and self._is_stuck(entry, now):
                 late_jobs[job_id] = None
         for service, entries in waiting_by_service.items():
             late_jobs.update(
@@ -151,6 +158,14 @@
         speed = max(weighted / sum(capacities), MIN_SPEED)
         return find_late_jobs(fitting, places, speed, self._may_shed, now)
 
+    def _is_stuck(self, entry: WaitingTask, now: float) -> bool:
+        """Returns whether a late job can be given back and has no room here."""
+        return self._may_shed(entry.task.job_id) and not any(
+            entry.needs.fits_in(rated.runs.free)
+            for rated in self._rank_usable(now)
+            if rated.runs.listed.service == entry.job.service
+        )
+
     def _may_shed(self, job_id: str) -> bool:
         """Returns whether a job has neither begun nor may begin elsewhere."""
         known = self._transient.get(job_id)
