--- a/src/camphorlink/internal/core/connection/run_speeds.py
+++ b/src/camphorlink/internal/core/connection/run_speeds.py
@@ -48,10 +48,10 @@
     """Learns estimate factors per queue, and speeds per kind and back end.
 
     Only the ratio of a factor and a speed shows in a run time, so that both
-    could grow without bounds.  The factors are therefore kept at a mean of 1
-    over the queues: on average, the estimates are right, and response time
-    objectives, which follow from the factors, do not depend on how many of the
-    back ends are slow.  All averages are geometric; arithmetic ones of a ratio
+    could grow without bounds.  Both are therefore divided by the mean of the
+    factors over the queues: on average, the estimates are right, and response
+    time objectives, which follow from the factors, do not depend on how many of
+    the back ends are slow.  All averages are geometric; arithmetic ones of a ratio
     and of its inverse would both grow with the errors of the estimates.
     """
 
@@ -61,6 +61,8 @@
         self._speed_by_kind: dict[str, _Average] = {}
         self._speed_by_backend: dict[str, _Average] = {}
         self._kind_by_backend: dict[str, str] = {}
+        #: Logarithm of the mean of the factors.
+        self._scale_log = 0.0
 
     def speed_of(self, kind: str, backend_id: str) -> float:
         """Returns the expected speed of a back end.
@@ -68,12 +70,14 @@
         It is the mean of the back end's own speed and that of its kind,
         weighted by the number of runs on the back end.
         """
-        return math.exp(self._log_speed_of(kind, backend_id))
+        return math.exp(self._log_speed_of(kind, backend_id) - self._scale_log)
 
     def work_s(self, queue: str, estimate_s: float) -> float:
         """Returns the expected run time of a task at speed 1, in seconds."""
         factor = self._factor_by_queue.get(queue)
-        return estimate_s if factor is None else estimate_s * factor.mean
+        if factor is None:
+            return estimate_s
+        return estimate_s * math.exp(factor.log - self._scale_log)
 
     def record(self, run: RunTime) -> None:
         """Updates the factor and the speeds with a successful run."""
@@ -83,17 +87,23 @@
             min(max(run.run_s / run.estimate_s, MIN_RATIO), MAX_RATIO)
         )
         log_speed = self._log_speed_of(run.kind, run.backend_id)
-        factor = self._factor_by_queue.setdefault(run.queue, _Average())
+        scale_log = self._scale_log
+        factor = self._factor_by_queue.setdefault(
+            run.queue, _Average(scale_log)
+        )
         factor.add(log_ratio + log_speed, LEARNING_RATE)
         measured = factor.log - log_ratio
-        kind_speed = self._speed_by_kind.setdefault(run.kind, _Average())
+        kind_speed = self._speed_by_kind.setdefault(
+            run.kind, _Average(scale_log)
+        )
         kind_speed.add(measured, LEARNING_RATE)
         own_speed = self._speed_by_backend.setdefault(
             run.backend_id, _Average(kind_speed.log)
         )
         own_speed.add(measured, BACKEND_RATE)
         self._kind_by_backend[run.backend_id] = run.kind
-        self._center()
+        factors = self._factor_by_queue.values()
+        self._scale_log = sum(known.log for known in factors) / len(factors)
 
     def relax(self) -> None:
         """Moves each back end's speed a little towards that of its kind."""
@@ -104,39 +114,23 @@
 
     def _log_speed_of(self, kind: str, backend_id: str) -> float:
         kind_speed = self._speed_by_kind.get(kind)
-        kind_log = 0.0 if kind_speed is None else kind_speed.log
+        kind_log = self._scale_log if kind_speed is None else kind_speed.log
         own_speed = self._speed_by_backend.get(backend_id)
         if own_speed is None:
             return kind_log
         weight = own_speed.count / (own_speed.count + FIRST_RUNS)
         return own_speed.log * weight + kind_log * (1 - weight)
 
-    def _center(self) -> None:
-        """Scales all factors and speeds so that the mean factor is 1."""
-        factors = self._factor_by_queue.values()
-        shift = sum(factor.log for factor in factors) / len(factors)
-        for averages in (
-            self._factor_by_queue,
-            self._speed_by_kind,
-            self._speed_by_backend,
-        ):
-            for average in averages.values():
-                average.log -= shift
-
 
 class _Average:
     """Geometric moving average, which starts as the mean of its values."""
 
     __slots__ = ('count', 'log')
 
-    def __init__(self, log: float = 0.0) -> None:
+    def __init__(self, log: float) -> None:
         self.log = log
         self.count = 0
 
-    @property
-    def mean(self) -> float:
-        return math.exp(self.log)
-
     def add(self, log: float, rate: float) -> None:
         self.count += 1
         self.log += max(rate, 1 / (self.count + 1)) * (log - self.log)
