One way to end an unfinished job, and one value for its withdrawal

Four places dropped a job's tasks and built the same answer; they call _end_unfinished. The reason and the time of a withdrawal, which were set together, are one value; three loops over the tasks of a cell are OpenJob.tasks_in.

--- a/src/camphorlink/internal/core/request/open_job.py
+++ b/src/camphorlink/internal/core/request/open_job.py
@@ -1,6 +1,6 @@
 """State of an open transient job at its coordinator."""
 
-import math
+from typing import NamedTuple
 
 from camphorlink.internal.core.process.job_table import LiveJob
 from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
@@ -10,6 +10,18 @@
 )
 
 
+class Withdrawal(NamedTuple):
+    """Withdrawal of a job whose cells are asked whether they have begun it.
+
+    Attributes:
+        reason: Why the job is withdrawn.
+        since_s: Time of the withdrawal, in seconds.
+    """
+
+    reason: ReturnReason
+    since_s: float
+
+
 class OpenJob:
     """State of a job whose caller waits for the answer.
 
@@ -24,9 +36,7 @@
             ``cell_by_task``.
         settled_tasks: Tasks that an overloaded cell has returned; no cell may
             return them for that reason again.
-        withdrawn_for: Why the job is withdrawn, while cells that may have begun
-            it have not answered.
-        withdrawn_s: Time of its withdrawal, in seconds.
+        withdrawal: Its withdrawal, or ``None`` if it is not withdrawn.
     """
 
     def __init__(
@@ -44,8 +54,13 @@
         self.useful_s = useful_s
         self.may_have_begun = False
         self.settled_tasks: set[TaskKey] = set()
-        self.withdrawn_for: ReturnReason | None = None
-        self.withdrawn_s = math.inf
+        self.withdrawal: Withdrawal | None = None
+
+    def tasks_in(self, cell: str) -> tuple[TaskKey, ...]:
+        """Returns the open tasks that are assigned to a cell."""
+        return tuple(
+            task for task, chosen in self.cell_by_task.items() if chosen == cell
+        )
 
     def is_current(self, cell: str, returned: ReturnedTask) -> bool:
         """Returns whether a returned task is not assigned anew."""
--- a/src/camphorlink/internal/core/request/transient_jobs.py
+++ b/src/camphorlink/internal/core/request/transient_jobs.py
@@ -19,7 +19,7 @@
     TaskKey,
 )
 from camphorlink.internal.core.request.job_planner import Admission, JobPlanner
-from camphorlink.internal.core.request.open_job import OpenJob
+from camphorlink.internal.core.request.open_job import OpenJob, Withdrawal
 from camphorlink.internal.core.request.returned_tasks import (
     ReturnedTask,
     ReturnReason,
@@ -202,17 +202,11 @@
         open_job.cell_by_task.pop(task)
         open_job.assignment_by_task.pop(task)
         open_job.may_have_begun = True
-        if open_job.withdrawn_for is not None:
-            return self._end_withdrawn(open_job)
+        if open_job.withdrawal is not None:
+            return self._end_unfinished(open_job)
         live = open_job.live
         if not is_done:
-            effects = self.drop(task.job_id)
-            effects.append(
-                TransientJobEnded(
-                    task.job_id, JobState.FAILED, open_job.objective_s
-                )
-            )
-            return effects
+            return self._end_unfinished(open_job, JobState.FAILED)
         live.done_by_step[task.step].add(task.number)
         if live.is_done:
             self._open_by_id.pop(task.job_id)
@@ -243,7 +237,7 @@
         return [
             job_id
             for job_id, open_job in self._open_by_id.items()
-            if cell in open_job.cell_by_task.values()
+            if open_job.tasks_in(cell)
         ]
 
     @property
@@ -265,13 +259,9 @@
         """Assigns the open tasks of a cell to its new owner."""
         effects: list[TransientEffect] = []
         for open_job in list(self._open_by_id.values()):
-            tasks = tuple(
-                task
-                for task, chosen in open_job.cell_by_task.items()
-                if chosen == cell
-            )
-            if tasks and open_job.withdrawn_for is not None:
-                effects.extend(self._end_withdrawn(open_job))
+            tasks = open_job.tasks_in(cell)
+            if tasks and open_job.withdrawal is not None:
+                effects.extend(self._end_unfinished(open_job))
             elif tasks:
                 open_job.may_have_begun = True
                 effects.append(
@@ -321,8 +311,8 @@
         for task in tasks:
             open_job.cell_by_task.pop(task)
             open_job.assignment_by_task.pop(task)
-        if open_job.withdrawn_for is not None:
-            return self._withdraw(open_job, open_job.withdrawn_for, now)
+        if open_job.withdrawal is not None:
+            return self._withdraw(open_job, open_job.withdrawal.reason, now)
         if reason in _WITHDRAWING_REASONS:
             return self._withdraw(open_job, reason, now)
         if reason is ReturnReason.CELL_OVERLOADED:
@@ -350,22 +340,28 @@
         """
         job = open_job.live.job
         if open_job.may_have_begun:
-            return self._end_withdrawn(open_job)
+            return self._end_unfinished(open_job)
         if not open_job.cell_by_task:
             self._open_by_id.pop(job.job_id)
             admission = self._planner.refuse_returned(job, now)
             return [JobRefused(job.job_id, admission, reason)]
-        if open_job.withdrawn_for is not None:
+        if open_job.withdrawal is not None:
             return []
-        open_job.withdrawn_for = reason
-        open_job.withdrawn_s = now
+        open_job.withdrawal = Withdrawal(reason, now)
         cells = sorted(set(open_job.cell_by_task.values()))
         return [DropJob(cell, job.job_id, must_return=True) for cell in cells]
 
-    def _end_withdrawn(self, open_job: OpenJob) -> list[TransientEffect]:
-        """Ends a withdrawn job of which a task may have run."""
+    def _end_unfinished(
+        self, open_job: OpenJob, state: JobState | None = None
+    ) -> list[TransientEffect]:
+        """Ends a job of which a task may have run.
+
+        Args:
+            open_job: The job.
+            state: Its final state, or ``None`` if its outcome is unknown.
+        """
         job_id = open_job.live.job.job_id
-        ended = TransientJobEnded(job_id, None, open_job.objective_s)
+        ended = TransientJobEnded(job_id, state, open_job.objective_s)
         return [*self.drop(job_id), ended]
 
     def _build_assignment(
@@ -408,9 +404,9 @@
             run_s = self._planner.shortest_run_s(open_job.live.job)
             end_s = open_job.submitted_s + open_job.useful_s
             is_lost = now + SILENT_CELL_DELAY_S + run_s > end_s
-            if is_lost or open_job.withdrawn_for is not None:
+            if is_lost or open_job.withdrawal is not None:
                 # Whether the job has begun in the cell remains unknown.
-                effects.extend(self._end_withdrawn(open_job))
+                effects.extend(self._end_unfinished(open_job))
         return effects
 
     def end_unanswered(self, now: float) -> list[TransientEffect]:
@@ -424,8 +420,11 @@
         """
         effects: list[TransientEffect] = []
         for open_job in list(self._open_by_id.values()):
-            if now - open_job.withdrawn_s > WITHDRAWAL_TIMEOUT_S:
-                effects.extend(self._end_withdrawn(open_job))
+            withdrawal = open_job.withdrawal
+            if withdrawal is None:
+                continue
+            if now - withdrawal.since_s > WITHDRAWAL_TIMEOUT_S:
+                effects.extend(self._end_unfinished(open_job))
         return effects
 
     def move_tasks(self, cell: str) -> list[TransientEffect]:
@@ -436,13 +435,9 @@
         """
         effects: list[TransientEffect] = []
         for open_job in list(self._open_by_id.values()):
-            tasks = [
-                task
-                for task, chosen in open_job.cell_by_task.items()
-                if chosen == cell
-            ]
-            if tasks and open_job.withdrawn_for is not None:
-                effects.extend(self._end_withdrawn(open_job))
+            tasks = open_job.tasks_in(cell)
+            if tasks and open_job.withdrawal is not None:
+                effects.extend(self._end_unfinished(open_job))
             elif tasks:
                 open_job.may_have_begun = True
                 effects.extend(
@@ -458,15 +453,11 @@
     ) -> list[TransientEffect]:
         effects: list[TransientEffect] = []
         job = open_job.live.job
-        job_id = job.job_id
         for step, same_step in itertools.groupby(tasks, step_of):
             group = tuple(same_step)
             plan = self._planner.place(job, step, len(group), excluded_cell)
             if plan is None:
-                return [
-                    *self.drop(job_id),
-                    TransientJobEnded(job_id, None, open_job.objective_s),
-                ]
+                return self._end_unfinished(open_job)
             effects.extend(self._assign_to_cells(open_job, group, plan))
         return effects
 
