One answer to whether a job has begun in a cell, one copy of the reported loads

The load shedding and the answer to a withdrawal decided apart whether a job may have begun; a refusal that says not run rests on both. They call TransientJob.may_have_begun. The loads were kept twice, once until used and once without the own cell; the cell keeps them once. The expected end of a run, reckoned in five places, is Run.expected_end_s. Decisions are the same; two tests hand the loads in by the new call, their assertions are unchanged.

--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -123,6 +123,11 @@
         self.stops_sent = 0
         self.checkpoint = ''
 
+    @property
+    def expected_end_s(self) -> float:
+        """Time at which the run is expected to end, in seconds."""
+        return self.started_s + self.expected_s
+
     @property
     def has_been_listed(self) -> bool:
         """Whether its incarnation has listed it, so that it ends with it.
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -348,7 +348,7 @@
         self.drain.check_empty(now)
         self.assignments.return_unreachable(self._starter.shortest_run_s, now)
         if self.drain.may_start:
-            self.assignments.return_late(now)
+            self.assignments.return_late(self.name, now)
         self._starter.place(now)
 
     def _requeue(self, live: LiveJob, run: Run) -> None:
--- a/src/camphorlink/internal/core/process/load_shedder.py
+++ b/src/camphorlink/internal/core/process/load_shedder.py
@@ -62,14 +62,17 @@
         self._late_share = LateShare()
         self._late_jobs: frozenset[str] = frozenset()
 
-    def choose(self, others: Sequence[ReportedLoad], now: float) -> list[str]:
+    def choose(
+        self, cell: str, reports: Sequence[ReportedLoad], now: float
+    ) -> list[str]:
         """Returns the jobs to give back, by identifier.
 
         Those that fit in free capacity which another cell has reported are left
         to the rebalancing.
 
         Args:
-            others: Newest loads of the other cells.
+            cell: Name of this cell.
+            reports: Newest loads of all cells.
             now: Time in seconds.
         """
         added = self._waiting.added_count - self._added_count
@@ -83,10 +86,11 @@
         self._late_share.record(added, self._count_new(late_jobs), now)
         if not self._late_share.is_overload:
             return []
+        others = [load for load, _ in reports if load.cell != cell]
         return [
             job_id
             for job_id in late_jobs
-            if not any(self._fits(job_id, report.load) for report in others)
+            if not any(self._fits(job_id, load) for load in others)
         ]
 
     def _fits(self, job_id: str, load: CellLoad) -> bool:
@@ -167,13 +171,9 @@
         )
 
     def _may_shed(self, job_id: str) -> bool:
-        """Returns whether a job has neither begun nor may begin elsewhere."""
+        """Returns whether a transient job has certainly not begun here."""
         known = self._transient.get(job_id)
-        return (
-            known is not None
-            and not known.live.has_begun
-            and all(task in self._waiting for task in known.open_tasks)
-        )
+        return known is not None and not known.may_have_begun(self._waiting)
 
 
 def _list_places(
@@ -188,5 +188,5 @@
     # the place of a run.
     fragment = max(free_cpu, 0) // max(len(runs.run_by_task), 1)
     for run in runs.run_by_task.values():
-        end_s = max(run.started_s + run.expected_s, now)
+        end_s = max(run.expected_end_s, now)
         yield Place(end_s, run.needs.cpu_milli + fragment)
--- a/src/camphorlink/internal/core/process/transient_assignments.py
+++ b/src/camphorlink/internal/core/process/transient_assignments.py
@@ -89,12 +89,7 @@
 
 
 class TransientAssignments:
-    """Runs assigned tasks for as long as the coordinator's lease lasts.
-
-    Attributes:
-        reported_loads: Recent loads of all cells, until a decision has used
-            them: a decision for each load report bounds its processor time.
-    """
+    """Runs assigned tasks for as long as the coordinator's lease lasts."""
 
     def __init__(self, context: AssignmentContext) -> None:
         """Creates the assignments of a cell; there are none.
@@ -109,8 +104,8 @@
         self._shedder = LoadShedder(
             context.waiting, context.transient, context.rank_usable
         )
-        self.reported_loads: Sequence[ReportedLoad] = ()
-        self.other_loads: Sequence[ReportedLoad] = ()
+        self._reported_loads: Sequence[ReportedLoad] = ()
+        self._are_loads_new = False
 
     def accept(
         self,
@@ -254,13 +249,19 @@
             )
             self.return_tasks(waiting, ReturnReason.OUT_OF_REACH)
 
-    def return_late(self, now: float) -> None:
+    def record_loads(self, loads: Sequence[ReportedLoad]) -> None:
+        """Replaces the known loads of all cells, this one included."""
+        self._reported_loads = loads
+        self._are_loads_new = True
+
+    def return_late(self, cell: str, now: float) -> None:
         """Returns the jobs that would be late while the cell is overloaded.
 
         Args:
+            cell: Name of this cell.
             now: Time in seconds.
         """
-        for job_id in self._shedder.choose(self.other_loads, now):
+        for job_id in self._shedder.choose(cell, self._reported_loads, now):
             known = self._context.transient.get(job_id)
             if known is not None:
                 self.return_tasks(
@@ -274,10 +275,11 @@
             cell: Name of this cell.
             now: Time in seconds.
         """
-        if not self._context.waiting:
+        if not self._context.waiting or not self._are_loads_new:
             return
-        loads = self.reported_loads
-        self.reported_loads = ()
+        # A decision for each load report bounds its processor time.
+        self._are_loads_new = False
+        loads = self._reported_loads
         for own, _ in loads:
             if own.cell != cell:
                 continue
@@ -301,7 +303,7 @@
             waiting,
             self._is_movable,
             (
-                (run.started_s + run.expected_s, run.needs.cpu_milli)
+                (run.expected_end_s, run.needs.cpu_milli)
                 for runs in context.registry.runs_by_backend.values()
                 if runs.listed.service == load.service
                 for run in runs.run_by_task.values()
@@ -347,12 +349,9 @@
     def _return_dropped(self, known: TransientJob) -> None:
         """Tells the coordinator of a withdrawn job whether it has begun here."""
         context = self._context
-        tasks = sorted(known.open_tasks)
-        may_run = any(task not in context.waiting for task in tasks)
-        has_begun = known.live.has_begun or may_run
+        has_begun = known.may_have_begun(context.waiting)
         returned = tuple(
-            ReturnedTask(task, known.assignment_by_task.get(task, 0), has_begun)
-            for task in tasks
+            known.returned(task, has_begun) for task in sorted(known.open_tasks)
         )
         context.effects.append(
             ReturnTasks(known.coordinator, returned, ReturnReason.WITHDRAWN)
--- a/src/camphorlink/internal/core/process/transient_job_table.py
+++ b/src/camphorlink/internal/core/process/transient_job_table.py
@@ -12,6 +12,7 @@
 from camphorlink.internal.core.process.job_table import LiveJob
 from camphorlink.internal.core.request.durable_job import DurableJob, TaskKey
 from camphorlink.internal.core.request.returned_tasks import ReturnedTask
+from camphorlink.internal.core.request.waiting_tasks import WaitingTasks
 
 #: Number of ended tasks that are remembered, a few seconds' worth on a busy
 #: cell: their assignment may arrive twice when a connection breaks.
@@ -49,6 +50,23 @@
         self.useful_until_s = math.inf
         self.movable_tasks: set[TaskKey] = set()
 
+    def may_have_begun(self, waiting: WaitingTasks) -> bool:
+        """Returns whether a task may have started in this cell.
+
+        Args:
+            waiting: Tasks that wait in the cell.  An open task that does not has
+                a run, or may have one that is not listed.
+        """
+        return self.live.has_begun or any(
+            task not in waiting for task in self.open_tasks
+        )
+
+    def returned(self, task: TaskKey, has_begun: bool) -> ReturnedTask:
+        """Returns what its coordinator is told of a task that is returned."""
+        return ReturnedTask(
+            task, self.assignment_by_task.get(task, 0), has_begun
+        )
+
 
 class TaskReport(NamedTuple):
     """Report to a coordinator that a task has ended.
@@ -125,9 +143,7 @@
         known = self._job_by_id.get(task.job_id)
         if known is None or task not in known.open_tasks:
             return None
-        returned = ReturnedTask(
-            task, known.assignment_by_task.get(task, 0), known.live.has_begun
-        )
+        returned = known.returned(task, known.live.has_begun)
         self._close(known, task)
         return returned
 
--- a/src/camphorlink/internal/core/request/large_tasks.py
+++ b/src/camphorlink/internal/core/request/large_tasks.py
@@ -163,8 +163,7 @@
     unused = _unused(runs)
     fits_s = 0.0
     ends = sorted(
-        (run.started_s + run.expected_s, run.needs)
-        for run in runs.run_by_task.values()
+        (run.expected_end_s, run.needs) for run in runs.run_by_task.values()
     )
     for end_s, needs in ends:
         if entry.needs.fits_in(unused):
--- a/src/camphorlink/internal/core/request/preemption.py
+++ b/src/camphorlink/internal/core/request/preemption.py
@@ -234,4 +234,4 @@
 
 def _expected_end_s(run: Run, now: float) -> float:
     """Returns when a run is expected to end; an overdue one may at any time."""
-    return max(run.started_s + run.expected_s, now)
+    return max(run.expected_end_s, now)
--- a/src/camphorlink/internal/core/request/task_placement.py
+++ b/src/camphorlink/internal/core/request/task_placement.py
@@ -226,7 +226,7 @@
 def _empty_s(runs: BackendRuns) -> float:
     """Returns when all runs are expected to have ended, in seconds."""
     return max(
-        (run.started_s + run.expected_s for run in runs.run_by_task.values()),
+        (run.expected_end_s for run in runs.run_by_task.values()),
         default=0,
     )
 
--- a/src/camphorlink/internal/shell/process/cell_sender.py
+++ b/src/camphorlink/internal/shell/process/cell_sender.py
@@ -100,12 +100,7 @@
                 self.send_load(load)
         loads = self._coordinator.list_loads()
         for owned in self._cells.host_by_cell.values():
-            owned.cell.assignments.reported_loads = loads
-            owned.cell.assignments.other_loads = [
-                report
-                for report in loads
-                if report.load.cell != owned.cell.name
-            ]
+            owned.cell.assignments.record_loads(loads)
 
     def send_load(self, load: CellLoad) -> None:
         """Sends a cell's load to all coordinators.
--- a/tests/core/test_fragmented_capacity.py
+++ b/tests/core/test_fragmented_capacity.py
@@ -104,7 +104,7 @@
     """Returns the reported by the actual time to start all waiting tasks."""
     site = Site(seed, min_cpu)
     # Jobs that the cell gives back would not start, which the report expects.
-    site.rig.cell.assignments.return_late = lambda now: None
+    site.rig.cell.assignments.return_late = lambda cell, now: None
     site.offer(load * USABLE_CORES, 10)
     reported_s = site.report()
     start_s = site.rig.now
--- a/tests/core/test_rebalancing.py
+++ b/tests/core/test_rebalancing.py
@@ -153,8 +153,8 @@
     known = rig.cell.transient.get('b' * 16)
     known.live.failed_runs_by_task[tasks[0]] = {1}
     known.movable_tasks.discard(tasks[1])
-    rig.cell.assignments.reported_loads = reported(
-        load('z'), load('y', [64_000]), received_s=rig.now
+    rig.cell.assignments.record_loads(
+        reported(load('z'), load('y', [64_000]), received_s=rig.now)
     )
     rig.run_for(0.1)
     (effect,) = rig.returned
