Build the coordinators of its tests in one place

Five tests wrote the same construction. Two small ones beside it: the node makes the site that it starts only, and a name that was used once goes. No assertion changes.

--- a/src/camphorlink/internal/core/request/job_planner.py
+++ b/src/camphorlink/internal/core/request/job_planner.py
@@ -185,8 +185,7 @@
             job: The job.
             now: Time in seconds.
         """
-        first = job.steps[0]
-        cells = self._cells_for(job.service, first)
+        cells = self._cells_for(job.service, job.steps[0])
         total_cpu_milli = self._selector.total_cpu_milli(job.service, cells)
         return Admission(
             objective_s(job, self._speeds, total_cpu_milli),
--- a/src/camphorlink/platform/program.py
+++ b/src/camphorlink/platform/program.py
@@ -135,8 +135,10 @@
         )
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
-        site: web.BaseSite = web.TCPSite(runner, listen.ip, listen.port)
-        if listener is not None:
+        site: web.BaseSite
+        if listener is None:
+            site = web.TCPSite(runner, listen.ip, listen.port)
+        else:
             site = web.SockSite(runner, listener)
         await site.start()
         ip, port = runner.addresses[0][:2]
--- a/tests/cover/test_coordinator.py
+++ b/tests/cover/test_coordinator.py
@@ -32,18 +32,21 @@
     return CellLoad(cell, 's', 1, free, 0, 0, 64_000, 64_000)
 
 
+def make_coordinator(send, zone='y'):
+    return Coordinator(zone, 'm#1', RunSpeeds(), send, lambda: UNKNOWN_DRAINS)
+
+
+def collect_into(sent):
+    """Returns a function that appends each command and its cell to a list."""
+    return lambda *command: sent.append(command)
+
+
 def test_moved_jobs_are_logged(caplog):
     caplog.set_level(logging.INFO)
     sent = []
 
     async def scenario():
-        coordinator = Coordinator(
-            'y',
-            'm#1',
-            RunSpeeds(),
-            lambda *command: sent.append(command),
-            lambda: UNKNOWN_DRAINS,
-        )
+        coordinator = make_coordinator(collect_into(sent))
         coordinator.update_backends([listed('i-2', 'z')])
         coordinator.record_load(load('z'))
         run = asyncio.create_task(coordinator.run(make_job(), 2.0))
@@ -70,13 +73,7 @@
     sent = []
 
     async def scenario():
-        coordinator = Coordinator(
-            'y',
-            'm#1',
-            RunSpeeds(),
-            lambda *command: sent.append(command),
-            lambda: UNKNOWN_DRAINS,
-        )
+        coordinator = make_coordinator(collect_into(sent))
         coordinator.update_backends(backends)
         run = asyncio.create_task(coordinator.run(job, wait_s))
         await asyncio.sleep(load_after_s)
@@ -123,9 +120,7 @@
             ]
             coordinator.take_back(cell, rows, ReturnReason.OUT_OF_REACH)
 
-    coordinator = Coordinator(
-        'z', 'm#1', RunSpeeds(), send, lambda: UNKNOWN_DRAINS
-    )
+    coordinator = make_coordinator(send, zone='z')
     coordinator.update_backends([listed('i-1', 'y'), listed('i-2', 'z')])
     for cell in 'yz':
         free = (FreeCapacity(1.0, 14_000),)
@@ -147,13 +142,7 @@
     sent = []
 
     async def scenario():
-        coordinator = Coordinator(
-            'z',
-            'm#1',
-            RunSpeeds(),
-            lambda *command: sent.append(command),
-            lambda: UNKNOWN_DRAINS,
-        )
+        coordinator = make_coordinator(collect_into(sent), zone='z')
         coordinator.update_backends([listed('i-1', 'y'), listed('i-2', 'z')])
         for cell in 'zy':
             coordinator.record_load(load(cell))
@@ -175,13 +164,7 @@
     sent = []
 
     async def scenario():
-        coordinator = Coordinator(
-            'y',
-            'm#1',
-            RunSpeeds(),
-            lambda *command: sent.append(command),
-            lambda: UNKNOWN_DRAINS,
-        )
+        coordinator = make_coordinator(collect_into(sent))
         coordinator.update_backends([listed('i-1', 'y'), listed('i-2', 'z')])
         runs = [
             asyncio.create_task(
