--- a/src/camphorlink/internal/shell/process/load_waiters.py
+++ b/src/camphorlink/internal/shell/process/load_waiters.py
@@ -11,7 +11,7 @@
 
     def __init__(self) -> None:
         """Creates a set without waiting jobs."""
-        self._waiters: set[asyncio.Future[None]] = set()
+        self._waiters: dict[asyncio.Future[None], None] = {}
 
     def wake(self) -> None:
         """Wakes all jobs, which check whether they go on waiting."""
@@ -34,8 +34,8 @@
             if left_s <= 0:
                 return
             waiter = asyncio.get_running_loop().create_future()
-            self._waiters.add(waiter)
+            self._waiters[waiter] = None
             try:
                 await asyncio.wait({waiter}, timeout=left_s)
             finally:
-                self._waiters.discard(waiter)
+                self._waiters.pop(waiter)
