Review: forget ends only at the call that acknowledges them

Cause: the stand-in runner remembered the highest acknowledged number beyond a call, which a sound runner need not do. Change: it forgets what is listed at the call; orders may be carried out late.

--- a/review/standin/runner.py
+++ b/review/standin/runner.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import os
+import random
 import time
 
 import aiohttp
@@ -21,6 +22,8 @@
 HOLD_MAX_MS = 1000
 LONGEST_WAIT_MS = 2000
 TICK_S = 0.004
+#: Delay of orders that are carried out late, in seconds.
+LATE_S = (2, 12)
 #: Number of ends that one answer lists.
 PAGE_ENDS = 500
 INSTANCE_HEADER = 'camphorlink-expect-instance'
@@ -57,7 +60,6 @@
         self.token = 0
         self.lease_end_ms = 0
         self.has_lapsed = True
-        self.acknowledged = 0
         self.active = {}
         self.used_cpu = 0
         self.used_mem = 0
@@ -105,6 +107,22 @@
         self.end_due()
         return call(command)
 
+    def receive(self, path, headers, command):
+        """Handles a call, or carries it out late and does not answer it."""
+        if path.startswith('/v1/') and random.random() < self.options.late:
+            return self.carry_out_late(path, headers, command)
+        return self.handle(path, headers, command)
+
+    async def carry_out_late(self, path, headers, command):
+        delay_s = random.uniform(*LATE_S)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self.carry_out, path, headers, command)
+        await asyncio.Event().wait()
+
+    def carry_out(self, path, headers, command):
+        command.pop('wait_ms', None)
+        self.handle(path, headers, command)
+
     def start(self, command):
         task, number = command['task'], command['run_id']
         self.extend_lease(command['deadline_ms'])
@@ -172,8 +190,7 @@
         self.has_lapsed = self.lease_end_ms <= self.clock_ms()
 
     def acknowledge(self, number):
-        self.acknowledged = max(self.acknowledged, number)
-        while self.finished and self.finished[0][0] <= self.acknowledged:
+        while self.finished and self.finished[0][0] <= number:
             _, task, run, how, _ = self.finished.popleft()
             self.note('noted', task=task, run=run, how=how)
 
@@ -245,7 +262,7 @@
     async def run(self):
         self.note('born', born=self.born)
         await asyncio.gather(
-            serve(self.options.port, self.handle),
+            serve(self.options.port, self.receive),
             self.end_forever(),
             self.register_forever(),
         )
@@ -256,6 +273,7 @@
     parser.add_argument('--port', type=int, required=True)
     parser.add_argument('--cpu', type=int, required=True)
     parser.add_argument('--mem', type=int, required=True)
+    parser.add_argument('--late', type=float, default=0)
     for name in ('id', 'zone', 'rack', 'kind', 'service', 'store', 'record'):
         parser.add_argument(f'--{name}', required=True)
     options = parser.parse_args()
--- a/review/standin/small_site.py
+++ b/review/standin/small_site.py
@@ -203,6 +203,7 @@
             '--cpu', str(cpu), '--mem', str(mem), '--port', str(self.port),
             '--service', SERVICE, '--store', site.store,
             '--record', str(site.folder / 'runs.jsonl'),
+            '--late', str(site.late),
         ]  # fmt: skip
         self.process = None
 
@@ -223,7 +224,7 @@
     """A deployment with its clients; ends all its processes on exit."""
 
     def __init__(
-        self, folder, nodes_per_zone=2, runners_per_zone=8, queue=None
+        self, folder, nodes_per_zone=2, runners_per_zone=8, queue=None, late=0
     ):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.record = pathlib.Path(folder) / 'record.txt'
@@ -233,6 +234,7 @@
         self._lock = threading.Lock()
         self._events = []
         self._queue = queue or {}
+        self.late = late
         with open(ROOT / 'deploy' / 'system.toml', 'rb') as file:
             run = tomllib.load(file)['roles']['entry']['run'].split(' ')
         self.command = [sys.executable if run[0] == 'python3' else run[0]]
@@ -391,7 +393,7 @@
             if status not in TO_RESEND:
                 return None
             time.sleep(RESEND_S)
-            node = random.choice(self.live_nodes())
+            node = random.choice(self.live_nodes() or self.nodes)
         return None
 
     def live_nodes(self):
