Follow the list of back ends whatever entries other writers leave

Callers saw jobs wait for good: after an entry with a field nested 1,000 levels deep, no VM followed the list any more, no line was logged and no process ended.

Cause: the error that rejects a field held its repr, which raises RecursionError for such a value, as str does for a label. The reader expected errors of the store and ended; its task is awaited by nobody.

Change: documents of other writers are decoded in platform/documents.py, with bounded nesting and numbers, strict types and errors without values. Addresses must be an IP number and a port from 1 to 65,535; those out of range were listed, called all the time and waited for. An entry that raises anything is skipped with a log line, and a reader that ends by any error is started again with one.

It works because nothing recurses into a value of unknown depth any more, and because the loop no longer names the errors that it survives.

--- a/src/camphorlink/internal/shell/process/background.py
+++ b/src/camphorlink/internal/shell/process/background.py
@@ -1,7 +1,12 @@
-"""Runs a coroutine as a task while a context is open, and periodic actions."""
+"""Runs coroutines as tasks whose unexpected errors are logged.
+
+One error that nobody foresaw would otherwise end a loop that the process needs,
+without a log line, while the rest of the process goes on.
+"""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from camphorlink.internal.shell.process.logs import PartLog
 
@@ -30,9 +35,6 @@
 ) -> None:
     """Runs an action periodically, whatever errors it raises.
 
-    Without this, one unexpected error would end a loop that the process needs,
-    such as its heartbeats, while the rest of the process goes on.
-
     Args:
         action: The action.
         period_s: Returns the pause until the next run, in seconds.
@@ -44,3 +46,35 @@
         except Exception:
             log.exception('periodic action failed; it is run again')
         await asyncio.sleep(period_s())
+
+
+async def keep_running(
+    run: Callable[[], Awaitable[None]], delay_s: float, log: PartLog
+) -> None:
+    """Runs a coroutine function again when it ends, whatever errors it raises.
+
+    Args:
+        run: Coroutine function that returns only after an error.
+        delay_s: Pause until it is run again, in seconds.
+        log: Log of unexpected errors.
+    """
+    while True:
+        try:
+            await run()
+        except Exception:
+            log.exception('background task failed; it is started again')
+        await asyncio.sleep(delay_s)
+
+
+def start_logged(
+    coroutine: Coroutine[Any, Any, Any], log: PartLog
+) -> asyncio.Task[Any]:
+    """Starts a task that nobody awaits; an unexpected error of it is logged."""
+
+    def log_error(ended: asyncio.Task[Any]) -> None:  # noqa: WPS430
+        if not ended.cancelled() and ended.exception() is not None:
+            log.error('background task failed', exc_info=ended.exception())
+
+    task = asyncio.get_running_loop().create_task(coroutine)
+    task.add_done_callback(log_error)
+    return task
--- a/src/camphorlink/internal/shell/process/logs.py
+++ b/src/camphorlink/internal/shell/process/logs.py
@@ -8,6 +8,8 @@
 from pythonjsonlogger.json import JsonFormatter
 
 ROOT = 'camphorlink'
+#: Longest description of an error in a log line, in characters.
+MAX_ERROR_LENGTH = 300
 
 
 class PartLog(logging.LoggerAdapter[logging.Logger]):
@@ -38,6 +40,18 @@
         return f'{self._prefix} {msg}', kwargs
 
 
+def describe_error(exc: BaseException) -> str:
+    """Describes an error, whatever values it holds.
+
+    ``repr`` raises an error of its own for values that are nested too deeply.
+    """
+    try:
+        text = str(exc)
+    except Exception:
+        text = 'no description'
+    return f'{type(exc).__name__}: {text[:MAX_ERROR_LENGTH]}'
+
+
 def start_logs(level: str = 'INFO', vm: str = '') -> None:
     """Sends all logs of the package to standard error as JSON lines.
 
--- a/src/camphorlink/internal/shell/process/published_state.py
+++ b/src/camphorlink/internal/shell/process/published_state.py
@@ -12,6 +12,7 @@
     JobConfig,
     LogPort,
 )
+from camphorlink.internal.shell.process.background import keep_running
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.published_drains import (
     PublishedDrains,
@@ -88,8 +89,10 @@
         """Starts to follow the configuration and the list of back ends."""
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._follow_config()),
-            loop.create_task(self._follow_backends()),
+            loop.create_task(
+                keep_running(follow, RETRY_DELAY_S, self._part_log)
+            )
+            for follow in (self._follow_config, self._follow_backends)
         ]
         return self
 
--- a/src/camphorlink/platform/directory.py
+++ b/src/camphorlink/platform/directory.py
@@ -9,8 +9,6 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
-import orjson
-
 from camphorlink.internal.core.connection.backend_commands import ListedBackend
 from camphorlink.internal.core.request.durable_job import Resources
 from camphorlink.internal.core.request.queue_checks import (
@@ -24,7 +22,15 @@
 )
 from camphorlink.internal.core.version.zone_drains import DrainRecord
 from camphorlink.internal.shell.ports import JobConfig, KeyedRecord, Queue
-from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.logs import PartLog, describe_error
+from camphorlink.platform.documents import (
+    check_address,
+    check_text,
+    check_whole,
+    decode_document,
+    read_text,
+    read_whole,
+)
 from camphorlink.platform.store_client import decode_keyed
 
 CONFIG_KEY = 'config'
@@ -74,8 +80,8 @@
             if entry is None or entry.key != CONFIG_KEY or not entry.content:
                 continue
             try:
-                config = _read_config(orjson.loads(entry.content))
-            except (LookupError, TypeError, ValueError) as exc:
+                config = _read_config(decode_document(entry.content))
+            except Exception as exc:
                 self._reject_config(entry.content, exc)
         return config
 
@@ -125,10 +131,10 @@
                 continue
             try:
                 backend_by_id[entry.key] = self._read_report(entry)
-            except (LookupError, TypeError, ValueError) as exc:
+            except Exception as exc:
+                # Entries of other writers may hold anything; none of them
+                # removes the runner, or keeps the others from being read.
                 self._count_skipped('runner', exc)
-                # An invalid entry of another writer does not remove the
-                # runner.
                 backend_by_id.pop(entry.key)
         return backend_by_id
 
@@ -141,14 +147,14 @@
         known = self._report_by_id.get(entry.key)
         if known is not None and known.content == content:
             return known.backend
-        backend = _read_backend(entry.key, orjson.loads(entry.content))
+        backend = _read_backend(entry.key, decode_document(entry.content))
         self._report_by_id[entry.key] = _Report(content, backend)
         return backend
 
     def _count_skipped(self, entry_kind: str, exc: Exception) -> None:
         self.counts[entry_kind] += 1
         self._log.warning(
-            f'{entry_kind} entry skipped', extra={'error': repr(exc)}
+            f'{entry_kind} entry skipped', extra={'error': describe_error(exc)}
         )
 
 
@@ -156,8 +162,8 @@
     if not content:
         return DrainRecord.CANCELLED
     try:
-        document = orjson.loads(content)
-    except orjson.JSONDecodeError:
+        document = decode_document(content)
+    except ValueError:
         return DrainRecord.UNREADABLE
     if isinstance(document, dict):
         return DrainRecord.REQUESTED
@@ -170,19 +176,19 @@
         QueueShare(queue.name, queue.service, queue.share) for queue in queues
     )
     return JobConfig(
-        version=_read_field(document, 'version', int),
+        version=read_whole(document, 'version'),
         queues=queues,
-        max_body_bytes=_read_field(document['limits'], 'max_body_bytes', int),
+        max_body_bytes=read_whole(document['limits'], 'max_body_bytes'),
     )
 
 
 def _read_queue(route: dict[str, Any]) -> Queue:
-    name = _read_field(route, 'name', str)
+    name = read_text(route, 'name')
     return Queue(
         name=name,
-        host=_read_field(route, 'host', str),
-        prefix=_read_field(route, 'path_prefix', str),
-        service=_read_field(route, 'service', str),
+        host=read_text(route, 'host'),
+        prefix=read_text(route, 'path_prefix'),
+        service=read_text(route, 'service'),
         priority=check_priority(name, route.get('priority', 0)),
         max_attempts=int(route.get('max_attempts', 1)),
         slack_factor=float(route.get('slack_factor', 1)),
@@ -193,34 +199,27 @@
 
 
 def _read_backend(backend_id: str, document: dict[str, Any]) -> ListedBackend:
-    state = document['state']
+    state = read_text(document, 'state')
     if state not in _STATES:
-        raise ValueError(f'unknown state {state!r}')
+        raise ValueError('unknown state')
     capacity = document['capacity']
     labels = document['labels']
     if not isinstance(labels, list):
         raise TypeError('labels must be a list')
     return ListedBackend(
         backend_id=backend_id,
-        started_ms=_read_field(document, 'born', int),
-        service=_read_field(document, 'service', str),
-        address=_read_field(document, 'address', str),
-        zone=_read_field(document, 'zone', str),
+        started_ms=read_whole(document, 'born'),
+        service=read_text(document, 'service'),
+        address=check_address(read_text(document, 'address')),
+        zone=read_text(document, 'zone'),
         capacity=Resources(
-            _read_field(capacity, 'cpu', int),
-            _read_field(capacity, 'mem_mb', int),
-            _read_field(capacity, 'gpu', int),
+            read_whole(capacity, 'cpu'),
+            read_whole(capacity, 'mem_mb'),
+            read_whole(capacity, 'gpu'),
         ),
-        labels=tuple(str(label) for label in labels),
+        labels=tuple(check_text(label, 'label') for label in labels),
         is_draining=state == 'draining',
-        remaining_ms=int(document.get('remaining_ms', 0)),
+        remaining_ms=check_whole(
+            document.get('remaining_ms', 0), 'remaining_ms'
+        ),
     )
-
-
-def _read_field(document: Any, name: str, expected_type: type) -> Any:
-    field_value = document[name]
-    if not isinstance(field_value, expected_type) or isinstance(
-        field_value, bool
-    ):
-        raise TypeError(f'{name} has a wrong type: {field_value!r}')
-    return field_value
