Keep readers of the store, of peers and of back ends after any error

Change: records, chunks and entries that raise anything are skipped with a log line; readers and writers are started again; calls to back ends that fail unexpectedly count as unanswered; the next renewal follows a list that could not be processed; errors of tasks that nobody awaits are logged. The loops of the older engine get the same.

It works because no error ends a loop any more, and because what raised is passed over instead of read again.

--- a/src/camphorlink/internal/core/connection/node_message_codec.py
+++ b/src/camphorlink/internal/core/connection/node_message_codec.py
@@ -28,6 +28,7 @@
 )
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.job_codec import decode_job, encode_job
+from camphorlink.internal.core.request.job_record_codec import DECODE_ERRORS
 
 
 @singledispatch
@@ -155,5 +156,5 @@
             None if echo_s is None else _decode_time(echo_s),
         )
         return _DECODE_BY_KIND[kind](*fields), stamp
-    except (LookupError, TypeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         raise PeerMessageError(f'cannot decode the message: {exc!r}') from exc
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -317,6 +317,10 @@
         if runs is None or command.backend.started_ms != runs.listed.started_ms:
             return
         is_regular_renewal = runs.renewal_number == command.number
+        if is_regular_renewal:
+            # Even if the answer can't be processed, the next call follows.
+            runs.renewal_number = 0
+            runs.renewal_due_s = now + RENEWAL_PAUSE_S
         if answer.verdict is RenewalVerdict.LISTED:
             self._handle_list(runs, answer, sent_s, now)
         else:
@@ -324,18 +328,12 @@
             self._handle_missing_list(runs, answer.verdict, now)
             is_reset = answer.verdict is RenewalVerdict.RESET
             runs.record_no_answer(sent_s, renews, now if is_reset else None)
-        if is_regular_renewal:
-            runs.renewal_number = 0
-            must_pause = (
-                runs.has_unstored_completions or runs.silent_since_s is not None
-            )
+        must_pause = (
+            runs.has_unstored_completions or runs.silent_since_s is not None
+        )
+        if is_regular_renewal and not must_pause:
             runs.renewal_due_s = now
-            if must_pause:
-                runs.renewal_due_s += RENEWAL_PAUSE_S
-            else:
-                self.registry.renew_leases(
-                    runs, now, self._lease_monitor.may_renew
-                )
+            self.registry.renew_leases(runs, now, self._lease_monitor.may_renew)
 
     def _handle_missing_list(
         self,
--- a/src/camphorlink/internal/core/process/job_snapshot.py
+++ b/src/camphorlink/internal/core/process/job_snapshot.py
@@ -5,7 +5,7 @@
 so that a reader detects chunks of different snapshots.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
@@ -66,40 +66,72 @@
     ]
 
 
+def _raise_unreadable(writer: str, exc: JobRecordError) -> None:
+    raise exc
+
+
 def read_snapshot(
     encoded_chunks: Iterable[tuple[str, bytes]],
+    on_unreadable: Callable[[str, JobRecordError], None] = _raise_unreadable,
 ) -> JobTable | None:
     """Decodes a table from the newest complete snapshot.
 
+    What can't be decoded is passed over, so that an odd chunk of another writer
+    does not hide the snapshot.
+
     Args:
         encoded_chunks: Writer and content of each chunk, in any order.
+        on_unreadable: Called with the writer of a chunk or of a snapshot that
+            can't be decoded, and with the error; by default it is raised.
 
     Returns:
         The table, or ``None`` if there is no chunk.
 
     Raises:
-        JobRecordError: If there are chunks, but no complete snapshot, or a
-            chunk can't be decoded.
+        JobRecordError: If there are chunks, but no complete snapshot that can
+            be decoded.
     """
     parts_by_snapshot: dict[tuple[int, str], list[Chunk]] = {}
+    is_empty = True
+    for writer, content in encoded_chunks:
+        is_empty = False
+        try:
+            chunk = _decode_chunk(content)
+        except JobRecordError as exc:
+            on_unreadable(writer, exc)
+            continue
+        parts_by_snapshot.setdefault((chunk.offset, writer), []).append(chunk)
+    for key in sorted(parts_by_snapshot, reverse=True):
+        parts = sorted(parts_by_snapshot[key])
+        if len(parts) == parts[0].total:
+            try:
+                return _decode_table(parts)
+            except JobRecordError as exc:
+                on_unreadable(key[1], exc)
+    if is_empty:
+        return None
+    raise JobRecordError('no complete job snapshot: chunks are missing')
+
+
+def _decode_chunk(content: bytes) -> Chunk:
+    try:
+        chunk = Chunk(*cbor2.loads(content))
+    except DECODE_ERRORS as exc:
+        raise JobRecordError(f'cannot decode a chunk: {exc!r}') from exc
+    if tuple(map(type, chunk)) != (int, int, int, bytes):
+        raise JobRecordError('a field of a chunk has a wrong type')
+    return chunk
+
+
+def _decode_table(parts: list[Chunk]) -> JobTable:
+    body = b''.join(chunk.body for chunk in parts)
     try:
-        for writer, content in encoded_chunks:
-            chunk = Chunk(*cbor2.loads(content))
-            key = (chunk.offset, writer)
-            parts_by_snapshot.setdefault(key, []).append(chunk)
-        for key in sorted(parts_by_snapshot, reverse=True):
-            parts = sorted(parts_by_snapshot[key])
-            if len(parts) == parts[0].total:
-                body = b''.join(chunk.body for chunk in parts)
-                rows = cbor2.loads(body)
-                table = _build_table(parts[0].offset, *rows[:TABLE_ROWS])
-                table.inherited_by_cell = _read_inherited(*rows[TABLE_ROWS:])
-                return table
+        rows = cbor2.loads(body)
+        table = _build_table(parts[0].offset, *rows[:TABLE_ROWS])
+        table.inherited_by_cell = _read_inherited(*rows[TABLE_ROWS:])
     except DECODE_ERRORS as exc:
         raise JobRecordError(f'cannot decode job snapshot: {exc!r}') from exc
-    if parts_by_snapshot:
-        raise JobRecordError('no complete job snapshot: chunks are missing')
-    return None
+    return table
 
 
 def _table_to_rows(table: JobTable) -> list[Any]:
--- a/src/camphorlink/internal/core/request/job_record_codec.py
+++ b/src/camphorlink/internal/core/request/job_record_codec.py
@@ -28,7 +28,15 @@
 from camphorlink.store_errors import JobRecordError
 
 #: Exceptions that decoding malformed bytes may raise.
-DECODE_ERRORS = (cbor2.CBORError, LookupError, TypeError, ValueError)
+DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    cbor2.CBORError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 @singledispatch
--- a/src/camphorlink/internal/shell/connection/mesh.py
+++ b/src/camphorlink/internal/shell/connection/mesh.py
@@ -94,7 +94,7 @@
     """
     try:
         return decode_stamped(cbor2.loads(frame))
-    except (cbor2.CBORError, TypeError) as exc:
+    except (cbor2.CBORError, RecursionError, TypeError) as exc:
         raise PeerMessageError(f'cannot decode the frame: {exc!r}') from exc
 
 
@@ -293,6 +293,9 @@
                 self._listener.handle_refused_connection(self._address)
             except (OSError, WebSocketException, TimeoutError) as exc:
                 self._record_failure(exc)
+            except Exception as exc:
+                self._log.exception('channel failed unexpectedly')
+                self._record_failure(exc)
             is_recent = self._loop.time() - self._lost_s < FAST_RETRY_S
             await asyncio.sleep(
                 FIRST_RETRY_DELAY_S if is_recent else RETRY_DELAY_S
--- a/src/camphorlink/internal/shell/process/audit.py
+++ b/src/camphorlink/internal/shell/process/audit.py
@@ -11,6 +11,7 @@
 from camphorlink.internal.core.process.audit_buffer import AuditBuffer
 from camphorlink.internal.core.request.job import Outcome
 from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.process.background import keep_running
 from camphorlink.internal.shell.process.logs import PartLog
 
 AUDIT_STREAM = 'audit'
@@ -45,7 +46,9 @@
     async def __aenter__(self) -> 'Audit':
         """Starts the background writer."""
         loop = asyncio.get_running_loop()
-        self._task = loop.create_task(self._write())
+        self._task = loop.create_task(
+            keep_running(self._write, FLUSH_PERIOD_S, self._log)
+        )
         return self
 
     async def __aexit__(
--- a/src/camphorlink/internal/shell/process/backend_calls.py
+++ b/src/camphorlink/internal/shell/process/backend_calls.py
@@ -1,19 +1,27 @@
 """Sends a cell's commands to back ends and returns the answers to the cell."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from functools import singledispatchmethod
-from typing import Any
+from typing import Any, TypeVar
 
 from camphorlink.internal.core.connection.backend_commands import (
+    RenewalAnswer,
+    RenewalVerdict,
     RenewLeases,
+    StartAnswer,
     StartRun,
+    StartVerdict,
     StopRun,
 )
 from camphorlink.internal.core.process.commander import Commander
 from camphorlink.internal.shell.ports import BackendPort
+from camphorlink.internal.shell.process.background import start_logged
+from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.steady_clock import now_s
 
+_Answer = TypeVar('_Answer')
+
 
 class BackendCalls:
     """Runs calls to back ends concurrently.
@@ -39,6 +47,7 @@
         self._commander = commander
         self._on_answered = on_answered
         self._calls: set[asyncio.Task[Any]] = set()
+        self._log = PartLog('backend-calls')
         # Cached: each access to a single-dispatch method builds a function.
         self._dispatch = self._execute
 
@@ -48,7 +57,7 @@
 
     def run(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         """Runs a coroutine until it returns or ``close`` cancels it."""
-        call = asyncio.get_running_loop().create_task(coroutine)
+        call = start_logged(coroutine, self._log)
         self._calls.add(call)
         call.add_done_callback(self._calls.discard)
 
@@ -60,6 +69,19 @@
         for call in self._calls:
             call.cancel()
 
+    async def _answer_of(
+        self, call: Awaitable[_Answer], unanswered: _Answer
+    ) -> _Answer:
+        """Returns the answer of a call, also if it fails unexpectedly.
+
+        The commander would otherwise wait for the answer for good.
+        """
+        try:
+            return await call
+        except Exception:
+            self._log.exception('call to a back end failed unexpectedly')
+            return unanswered
+
     @singledispatchmethod
     async def _execute(self, command: Any) -> None:
         raise TypeError(command)
@@ -67,14 +89,19 @@
     @_execute.register
     async def _execute_start(self, command: StartRun) -> None:
         sent_s = now_s()
-        answer = await self._backends.start(command)
+        answer = await self._answer_of(
+            self._backends.start(command),
+            StartAnswer(StartVerdict.UNANSWERED),
+        )
         self._commander.handle_start_answer(command, answer, sent_s, now_s())
         self._on_answered()
 
     @_execute.register
     async def _execute_stop(self, command: StopRun) -> None:
         sent_s = now_s()
-        is_answered = await self._backends.stop(command)
+        is_answered = await self._answer_of(
+            self._backends.stop(command), unanswered=False
+        )
         self._commander.handle_stop_answer(
             command, is_answered, sent_s, now_s()
         )
@@ -82,6 +109,9 @@
 
     @_execute.register
     async def _execute_lease_renewal(self, command: RenewLeases) -> None:
-        answer = await self._backends.renew_leases(command)
+        answer = await self._answer_of(
+            self._backends.renew_leases(command),
+            RenewalAnswer(RenewalVerdict.UNANSWERED),
+        )
         self._commander.handle_renewal_answer(command, answer, now_s())
         self._on_answered()
--- a/src/camphorlink/internal/shell/process/cell_manager.py
+++ b/src/camphorlink/internal/shell/process/cell_manager.py
@@ -17,6 +17,7 @@
 from camphorlink.internal.core.process.transient_job_table import TaskReport
 from camphorlink.internal.core.request.job_records import CellClaimed
 from camphorlink.internal.shell.ports import BackendPort
+from camphorlink.internal.shell.process.background import start_logged
 from camphorlink.internal.shell.process.cell_host import CellCallbacks, CellHost
 from camphorlink.internal.shell.process.job_log import SNAPSHOT_PERIOD_S, JobLog
 from camphorlink.internal.shell.process.logs import PartLog
@@ -176,8 +177,8 @@
         writer = min(self.host_by_cell)
         job_log = self._shared.job_log
         if writer == min(job_log.table.owner_by_cell):
-            self._snapshot_task = asyncio.get_running_loop().create_task(
-                job_log.write_snapshot(writer),
+            self._snapshot_task = start_logged(
+                job_log.write_snapshot(writer), self._log
             )
 
     def _claim(self, cell: str, replaced_term: int) -> None:
--- a/src/camphorlink/internal/shell/process/job_appender.py
+++ b/src/camphorlink/internal/shell/process/job_appender.py
@@ -13,12 +13,14 @@
 from typing import NamedTuple, Self
 
 from camphorlink.internal.shell.ports import AppendId, LogPort
+from camphorlink.internal.shell.process.background import keep_running
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.steady_clock import now_s
 from camphorlink.store_errors import (
     JobNotStoredError,
     StoreError,
     StoreRefusedError,
+    StoreUnansweredError,
 )
 
 #: Size at which a batch is closed, in bytes: a quarter of the store's limit.
@@ -90,7 +92,9 @@
     async def __aenter__(self) -> Self:
         """Starts the task that appends queued records."""
         loop = asyncio.get_running_loop()
-        self._task = loop.create_task(self._write_forever())
+        self._task = loop.create_task(
+            keep_running(self._write_forever, MIN_RETRY_DELAY_S, self._part_log)
+        )
         return self
 
     async def __aexit__(
@@ -177,17 +181,27 @@
         self._sequence -= 1
 
     async def _send(self, batch: list[_PendingRecord]) -> int:
-        return await self._log.append(
-            self._topic,
-            [pending.body for pending in batch],
-            APPEND_TIMEOUT_S,
-            AppendId(self._producer, ONLY_EPOCH, self._sequence),
-        )
+        try:
+            return await self._log.append(
+                self._topic,
+                [pending.body for pending in batch],
+                APPEND_TIMEOUT_S,
+                AppendId(self._producer, ONLY_EPOCH, self._sequence),
+            )
+        except StoreError:
+            raise
+        except Exception as exc:
+            # The store may have the records; they are sent again.
+            self._part_log.exception('append failed unexpectedly')
+            raise StoreUnansweredError('append failed unexpectedly') from exc
 
     def _complete_batch(self, batch: list[_PendingRecord], offset: int) -> None:
         self._stalled_since_s = None
         self.counts['done'] += 1
-        self._on_appended(offset, [pending.body for pending in batch])
+        try:
+            self._on_appended(offset, [pending.body for pending in batch])
+        except Exception:
+            self._part_log.exception('stored records could not be applied')
         for index, pending in enumerate(batch):
             if not pending.done.done():
                 pending.done.set_result(offset + index)
--- a/src/camphorlink/internal/shell/process/job_log.py
+++ b/src/camphorlink/internal/shell/process/job_log.py
@@ -22,8 +22,12 @@
 )
 from camphorlink.internal.core.request.job_records import Record, SnapshotTaken
 from camphorlink.internal.shell.ports import LogPage, LogPort
+from camphorlink.internal.shell.process.background import (
+    keep_running,
+    start_logged,
+)
 from camphorlink.internal.shell.process.job_appender import JobAppender
-from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.logs import PartLog, describe_error
 from camphorlink.internal.shell.process.stack_owner import StackOwner
 from camphorlink.internal.shell.process.steady_clock import now_s
 from camphorlink.store_errors import (
@@ -119,7 +123,9 @@
     async def __aenter__(self) -> Self:
         """Starts to append and to read, without waiting for the store."""
         await self._stack.enter_async_context(self.appender)
-        poll = asyncio.get_running_loop().create_task(self._poll_forever())
+        poll = asyncio.get_running_loop().create_task(
+            keep_running(self._poll_forever, RETRY_DELAY_S, self._part_log)
+        )
         self._stack.callback(poll.cancel)
         return self
 
@@ -213,7 +219,11 @@
                 SNAPSHOT_TOPIC, READ_TIMEOUT_S
             )
             table = read_snapshot(
-                (entry.key.rpartition('/')[0], entry.content) for entry in items
+                (
+                    (entry.key.rpartition('/')[0], entry.content)
+                    for entry in items
+                ),
+                self._record_unreadable,
             )
         except (StoreError, JobRecordError) as exc:
             self.counts['failed-recovery'] += 1
@@ -235,6 +245,13 @@
             self._fold_ready()
         return True
 
+    def _record_unreadable(self, writer: str, exc: JobRecordError) -> None:
+        self.counts['unreadable-snapshot'] += 1
+        self._part_log.error(
+            'unreadable part of a snapshot skipped',
+            extra={'writer': writer, 'error': str(exc)},
+        )
+
     # Applying records.
 
     def _fold_ready(self) -> None:
@@ -253,23 +270,33 @@
     def _fold(self, body: bytes) -> None:
         self._recent.append(body)
         try:
-            record = decode_record(body)
-        except JobRecordError as exc:
+            changes = self.table.apply(decode_record(body))
+        except Exception as exc:
+            # Records may be readable and still hold values of other types.
             self.counts['unreadable-record'] += 1
             self._part_log.error(
-                'unreadable record skipped', extra={'error': str(exc)}
+                'unreadable record skipped',
+                extra={
+                    'offset': self.table.next_offset,
+                    'error': describe_error(exc),
+                },
             )
             self.table.skip()
             return
-        for change in self.table.apply(record):
+        for change in changes:
+            self._notify(change)
+
+    def _notify(self, change: Change) -> None:
+        try:
             self._listener.handle_change(change)
+        except Exception:
+            self._part_log.exception('a change of a job could not be handled')
 
     def _fill_gap(self) -> None:
         self._gap_timer = None
         if self._batch_by_offset:
             self.counts['gap-read'] += 1
-            loop = asyncio.get_running_loop()
-            self._gap_read = loop.create_task(self.catch_up())
+            self._gap_read = start_logged(self.catch_up(), self._part_log)
 
     async def _poll_forever(self) -> None:
         while not await self._restore_from_snapshot():
--- a/src/camphorlink/internal/shell/process/member_directory.py
+++ b/src/camphorlink/internal/shell/process/member_directory.py
@@ -1,15 +1,17 @@
 """Registers this VM in the store and follows the list of all entry VMs."""
 
 import asyncio
+import math
 from collections.abc import Callable
-from typing import NamedTuple, Self
+from typing import Any, NamedTuple, Self
 
 import cbor2
 
 from camphorlink.internal.core.process.cell_ownership import ListedMember
 from camphorlink.internal.shell.connection.mesh import Address, Mesh
 from camphorlink.internal.shell.ports import KeyedRecord, LogPort
-from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.background import keep_running
+from camphorlink.internal.shell.process.logs import PartLog, describe_error
 from camphorlink.internal.shell.process.stack_owner import StackOwner
 from camphorlink.store_errors import StoreError
 
@@ -20,6 +22,7 @@
 #: start together, one read covers many registrations.
 CHANGES_PAUSE_S = 0.2
 STORE_TIMEOUT_S = 1.5
+MAX_PORT = 65_535
 STORE_RETRY_DELAY_S = 0.3
 #: Timeout of the withdrawal of a stopping VM, in seconds: its grace period is
 #: short.
@@ -76,7 +79,9 @@
 
     async def __aenter__(self) -> Self:
         """Starts to register and to read the list of members."""
-        follow = asyncio.get_running_loop().create_task(self._follow())
+        follow = asyncio.get_running_loop().create_task(
+            keep_running(self._follow, STORE_RETRY_DELAY_S, self._log)
+        )
         self._stack.callback(follow.cancel)
         return self
 
@@ -139,11 +144,24 @@
         if entry.key == self._vm_name or not entry.content:
             return None
         try:
-            member, ip, port, zone, cores = cbor2.loads(entry.content)
-            listed = ListedMember(str(member), str(zone), float(cores))
-        except (cbor2.CBORError, TypeError, ValueError) as exc:
+            return _read_entry(*cbor2.loads(entry.content))
+        except Exception as exc:
+            # An odd entry must not keep the others from being read.
             self._log.warning(
-                'invalid member entry skipped', extra={'error': repr(exc)}
+                'invalid member entry skipped',
+                extra={'error': describe_error(exc)},
             )
             return None
-        return DirectoryEntry(listed, Address(ip, port))
+
+
+def _read_entry(
+    member: Any, ip: Any, port: Any, zone: Any, cores: Any
+) -> DirectoryEntry:
+    if not all(isinstance(text, str) for text in (member, ip, zone)):
+        raise TypeError('member, address and zone must be strings')
+    if not isinstance(port, int) or not 0 < port <= MAX_PORT:
+        raise ValueError('the port is out of range')
+    size = float(cores)
+    if not math.isfinite(size):
+        raise ValueError('the number of cores is out of range')
+    return DirectoryEntry(ListedMember(member, zone, size), Address(ip, port))
--- a/src/camphorlink/internal/shell/process/member_monitor.py
+++ b/src/camphorlink/internal/shell/process/member_monitor.py
@@ -15,6 +15,7 @@
 from camphorlink.internal.core.process.zone_links import VmKey
 from camphorlink.internal.core.request.identifiers import Home
 from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.process.background import keep_running
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.logs import PartLog
 
@@ -59,7 +60,9 @@
 
     def __enter__(self) -> 'MemberMonitor':
         """Starts polling the platform's list and sending heartbeats."""
-        self._poll_task = self._loop.create_task(self._poll_list())
+        self._poll_task = self._loop.create_task(
+            keep_running(self._poll_list, LIST_POLL_PERIOD_S, self._log)
+        )
         self._apply_effects()
         return self
 
--- a/src/camphorlink/internal/shell/version/config_manager.py
+++ b/src/camphorlink/internal/shell/version/config_manager.py
@@ -24,6 +24,7 @@
 )
 from camphorlink.internal.core.version.snapshots import snapshot_record
 from camphorlink.internal.shell.connection.log_client import LogClient
+from camphorlink.internal.shell.process.background import keep_running
 from camphorlink.internal.shell.process.core_host import CoreHost
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.version.config_tail import (
@@ -87,8 +88,8 @@
         """Starts the loops for snapshots and for the exchange."""
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._write_snapshots()),
-            loop.create_task(self._poll_peers()),
+            loop.create_task(keep_running(run, EXCHANGE_POLL_S, self._log))
+            for run in (self._write_snapshots, self._poll_peers)
         ]
         return self
 
--- a/src/camphorlink/platform/ingress.py
+++ b/src/camphorlink/platform/ingress.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 from typing import Any
 
-import orjson
 from aiohttp import web
 
 from camphorlink.errors import CamphorlinkError, JobError
@@ -24,6 +23,7 @@
     build_job,
 )
 from camphorlink.internal.shell.request.json_responses import json_response
+from camphorlink.platform.documents import decode_document
 
 _DEADLINE_HEADER = 'Camphorlink-Deadline-Ms'
 #: Timeout of requests without a deadline header, in ms.
@@ -131,7 +131,7 @@
         wait_s: float,
     ) -> web.Response:
         try:
-            document = orjson.loads(await request.read())
+            document = decode_document(await request.read())
             job = read_job(document, queue, job_id)
         except UnsupportedJobError as exc:
             return self._refuse(
--- a/src/camphorlink/platform/runner_client.py
+++ b/src/camphorlink/platform/runner_client.py
@@ -21,7 +21,12 @@
 )
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.shell.connection.http_owner import HttpOwner
-from camphorlink.internal.shell.process.logs import PartLog
+from camphorlink.internal.shell.process.logs import PartLog, describe_error
+from camphorlink.platform.documents import (
+    check_text,
+    check_whole,
+    read_whole,
+)
 
 #: Timeout of a start or stop command, in seconds: answers take a few ms.
 COMMAND_TIMEOUT_S = 0.25
@@ -44,7 +49,7 @@
 )
 #: Errors of calls whose request was never sent.
 _CONNECT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-_VERDICT_BY_STATUS = {
+_VERDICT_BY_STATUS: dict[int, StartVerdict] = {
     HTTPStatus.OK: StartVerdict.STARTED,
     HTTPStatus.TOO_MANY_REQUESTS: StartVerdict.UNHEALTHY,
     HTTPStatus.SERVICE_UNAVAILABLE: StartVerdict.UNHEALTHY,
@@ -90,17 +95,14 @@
         status, document = answer
         clock_ms = document.get('clock_ms')
         if status == HTTPStatus.CONFLICT:
-            verdict = _VERDICT_BY_REASON.get(
-                document.get('reason', ''),
-                StartVerdict.INVALID,
-            )
+            reason = document.get('reason')
+            verdict = StartVerdict.INVALID
+            if isinstance(reason, str):
+                verdict = _VERDICT_BY_REASON.get(reason, verdict)
         else:
             # Other statuses leave open whether the run was started.
-            verdict = _VERDICT_BY_STATUS.get(
-                HTTPStatus(status),
-                StartVerdict.UNANSWERED,
-            )
-        return StartAnswer(verdict, _int_or_none(clock_ms))
+            verdict = _VERDICT_BY_STATUS.get(status, StartVerdict.UNANSWERED)
+        return StartAnswer(verdict, _whole_or_none(clock_ms))
 
     async def stop(self, command: StopRun) -> bool:
         """Commands a runner to stop a run; returns whether it confirmed."""
@@ -148,7 +150,8 @@
             return _decode_runs(document)
         except (LookupError, TypeError, ValueError) as exc:
             self._log.error(
-                'list of runs is malformed', extra={'error': repr(exc)}
+                'list of runs is malformed',
+                extra={'error': describe_error(exc)},
             )
             return RenewalAnswer(RenewalVerdict.UNANSWERED)
 
@@ -204,25 +207,25 @@
 def _decode_runs(document: dict[str, Any]) -> RenewalAnswer:
     return RenewalAnswer(
         verdict=RenewalVerdict.LISTED,
-        clock_ms=int(document['clock_ms']),
-        started_ms=int(document.get('born', 0)),
+        clock_ms=read_whole(document, 'clock_ms'),
+        started_ms=check_whole(document.get('born', 0), 'born'),
         # The fifth element, an approximate load, is not used.
         active=tuple(
             ActiveRun(
                 _task_key(entry[0]),
-                int(entry[1]),
-                str(entry[2]),
-                int(entry[3]),
+                check_whole(entry[1], 'run'),
+                check_text(entry[2], 'checkpoint'),
+                check_whole(entry[3], 'percent'),
             )
             for entry in document['active']
         ),
         finished=tuple(
             FinishedRun(
-                int(number),
+                check_whole(number, 'number'),
                 _task_key(task),
-                int(run),
-                RunResult(result),
-                str(checkpoint),
+                check_whole(run, 'run'),
+                RunResult(check_text(result, 'result')),
+                check_text(checkpoint, 'checkpoint'),
             )
             for number, task, run, result, checkpoint in document['finished']
         ),
@@ -233,10 +236,13 @@
     return f'{task.job_id}.{SINGLE_OCCURRENCE}.{task.step}.{task.number}'
 
 
-def _task_key(name: str) -> TaskKey:
-    job_id, _, step, index = name.split('.')
+def _task_key(name: Any) -> TaskKey:
+    job_id, _, step, index = check_text(name, 'task').split('.')
     return TaskKey(job_id, int(step), int(index))
 
 
-def _int_or_none(field_value: Any) -> int | None:
-    return field_value if isinstance(field_value, int) else None
+def _whole_or_none(field_value: Any) -> int | None:
+    try:
+        return check_whole(field_value, 'clock_ms')
+    except (TypeError, ValueError):
+        return None
--- a/src/camphorlink/platform/store_client.py
+++ b/src/camphorlink/platform/store_client.py
@@ -7,7 +7,6 @@
 from typing import Any, NamedTuple
 
 import aiohttp
-import orjson
 
 from camphorlink.internal.shell.connection.http_owner import HttpOwner
 from camphorlink.internal.shell.ports import (
@@ -15,6 +14,11 @@
     KeyedRecord,
     LogPage,
 )
+from camphorlink.platform.documents import (
+    decode_document,
+    read_text,
+    read_whole,
+)
 from camphorlink.store_errors import (
     StoreError,
     StoreRefusedError,
@@ -32,6 +36,8 @@
 _REFUSALS = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
 )
+#: Errors of reading a field of an answer that has another form.
+_FIELD_ERRORS = (AttributeError, LookupError, TypeError, ValueError)
 _CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 
@@ -62,7 +68,7 @@
         )
         status, answer = await self._post('log-append', query, body, timeout_s)
         if status == HTTPStatus.OK:
-            return int(_read_int_field(answer, 'offset'))
+            return _read_whole_field(answer, 'offset')
         raise StoreUnansweredError(
             f'append answered {status}: {answer[:200]!r}'
         )
@@ -80,7 +86,7 @@
             query['wait_ms'] = str(int(wait_s * 1000))
         status, body = await self._get('log-read', query, timeout_s)
         if status == HTTPStatus.GONE:
-            raise StoreTrimmedError(int(_read_int_field(body, 'first_offset')))
+            raise StoreTrimmedError(_read_whole_field(body, 'first_offset'))
         if status != HTTPStatus.OK:
             raise StoreError(f'read answered {status}: {body[:200]!r}')
         return _read_page(body)
@@ -179,13 +185,16 @@
     try:
         return _NewestPage(
             [
-                KeyedRecord(entry['key'], base64.b64decode(entry['value']))
+                KeyedRecord(
+                    read_text(entry, 'key'),
+                    base64.b64decode(read_text(entry, 'value')),
+                )
                 for entry in page['items']
             ],
-            int(page['end_offset']),
+            read_whole(page, 'end_offset'),
             bool(page.get('has_more')),
         )
-    except (LookupError, TypeError, ValueError) as exc:
+    except _FIELD_ERRORS as exc:
         raise StoreError(
             f'newest answered with invalid items: {exc!r}'
         ) from exc
@@ -209,18 +218,16 @@
 
 def _decode_json(body: bytes) -> Any:
     try:
-        return orjson.loads(body)
-    except orjson.JSONDecodeError as exc:
+        return decode_document(body)
+    except ValueError as exc:
         raise StoreUnansweredError(f'answer is not valid JSON: {exc}') from exc
 
 
-def _read_int_field(body: bytes, name: str) -> Any:
+def _read_whole_field(body: bytes, name: str) -> int:
     document = _decode_json(body)
-    if not isinstance(document, dict) or not isinstance(
-        document.get(name),
-        int,
-    ):
+    try:
+        return read_whole(document, name)
+    except _FIELD_ERRORS as exc:
         raise StoreUnansweredError(
-            f'answer has no integer {name}: {body[:200]!r}'
-        )
-    return document[name]
+            f'answer has no offset {name}: {body[:200]!r}'
+        ) from exc
--- a/tests/cover/test_job_appender.py
+++ b/tests/cover/test_job_appender.py
@@ -122,3 +122,39 @@
         assert appender.counts['unanswered'] > 1
 
     run(store, scenario)
+
+
+def test_unforeseen_error_ends_all_appends(caplog):
+    store = ScriptedStore()
+    append = store.append
+    failures = [ValueError('unforeseen'), RecursionError('unforeseen')]
+
+    async def fail_twice(*arguments):
+        if failures:
+            raise failures.pop()
+        return await append(*arguments)
+
+    async def scenario(appender):
+        store.append = fail_twice
+        assert await appender.append(b'a', is_durable=False) == 0
+        assert await appender.append(b'b', is_durable=True) == 1
+
+    run(store, scenario)
+    assert store.records == [b'a', b'b']
+    assert 'append failed unexpectedly' in caplog.text
+
+
+def test_stored_record_that_can_t_be_applied_ends_all_appends(caplog):
+    def fail(offset, records):
+        raise LookupError('unforeseen')
+
+    async def body():
+        async with JobAppender(
+            ScriptedStore(), 'topic', 'me', fail
+        ) as appender:
+            for offset in range(2):
+                stored = appender.append(b'a', is_durable=True)
+                assert await asyncio.wait_for(stored, 5) == offset
+
+    asyncio.run(body())
+    assert 'unforeseen' in caplog.text
--- a/tests/cover/test_job_log.py
+++ b/tests/cover/test_job_log.py
@@ -2,6 +2,13 @@
 
 import asyncio
 
+import cbor2
+
+from camphorlink.internal.core.process.job_snapshot import (
+    encode_snapshot,
+    read_snapshot,
+)
+from camphorlink.internal.core.process.job_table import JobTable
 from camphorlink.internal.core.request.job_record_codec import encode_record
 from camphorlink.internal.core.request.job_records import CellClaimed
 from camphorlink.internal.shell.ports import LogPage
@@ -119,3 +126,84 @@
         assert log.recent_records(9) == ()
 
     follow(scenario)
+
+
+NESTED = b'\x81' * 390 + b'\x00'
+#: Records of other writers: no CBOR, unknown kinds, fields of other types.
+ODD_RECORDS = (
+    b'',
+    b'\xff',
+    NESTED,
+    cbor2.dumps(5),
+    cbor2.dumps(['unknown', 1]),
+    cbor2.dumps([['cancelled'], 'a']),
+    cbor2.dumps(['cancelled', ['a']]),
+    cbor2.dumps(['claimed', ['z'], 0, 'm']),
+    cbor2.dumps(['accepted', 5, 5]),
+    cbor2.dumps(['accepted', [['a'], {}, None], [5]]),
+    cbor2.dumps(['ended', 'z', 0, [['a', 0, 0, 1, True]] * 2]),
+    cbor2.dumps(['commanded', 'z', 0, [['i', 10**400]], [5]]),
+    cbor2.dumps(['crashed', 'i', 1, [['a', 0]], 'observed']),
+    cbor2.dumps(['survived', ['i'], 1]),
+    cbor2.dumps(['snapshot', 'odd']),
+)
+
+
+def test_odd_record_ends_the_reader_of_the_log():
+    async def scenario(store, log):
+        for number, odd in enumerate(ODD_RECORDS):
+            store.records += [odd, claim(number)]
+            await wait_until(
+                lambda: log.table.next_offset == len(store.records)
+            )
+            assert log.table.owner_of('z').term == number + 1
+        assert log.counts['unreadable-record'] >= len(ODD_RECORDS) - 2
+
+    follow(scenario)
+
+
+def test_change_that_can_t_be_handled_ends_the_reader_of_the_log(caplog):
+    async def scenario(store, log):
+        def fail(change):
+            raise LookupError('unforeseen')
+
+        log._listener.handle_change = fail
+        store.records.append(claim(0))
+        await wait_until(lambda: log.table.next_offset == 1)
+        store.records.append(claim(1))
+        await wait_until(lambda: log.table.next_offset == 2)
+
+    follow(scenario)
+    assert 'unforeseen' in caplog.text
+
+
+def test_unforeseen_error_of_a_read_ends_the_reader_of_the_log(caplog):
+    async def scenario(store, log):
+        read = store.read
+        failures = [RecursionError('unforeseen')]
+
+        async def fail_once(*arguments):
+            if failures:
+                raise failures.pop()
+            return await read(*arguments)
+
+        store.read = fail_once
+        await wait_until(lambda: not failures)
+        store.records.append(claim(0))
+        await wait_until(lambda: log.table.next_offset == 1)
+
+    follow(scenario)
+    assert 'unforeseen' in caplog.text
+
+
+def test_odd_chunk_hides_the_newest_snapshot():
+    table = JobTable()
+    table.apply(CellClaimed('z', 0, 'm#1'))
+    odd = [NESTED, b'\xff', cbor2.dumps([1, 2]), cbor2.dumps([None] * 4)]
+    odd += [cbor2.dumps([99, 0, 1, b'\xff']), cbor2.dumps([[], 0, 1, b''])]
+    unreadable = []
+    chunks = [('odd', chunk) for chunk in odd]
+    chunks += [('m', chunk) for chunk in encode_snapshot(table, 1 << 20)]
+    restored = read_snapshot(chunks, lambda *args: unreadable.append(args))
+    assert restored.owner_of('z').member == 'm#1'
+    assert len(unreadable) == len(odd)
--- a/tests/cover/test_mesh.py
+++ b/tests/cover/test_mesh.py
@@ -156,3 +156,44 @@
             assert not listener.closed
 
     asyncio.run(scenario())
+
+
+ODD_FRAMES = (
+    b'\x81' * 390 + b'\x00',
+    b'\xff',
+    cbor2.dumps([10**400, None, 'beat']),
+    cbor2.dumps([1.0, 10**400, 'beat']),
+    cbor2.dumps([1.0, None, ['beat']]),
+    cbor2.dumps([1.0, None, 'run', 'c', 'z', 5, []]),
+    cbor2.dumps([1.0, None, 'run', 'c', 'z', [['a'], {}], [[0, 0]]]),
+    cbor2.dumps([1.0, None, 'load', *[[]] * 20]),
+)
+
+
+def test_odd_frame_closes_the_channel():
+    async def scenario():
+        async with open_linked_pair() as (opener, _, answerer, listener):
+            await wait_until(lambda: listener.messages)
+            for frame in ODD_FRAMES:
+                assert opener.send_frame(1, frame)
+            address = Address('127.0.0.1', answerer.port)
+            assert opener.send(address, DropTasks('c#1', 'z', 'a'))
+            await wait_until(lambda: len(listener.messages) == 2)
+            assert not listener.closed
+
+    asyncio.run(scenario())
+
+
+def test_peer_at_an_odd_address_hides_the_others():
+    async def scenario():
+        sender, _ = make_mesh('one')
+        receiver, listener = make_mesh('two')
+        async with sender, receiver:
+            odd = [Address('[', 80), Address('127.0.0.1', 99999)]
+            sender.set_peers({*odd, Address('127.0.0.1', receiver.port)})
+            await wait_until(lambda: listener.messages)
+            openers = sender._opener_by_address.values()
+            await asyncio.sleep(0.1)
+            assert not any(opener._task.done() for opener in openers)
+
+    asyncio.run(scenario())
