Acknowledge the end of a failed run that an earlier owner has stored

Cause: the owner was lost between the record of a failed run and its acknowledgement. The next owner stored the listed end again; meanwhile it released the tasks that it held back, and dropped this one as an end of it was being stored. The second record changes nothing, so that the task was not due again.

Change: an end that the job table holds is acknowledged, with no other effect.

It works because a task is now kept out of the queue only while a record is on its way that the table does not have yet, and such a record makes the task due or ends its job.

--- a/src/camphorlink/internal/core/process/completion_handler.py
+++ b/src/camphorlink/internal/core/process/completion_handler.py
@@ -135,7 +135,8 @@
                 self._unclaimed_by_task[task] = (backend_id, completion)
                 return CompletionAction.KEEP
             return CompletionAction.ACKNOWLEDGE
-        if live.is_task_done(task):
+        if live.is_task_done(task) or live.has_failed(task, completion.run):
+            # An earlier owner has stored it; nothing would follow a second record.
             return CompletionAction.ACKNOWLEDGE
         if not needs_storing(completion):
             if run is not None and run.wants_retry:
--- a/src/camphorlink/internal/core/process/job_table.py
+++ b/src/camphorlink/internal/core/process/job_table.py
@@ -112,6 +112,10 @@
         """Returns whether a task is done."""
         return task.number in self.done_by_step[task.step]
 
+    def has_failed(self, task: TaskKey, run: int) -> bool:
+        """Returns whether a run of a task is stored as failed."""
+        return run in self.failed_runs_by_task.get(task, ())
+
     def is_step_due(self, step: int) -> bool:
         """Returns whether all prerequisites of a step are done."""
         return all(map(self.is_step_done, self.job.steps[step].after))
