--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -40,8 +40,6 @@
 COMMON_FAILURE_S = 0.5
 #: Back ends that must fail at once for a common cause.
 MIN_COMMON_FAILURES = 3
-
-
 #: Longest silence before the first refused connection, in seconds, in which a
 #: run has hardly ended unnoticed: after a reset connection, the next call is sent
 #: within 0.1 s.
--- a/tests/cover/test_odd_entries.py
+++ b/tests/cover/test_odd_entries.py
@@ -17,13 +17,8 @@
 from camphorlink.platform.directory import Directory
 from camphorlink.platform.standin.site import CONFIG
 from odd_documents import Nested, encode
+from platform_site import RUNNER
 
-RUNNER = {
-    'service': 'caster', 'address': '10.0.0.1:80', 'zone': 'larissa',
-    'version': 'v1', 'slots': 8, 'state': 'ready', 'cold_remaining_ms': 0,
-    'capacity': {'cpu': 32_000, 'mem_mb': 64, 'gpu': 0},
-    'labels': ['a', 'r1'], 'clock_ms': 5, 'born': 17, 'sequence': 4,
-}  # fmt: skip
 #: Depths around that at which formatting a value exhausts the stack.
 DEPTHS = (40, 400, 970, *range(990, 1020, 3))
 
--- a/tests/cover/test_platform_decoding.py
+++ b/tests/cover/test_platform_decoding.py
@@ -19,14 +19,7 @@
 from camphorlink.platform.settings import check_settings, read_settings
 from camphorlink.platform.standin.site import CONFIG
 from camphorlink.platform.store_client import decode_keyed
-from platform_site import node_settings
-
-RUNNER = {
-    'service': 'caster', 'address': '10.0.0.1:80', 'zone': 'larissa',
-    'version': 'v1', 'slots': 8, 'state': 'ready', 'cold_remaining_ms': 0,
-    'capacity': {'cpu': 32_000, 'mem_mb': 64, 'gpu': 0},
-    'labels': ['a', 'r1'], 'clock_ms': 5, 'born': 17, 'sequence': 4,
-}  # fmt: skip
+from platform_site import RUNNER, node_settings
 
 
 def keyed_record(key, document):
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -9,6 +9,13 @@
 
 ZONES = ('larissa', 'volos')
 BOUNDS = {'grace_s': 6}
+#: Entry of a runner in the list of back ends.
+RUNNER = {
+    'service': 'caster', 'address': '10.0.0.1:80', 'zone': 'larissa',
+    'version': 'v1', 'slots': 8, 'state': 'ready', 'cold_remaining_ms': 0,
+    'capacity': {'cpu': 32_000, 'mem_mb': 64, 'gpu': 0},
+    'labels': ['a', 'r1'], 'clock_ms': 5, 'born': 17, 'sequence': 4,
+}  # fmt: skip
 
 
 def node_settings(name, zone, store, zones=ZONES):
