Accept fractions in the times that back ends report

The stricter decoding rejected an entry with a remaining time of 1.5 ms, so that a back end would not be known to drain; before, fractions were cut off. Times and progress may have a fraction again, within the same bounds.

--- a/src/camphorlink/platform/directory.py
+++ b/src/camphorlink/platform/directory.py
@@ -25,8 +25,8 @@
 from camphorlink.internal.shell.process.logs import PartLog, describe_error
 from camphorlink.platform.documents import (
     check_address,
+    check_duration,
     check_text,
-    check_whole,
     decode_document,
     read_text,
     read_whole,
@@ -219,7 +219,7 @@
         ),
         labels=tuple(check_text(label, 'label') for label in labels),
         is_draining=state == 'draining',
-        remaining_ms=check_whole(
+        remaining_ms=check_duration(
             document.get('remaining_ms', 0), 'remaining_ms'
         ),
     )
--- a/src/camphorlink/platform/documents.py
+++ b/src/camphorlink/platform/documents.py
@@ -96,6 +96,18 @@
     return field_value
 
 
+def check_duration(field_value: Any, name: str) -> int:
+    """Returns a time or a share that may have a fraction, without the fraction.
+
+    Raises:
+        TypeError: It is not a number.
+        ValueError: It is not within 0 and ``MAX_WHOLE``.
+    """
+    if isinstance(field_value, float) and 0 <= field_value <= MAX_WHOLE:
+        return int(field_value)
+    return check_whole(field_value, name)
+
+
 def check_address(address: str) -> str:
     """Returns an address that must be an IP number and a port.
 
--- a/src/camphorlink/platform/runner_client.py
+++ b/src/camphorlink/platform/runner_client.py
@@ -23,9 +23,9 @@
 from camphorlink.internal.shell.connection.http_owner import HttpOwner
 from camphorlink.internal.shell.process.logs import PartLog, describe_error
 from camphorlink.platform.documents import (
+    check_duration,
     check_text,
     check_whole,
-    read_whole,
 )
 
 #: Timeout of a start or stop command, in seconds: answers take a few ms.
@@ -207,7 +207,7 @@
 def _decode_runs(document: dict[str, Any]) -> RenewalAnswer:
     return RenewalAnswer(
         verdict=RenewalVerdict.LISTED,
-        clock_ms=read_whole(document, 'clock_ms'),
+        clock_ms=check_duration(document['clock_ms'], 'clock_ms'),
         started_ms=check_whole(document.get('born', 0), 'born'),
         # The fifth element, an approximate load, is not used.
         active=tuple(
@@ -215,7 +215,7 @@
                 _task_key(entry[0]),
                 check_whole(entry[1], 'run'),
                 check_text(entry[2], 'checkpoint'),
-                check_whole(entry[3], 'percent'),
+                check_duration(entry[3], 'percent'),
             )
             for entry in document['active']
         ),
@@ -243,6 +243,6 @@
 
 def _whole_or_none(field_value: Any) -> int | None:
     try:
-        return check_whole(field_value, 'clock_ms')
+        return check_duration(field_value, 'clock_ms')
     except (TypeError, ValueError):
         return None
