Give tasks up by certain crashes only

Cause: connections that were refused for 0.1 s were recorded as a crash, and two such crashes gave a task up. The crash is retracted when the back end answers again; the end of the job, folded from the same record, is not.

Change: a record of a crash says whether it is certain, that is whether the incarnation has ended for good. Only certain crashes give a task up, on every VM and for transient jobs, too. A task that uncertain ones would give up is withheld until they are certain or retracted, for 6 s at the longest. Certain crashes can't be retracted, and a later owner makes those of its predecessors certain.

It works because a job's final state now rests on ends of incarnations, which nothing takes back. Tasks that crash their back ends still crash two: the second one's next life decides.

--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -63,7 +63,7 @@
 from camphorlink.internal.core.process.transient_job_table import (
     TransientJobTable,
 )
-from camphorlink.internal.core.request.crash_assessment import Assessment
+from camphorlink.internal.core.process.withheld_tasks import WithheldTasks
 from camphorlink.internal.core.request.durable_job import (
     Resources,
     TaskKey,
@@ -177,6 +177,12 @@
             name, term, self._predecessor, self.registry, self._effects
         )
         self._deferred_tasks = DeferredTasks(self._predecessor, now)
+        self._withheld = WithheldTasks(
+            self.commander.crashes,
+            self._jobs.find_by_task,
+            self._completions.give_up,
+            self._effects,
+        )
         self.assignments = TransientAssignments(
             AssignmentContext(
                 leases,
@@ -336,6 +342,8 @@
             self.commander.crashes.report_unobserved(self._predecessor.ended)
         for live, task in self._deferred_tasks.pop_new(now) + earlier:
             self._enqueue(live, task)
+        for live, task in self._withheld.pop_due(now):
+            self._enqueue(live, task)
 
     def place(self, now: float) -> None:
         """Starts waiting tasks on back ends with free capacity.
@@ -369,9 +377,8 @@
         is_open = self._jobs.find_by_task(task) is live
         if not is_open or task in self._completions.tasks_being_stored:
             return
-        assessment = self.commander.crashes.assess(task)
-        if assessment is Assessment.GIVEN_UP:
-            self._completions.give_up(task)
+        assessment = self._withheld.assess(live, task, self._now)
+        if not assessment.may_run:
             return
         due_s = live.due_s
         if due_s is None or assessment.must_run_alone:
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -144,6 +144,7 @@
         now: float,
     ) -> None:
         """Applies the platform's current list of this cell's back ends."""
+        self.crashes.record_listing(listed_by_id)
         newest = newest_by_address(listed_by_id.values())
         for backend in listed_by_id.values():
             known = self.registry.runs_by_backend.get(backend.backend_id)
--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -2,12 +2,16 @@
 
 A crash is certain when another incarnation is known.  A back end that refuses
 connections has most likely crashed; if it answers again after all, the crash is
-retracted.  One that is only silent may be cut
-off: its tasks run alone until it is known what became of it.
+retracted.  Until one of the two is known, a task that such a crash would give up
+is withheld.  A back end that is only silent may be cut off: its tasks run alone
+until it is known what became of it.
 """
 
 from collections.abc import Iterable, Mapping
 
+from camphorlink.internal.core.connection.backend_commands import (
+    ListedBackend,
+)
 from camphorlink.internal.core.connection.backend_runs import (
     BackendRuns,
     Run,
@@ -26,6 +30,7 @@
 from camphorlink.internal.core.process.run_registry import RunRegistry
 from camphorlink.internal.core.request.crash_assessment import (
     Assessment,
+    Crash,
     CrashKind,
     assess,
 )
@@ -44,6 +49,9 @@
 #: run has hardly ended unnoticed: after a reset connection, the next call is sent
 #: within 0.1 s.
 MAX_SILENCE_S = 0.25
+#: Time in seconds for which a task is withheld after the latest crash under it
+#: that is not certain: a crashed back end has mostly started again by then.
+VERDICT_WAIT_S = 6.0
 
 
 def have_common_cause(
@@ -105,31 +113,50 @@
         self._retracted: set[Incarnation] = set()
         self._doubtful: dict[Incarnation, BackendCrashed] = {}
         self._doubted_tasks: set[TaskKey] = set()
+        self._uncertain_since_s: dict[Incarnation, float] = {}
 
     def assess(self, task: TaskKey) -> Assessment:
         """Assesses a task by stored crashes and by those observed here.
 
         A retraction counts before it is stored, as a crash does.
         """
-        crashes = self._stored.crashes_of(task) | self._observed.crashes_of(
-            task
-        )
-        assessment = assess(
-            [
-                crash
-                for incarnation, crash in crashes.items()
-                if incarnation not in self._retracted
-            ]
-        )
+        assessment = assess(self._crashes_of(task).values())
         if task in self._doubted_tasks:
             return max(assessment, Assessment.DOUBTED)
         return assessment
 
+    def must_withhold(self, task: TaskKey, now: float) -> bool:
+        """Returns whether a task waits until the crashes under it are certain.
+
+        The wait is limited, as a back end may be lost for good.
+        """
+        if self.assess(task) is not Assessment.WITHHELD:
+            return False
+        since_s = [
+            self._uncertain_since_s.setdefault(incarnation, now)
+            for incarnation, crash in self._crashes_of(task).items()
+            if not crash.is_certain
+        ]
+        return now - max(since_s) < VERDICT_WAIT_S
+
+    def _crashes_of(self, task: TaskKey) -> dict[Incarnation, Crash]:
+        crashes = self._stored.crashes_of(task) | self._observed.crashes_of(
+            task
+        )
+        return {
+            incarnation: crash._replace(
+                is_certain=crash.is_certain
+                or self._stored.is_certain(incarnation)
+            )
+            for incarnation, crash in crashes.items()
+            if incarnation not in self._retracted
+        }
+
     def record_silence(self, runs: BackendRuns, now: float) -> None:
         """Handles a back end that refuses connections, or whose lease lapsed.
 
-        Its runs may go on until their lease lapses, but a task that is given up
-        need not wait for that.
+        Its runs may go on until their lease lapses, so that the crash is not
+        certain.
         """
         incarnation = _incarnation_of(runs)
         if incarnation in self._recorded or incarnation in self._doubtful:
@@ -138,6 +165,7 @@
             return
         crash = self._describe(runs, now)
         if runs.outage(now).refused_s >= 0:
+            self._uncertain_since_s[incarnation] = now
             self._record(crash)
         elif crash.kind is not CrashKind.COMMON:
             self._doubtful[incarnation] = crash
@@ -148,12 +176,24 @@
         incarnation = _incarnation_of(runs)
         crash = self._doubtful.pop(incarnation, None)
         self._update_doubted()
-        if incarnation in self._recorded or runs.listed.is_draining:
+        if runs.listed.is_draining:
+            return
+        if self._is_recorded(incarnation):
+            self._make_certain(incarnation)
             return
         if crash is None and _find_present(runs):
             crash = self._describe(runs, now)
         if crash is not None:
-            self._record(crash)
+            self._record(crash._replace(is_certain=True))
+
+    def record_listing(self, listed_by_id: Mapping[str, ListedBackend]) -> None:
+        """Handles later incarnations of back ends that may have crashed."""
+        for crash in (*self._stored.uncertain(), *self._observed.uncertain()):
+            listed = listed_by_id.get(crash.backend_id)
+            if listed is not None and listed.started_ms > crash.started_ms:
+                self._make_certain(
+                    Incarnation(crash.backend_id, crash.started_ms)
+                )
 
     def record_answer(self, runs: BackendRuns) -> None:
         """Handles a back end that answers again: it did not crash.
@@ -163,12 +203,10 @@
         incarnation = _incarnation_of(runs)
         if self._doubtful.pop(incarnation, None) is not None:
             self._update_doubted()
-        is_recorded = incarnation in self._recorded or (
-            self._stored.knows(incarnation)
-            and incarnation not in self._retracted
-        )
-        if is_recorded:
+        is_certain = self._stored.is_certain(incarnation)
+        if self._is_recorded(incarnation) and not is_certain:
             self._recorded.discard(incarnation)
+            self._uncertain_since_s.pop(incarnation, None)
             self._retracted.add(incarnation)
             survived = BackendSurvived(*incarnation)
             self._observed.retract(survived)
@@ -219,6 +257,33 @@
             tuple(unconfirmed),
         )
 
+    def _is_recorded(self, incarnation: Incarnation) -> bool:
+        """Returns whether this owner or an earlier one recorded a crash."""
+        return incarnation in self._recorded or (
+            self._stored.knows(incarnation)
+            and incarnation not in self._retracted
+        )
+
+    def _make_certain(self, incarnation: Incarnation) -> None:
+        """Records that a crash can't be retracted any more."""
+        crash = self._observed.get(incarnation)
+        if crash is None and incarnation not in self._retracted:
+            crash = self._stored.get(incarnation)
+        if crash is None or crash.is_certain:
+            return
+        self._uncertain_since_s.pop(incarnation, None)
+        certain = crash._replace(is_certain=True)
+        self._recorded.add(incarnation)
+        self._observed.record(certain)
+        self._effects.append(AppendRecord(certain))
+        self._effects.append(CountEvent('certain_crashes', crash.kind.value))
+        self._effects.append(
+            LogEvent(
+                'Crash of a back end is certain.',
+                {'backend': incarnation.backend_id},
+            )
+        )
+
     def _record(self, crash: BackendCrashed) -> None:
         incarnation = Incarnation(crash.backend_id, crash.started_ms)
         self._recorded.add(incarnation)
@@ -232,6 +297,7 @@
                 {
                     'backend': crash.backend_id,
                     'kind': crash.kind.value,
+                    'is_certain': crash.is_certain,
                     'tasks': [list(task) for task in crash.tasks],
                     'unconfirmed': [list(task) for task in crash.unconfirmed],
                 },
--- a/src/camphorlink/internal/core/process/crash_table.py
+++ b/src/camphorlink/internal/core/process/crash_table.py
@@ -41,6 +41,7 @@
     def __init__(self) -> None:
         """Creates an empty table."""
         self._crash_by_incarnation: dict[Incarnation, BackendCrashed] = {}
+        self._uncertain: set[Incarnation] = set()
         self._incarnations_by_job: dict[str, set[Incarnation]] = {}
 
     @property
@@ -49,11 +50,16 @@
         return list(self._crash_by_incarnation.values())
 
     def record(self, crash: BackendCrashed) -> None:
-        """Records a crash unless it is known."""
+        """Records a crash; of a known one, only whether it is certain."""
         incarnation = Incarnation(crash.backend_id, crash.started_ms)
-        if incarnation in self._crash_by_incarnation:
+        known = self._crash_by_incarnation.get(incarnation)
+        if known is not None:
+            if crash.is_certain:
+                self._make_certain(incarnation, known)
             return
         self._crash_by_incarnation[incarnation] = crash
+        if not crash.is_certain:
+            self._uncertain.add(incarnation)
         for task in (*crash.tasks, *crash.unconfirmed):
             self._incarnations_by_job.setdefault(task.job_id, set()).add(
                 incarnation
@@ -65,9 +71,27 @@
         """Returns whether the crash of an incarnation is recorded."""
         return incarnation in self._crash_by_incarnation
 
+    def get(self, incarnation: Incarnation) -> BackendCrashed | None:
+        """Returns the crash of an incarnation, or ``None``."""
+        return self._crash_by_incarnation.get(incarnation)
+
+    def is_certain(self, incarnation: Incarnation) -> bool:
+        """Returns whether the crash of an incarnation can't be retracted."""
+        crash = self.get(incarnation)
+        return crash is not None and crash.is_certain
+
+    def uncertain(self) -> list[BackendCrashed]:
+        """Returns the crashes that may still be retracted."""
+        return [
+            self._crash_by_incarnation[incarnation]
+            for incarnation in sorted(self._uncertain)
+        ]
+
     def retract(self, survived: BackendSurvived) -> None:
-        """Forgets a crash that did not happen."""
-        self._forget(Incarnation(survived.backend_id, survived.started_ms))
+        """Forgets a crash that did not happen; a certain one has happened."""
+        incarnation = Incarnation(survived.backend_id, survived.started_ms)
+        if not self.is_certain(incarnation):
+            self._forget(incarnation)
 
     def crashes_of(self, task: TaskKey) -> dict[Incarnation, Crash]:
         """Returns the crashes under a task, by incarnation."""
@@ -96,7 +120,15 @@
                 return task
         return None
 
+    def _make_certain(
+        self, incarnation: Incarnation, known: BackendCrashed
+    ) -> None:
+        certain = known._replace(is_certain=True)
+        self._crash_by_incarnation[incarnation] = certain
+        self._uncertain.discard(incarnation)
+
     def _forget(self, incarnation: Incarnation) -> None:
+        self._uncertain.discard(incarnation)
         crash = self._crash_by_incarnation.pop(incarnation, None)
         tasks = () if crash is None else (*crash.tasks, *crash.unconfirmed)
         for task in tasks:
@@ -120,4 +152,5 @@
         is_known and was_running and is_only_task,
         is_known and crash.tasks[:1] == (task,),
         was_running,
+        crash.is_certain,
     )
--- a/src/camphorlink/internal/core/request/crash_assessment.py
+++ b/src/camphorlink/internal/core/request/crash_assessment.py
@@ -24,12 +24,14 @@
 
     ``CLEAR``: it may share a back end.  ``DOUBTED``: it runs alone.
     ``SUSPECTED``: it is the likeliest cause of a crash; it runs alone, and few
-    such tasks run at once.  ``GIVEN_UP``: it does not run again.
+    such tasks run at once.  ``WITHHELD``: it would be given up if all crashes
+    under it were certain.  ``GIVEN_UP``: it does not run again.
     """
 
     CLEAR = enum.auto()
     DOUBTED = enum.auto()
     SUSPECTED = enum.auto()
+    WITHHELD = enum.auto()
     GIVEN_UP = enum.auto()
 
     @property
@@ -37,6 +39,11 @@
         """Whether the task may not share a back end."""
         return self is not Assessment.CLEAR
 
+    @property
+    def may_run(self) -> bool:
+        """Whether the task may start."""
+        return self < Assessment.WITHHELD
+
 
 class CrashKind(enum.Enum):
     """What is known of a crash.
@@ -64,12 +71,15 @@
         was_newest: Whether it was started there last.
         was_running: Whether the back end had confirmed its run; otherwise the
             task may never have started there.
+        is_certain: Whether the incarnation has certainly ended; otherwise the
+            crash may still be retracted.
     """
 
     kind: CrashKind
     was_alone: bool
     was_newest: bool
     was_running: bool = True
+    is_certain: bool = True
 
 
 _ACCUSING = frozenset((CrashKind.OBSERVED, CrashKind.SILENT))
@@ -79,21 +89,29 @@
     """Assesses a task by all known crashes under it.
 
     Where the task may never have started, it is doubted at the most, however
-    often that happens: its job would fail without a cause.
+    often that happens: its job would fail without a cause.  It is given up by
+    certain crashes only, as the end of its job can't be taken back.
     """
     confirmed = [
         crash
         for crash in crashes
         if crash.was_running and crash.kind is not CrashKind.INFERRED
     ]
-    if len(confirmed) >= MAX_CRASHES or _is_told_apart(confirmed):
+    if _suffice([crash for crash in confirmed if crash.is_certain]):
         return Assessment.GIVEN_UP
+    if _suffice(confirmed):
+        return Assessment.WITHHELD
     accusing = [crash for crash in crashes if crash.kind in _ACCUSING]
     if any(crash.was_newest for crash in accusing):
         return Assessment.SUSPECTED
     return Assessment.DOUBTED if accusing else Assessment.CLEAR
 
 
+def _suffice(confirmed: list[Crash]) -> bool:
+    """Returns whether crashes suffice to give a task up."""
+    return len(confirmed) >= MAX_CRASHES or _is_told_apart(confirmed)
+
+
 def _is_told_apart(confirmed: list[Crash]) -> bool:
     """Returns whether a task is the cause of crashes, and not a neighbour."""
     accusing = [crash for crash in confirmed if crash.kind in _ACCUSING]
--- a/src/camphorlink/internal/core/request/crash_codec.py
+++ b/src/camphorlink/internal/core/request/crash_codec.py
@@ -11,12 +11,14 @@
 def encode_crash(crash: BackendCrashed) -> list[Any]:
     """Encodes a crash as a list of its fields.
 
-    Earlier versions read four fields, so that an empty fifth one is left out.
+    Fields at the end that have their default are left out.
     """
     tasks = [list(task) for task in crash.tasks]
     fields = [crash.backend_id, crash.started_ms, tasks, crash.kind.value]
-    if crash.unconfirmed:
+    if crash.unconfirmed or crash.is_certain:
         fields.append([list(task) for task in crash.unconfirmed])
+    if crash.is_certain:
+        fields.append(crash.is_certain)
     return fields
 
 
@@ -26,6 +28,7 @@
     tasks: list[list[Any]],
     kind: str,
     unconfirmed: Sequence[list[Any]] = (),
+    is_certain: bool = False,
 ) -> BackendCrashed:
     """Decodes the fields that ``encode_crash`` returned."""
     return BackendCrashed(
@@ -34,4 +37,5 @@
         tuple(TaskKey(*task) for task in tasks),
         CrashKind(kind),
         tuple(TaskKey(*task) for task in unconfirmed),
+        is_certain,
     )
--- a/src/camphorlink/internal/core/request/job_records.py
+++ b/src/camphorlink/internal/core/request/job_records.py
@@ -110,6 +110,8 @@
         kind: What is known of the crash.
         unconfirmed: Tasks that may have been there: their start was not
             answered, or they were being stopped.
+        is_certain: Whether the incarnation has certainly ended.  Otherwise the
+            crash may be recorded again as certain, or retracted.
     """
 
     backend_id: str
@@ -117,6 +119,7 @@
     tasks: tuple[TaskKey, ...]
     kind: CrashKind
     unconfirmed: tuple[TaskKey, ...] = ()
+    is_certain: bool = False
 
 
 class BackendSurvived(NamedTuple):
