Keep an end that is being stored with its incarnation of the back end

Cause: an end that waited to be stored was kept by its back end's identifier and its number. When the back end had crashed and started again meanwhile, the number was marked in the record of the next incarnation, which counts anew: its own end with that number was acknowledged and passed over, and its run counted as lost.

Change: the end is kept with the record of the incarnation that listed it.

It works because a record of an incarnation is made anew for each, so that a number can only be marked where it was counted.

--- a/src/camphorlink/internal/core/process/completion_handler.py
+++ b/src/camphorlink/internal/core/process/completion_handler.py
@@ -52,6 +52,24 @@
 Requeue = Callable[[LiveJob, Run], None]
 
 
+class ListedCompletion(NamedTuple):
+    """A completion, and the incarnation of the back end that lists it.
+
+    The next incarnation counts its completions anew.
+
+    Attributes:
+        runs: Runs of the incarnation, which may have ended since.
+        completion: The completion.
+    """
+
+    runs: BackendRuns
+    completion: FinishedRun
+
+    def acknowledge(self) -> None:
+        """Lets the incarnation forget the completion."""
+        self.runs.record_stored(self.completion.number)
+
+
 class CompletionContext(NamedTuple):
     """Components of a cell that the completion handler uses.
 
@@ -96,7 +114,7 @@
         self.tasks_being_stored: set[TaskKey] = set()
         self._context = context
         self._resend_until_s = now + ASSIGNMENT_RESEND_S
-        self._listed_by_run: dict[tuple[TaskKey, int], tuple[str, int]] = {}
+        self._listed_by_run: dict[tuple[TaskKey, int], ListedCompletion] = {}
         self._unclaimed_by_task: dict[TaskKey, tuple[str, FinishedRun]] = {}
 
     def is_handed_over(self, now: float) -> bool:
@@ -146,7 +164,7 @@
         self._context.waiting.discard(task)
         self.tasks_being_stored.add(task)
         key = (task, completion.run)
-        self._listed_by_run[key] = (runs.listed.backend_id, completion.number)
+        self._listed_by_run[key] = ListedCompletion(runs, completion)
         context = self._context
         stored = RunCompletion(
             task, completion.run, completion.result is RunResult.DONE
@@ -210,13 +228,9 @@
             listed = self._listed_by_run.pop(
                 (completion.task, completion.run), None
             )
-            if listed is None:
-                continue
-            backend_id, number = listed
-            runs = self._context.registry.runs_by_backend.get(backend_id)
-            if runs is not None:
-                runs.record_stored(number)
-                runs.renewal_due_s = now
+            if listed is not None:
+                listed.acknowledge()
+                listed.runs.renewal_due_s = now
 
     def _complete_transient(
         self,
--- /dev/null
+++ b/tests/core/test_back_end_incarnations.py
@@ -0,0 +1,75 @@
+"""Tests that nothing of one incarnation of a back end is applied to the next.
+
+A back end that starts again under its identifier runs nothing, and counts its
+completions and its clock anew.
+"""
+
+import pytest
+
+from camphorlink.internal.core.process.job_table import JobState
+from camphorlink.internal.core.request.durable_job import TaskKey
+from camphorlink.internal.core.request.job_records import JobAccepted
+from simulated_backends import CellRig, SimulatedBackend, listed, make_job
+
+FIRST_JOB = 'a' * 16
+LATER_JOB = 'b' * 16
+RUN_S = 0.3
+DOWN_S = 0.3
+CPU = 3000
+
+
+def make_site(count=1):
+    backends = [SimulatedBackend(listed(f'i-{n}'), RUN_S) for n in range(count)]
+    for backend in backends:
+        backend.restart_s = DOWN_S
+        backend.cpu_by_job = {FIRST_JOB: CPU, LATER_JOB: CPU}
+    rig = CellRig(backends)
+    rig.run_for(0.1)
+    return rig, backends
+
+
+def accept(rig, job_id, count):
+    job = make_job(job_id, count=count, cpu=CPU, estimate_ms=300)
+    rig.store(JobAccepted(job, (('z',),)))
+
+
+def start_counts(backends, job_id):
+    starts = [
+        task
+        for backend in backends
+        for task, _, _ in backend.starts
+        if task.job_id == job_id
+    ]
+    return {task: starts.count(task) for task in starts}
+
+
+@pytest.mark.parametrize('count', [1, 8])
+def test_ends_of_the_next_incarnation_are_acknowledged_unhandled(count):
+    rig, (backend,) = make_site()
+    accept(rig, FIRST_JOB, count)
+    rig.is_store_down = True
+    rig.run_for(RUN_S + 0.2)
+    assert len(backend.finished) == count
+    backend.crash(rig.now)
+    rig.run_for(DOWN_S + 0.2)
+    rig.list_backends()
+    rig.run_for(0.2)
+    rig.end_store_outage()
+    rig.run_for(1)
+    assert rig.table.ended_by_id[FIRST_JOB].state is JobState.COMPLETED
+    accept(rig, LATER_JOB, 10)
+    rig.run_for(2)
+    assert rig.table.ended_by_id[LATER_JOB].state is JobState.COMPLETED
+    assert set(start_counts([backend], LATER_JOB).values()) == {1}
+    assert len(backend.noted) == 10
+
+
+def test_ends_after_an_outage_are_never_acknowledged():
+    rig, (backend,) = make_site()
+    accept(rig, FIRST_JOB, 8)
+    rig.is_store_down = True
+    rig.run_for(RUN_S + 0.2)
+    rig.end_store_outage()
+    rig.run_for(0.5)
+    assert len(backend.noted) == 8
+    assert TaskKey(FIRST_JOB, 0, 0) in {entry.task for entry in backend.noted}
--- a/tests/simulated_backends.py
+++ b/tests/simulated_backends.py
@@ -116,6 +116,7 @@
             default.
         guards_capacity: Whether a start beyond the capacity is rejected.
         overloads: Starts that exceeded the capacity.
+        noted: Completions of all incarnations that were acknowledged.
         restart_s: Time from a crash to the next incarnation, in seconds.
         has_other_identifier: Whether starts are answered by another back end at
             its address.
@@ -128,6 +129,7 @@
         self.run_s_by_job = {}
         self.guards_capacity = True
         self.overloads = []
+        self.noted = []
         self.restart_s = RESTART_S
         self.has_other_identifier = False
         self.is_dark = False
@@ -212,6 +214,11 @@
         clock_ms = int(now * 1000)
         if isinstance(command, RenewLeases):
             self._extend(command.lease_until_clock_ms, now)
+            self.noted += [
+                completion
+                for completion in self.finished
+                if completion.number <= command.acknowledged
+            ]
             self.finished = [
                 completion
                 for completion in self.finished
@@ -282,6 +289,9 @@
         #: Time in seconds at which the store last confirmed the owner; with
         #: ``None``, it confirms the owner continuously.
         self.confirmed_s = None
+        #: Whether records are not stored for now, and those that wait for it.
+        self.is_store_down = False
+        self._unstored = []
         self.leases = CoordinatorLeases(member)
         #: Coordinators that renew their leases continuously.
         self.coordinators = set()
@@ -351,7 +361,7 @@
     def execute_effects(self):
         for effect in self.cell.take_effects():
             if isinstance(effect, AppendRecord):
-                self.store(effect.record)
+                self._append(effect.record)
             elif isinstance(effect, TaskReport):
                 self.reports.append(effect)
             elif isinstance(effect, ReturnTasks):
@@ -369,6 +379,19 @@
             elif not isinstance(effect, CheckOwnership | LogEvent):
                 self._call(effect)
 
+    def _append(self, record):
+        if self.is_store_down:
+            self._unstored.append(record)
+        else:
+            self.store(record)
+
+    def end_store_outage(self):
+        """Stores the records that were appended in an outage of the store."""
+        self.is_store_down = False
+        records, self._unstored = self._unstored, []
+        for record in records:
+            self.store(record)
+
     def _call(self, command):
         backend = self.backend_by_id[command.backend.backend_id]
         sent_s = self.now
