Keep unclaimed ends and runs with their incarnation of the back end

Callers could see a stored task start again after its noted end, and a transient one wait for a run that did not exist, if a back end restarted within 0.4 s of a change of the owner.

Cause: ends and runs whose job the new owner does not know yet were kept by the back end's identifier. After a restart, the end's number was marked in the record of the next incarnation, and the run was adopted there.

Change: both are kept with the record of the incarnation that listed them, and runs are forgotten when it ends. An end that a coordinator claims after its back end has left the list is reported now; it was dropped.

Measured: the three new tests fail before and pass.

--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -191,6 +191,7 @@
         """
         listed = runs.listed
         self._predecessor.mark_gone(listed.backend_id, listed.started_ms)
+        self.registry.forget_unclaimed(runs, set())
         self.crashes.record_end(runs, now)
         for run in list(runs.run_by_task.values()):
             self._drop_lost_run(runs, run, RunLoss.REPLACED, now)
@@ -441,9 +442,8 @@
             if self._callbacks.is_handed_over(now):
                 self.registry.send_stop(runs, entry.task, entry.run)
             else:
-                self.registry.unclaimed_runs.setdefault(entry.task, {})[
-                    runs.listed.backend_id
-                ] = entry.run
+                unclaimed = self.registry.unclaimed_runs
+                unclaimed.setdefault(entry.task, {})[runs] = entry.run
             return False
         self._adopt(runs, entry.task, entry.run, needs, now)
         return True
@@ -460,9 +460,9 @@
             Whether there is such a run.
         """
         unclaimed = self.registry.unclaimed_runs.pop(task, {})
-        for backend_id, number in unclaimed.items():
-            runs = self.registry.runs_by_backend.get(backend_id)
-            if runs is not None and task not in runs.run_by_task:
+        for runs, number in unclaimed.items():
+            known = self.registry.runs_by_backend.get(runs.listed.backend_id)
+            if known is runs and task not in runs.run_by_task:
                 self._adopt(runs, task, number, needs, now)
         return task in self.registry.backends_by_task
 
--- a/src/camphorlink/internal/core/process/completion_handler.py
+++ b/src/camphorlink/internal/core/process/completion_handler.py
@@ -115,7 +115,7 @@
         self._context = context
         self._resend_until_s = now + ASSIGNMENT_RESEND_S
         self._listed_by_run: dict[tuple[TaskKey, int], ListedCompletion] = {}
-        self._unclaimed_by_task: dict[TaskKey, tuple[str, FinishedRun]] = {}
+        self._unclaimed_by_task: dict[TaskKey, ListedCompletion] = {}
 
     def is_handed_over(self, now: float) -> bool:
         """Returns whether the time to resend earlier assignments is over."""
@@ -149,8 +149,8 @@
             live.checkpoint_by_task[task] = completion.checkpoint
         if live is None:
             if run is None and not self.is_handed_over(now):
-                backend_id = runs.listed.backend_id
-                self._unclaimed_by_task[task] = (backend_id, completion)
+                unclaimed = ListedCompletion(runs, completion)
+                self._unclaimed_by_task[task] = unclaimed
                 return CompletionAction.KEEP
             return CompletionAction.ACKNOWLEDGE
         if live.is_task_done(task) or live.has_failed(task, completion.run):
@@ -203,22 +203,18 @@
         unclaimed = self._unclaimed_by_task.pop(task, None)
         if unclaimed is None:
             return False
-        backend_id, completion = unclaimed
-        runs = self._context.registry.runs_by_backend.get(backend_id)
-        if runs is None:
-            return False
-        self._complete_transient(runs, completion, None, live, now)
-        runs.record_stored(completion.number)
+        self._complete_transient(
+            unclaimed.runs, unclaimed.completion, None, live, now
+        )
+        unclaimed.acknowledge()
         return self._context.transient.has_ended(task)
 
     def tick(self, now: float) -> None:
         """Acknowledges kept completions when no coordinator resent them."""
         if not self._unclaimed_by_task or not self.is_handed_over(now):
             return
-        for backend_id, completion in self._unclaimed_by_task.values():
-            runs = self._context.registry.runs_by_backend.get(backend_id)
-            if runs is not None:
-                runs.record_stored(completion.number)
+        for unclaimed in self._unclaimed_by_task.values():
+            unclaimed.acknowledge()
         self._unclaimed_by_task.clear()
 
     def record_stored(self, change: CompletionsStored, now: float) -> None:
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -50,7 +50,7 @@
             more than one only while a run that a late command of an earlier
             owner started is being stopped.
         unclaimed_runs: Numbers of the runs without a known job that back ends
-            listed at the start of the term, by task and back end.
+            listed at the start of the term, by task and incarnation.
         freed_count: Number of times so far that capacity became free.
     """
 
@@ -72,7 +72,7 @@
         self.term = term
         self.runs_by_backend: dict[str, BackendRuns] = {}
         self.backends_by_task: dict[TaskKey, set[str]] = {}
-        self.unclaimed_runs: dict[TaskKey, dict[str, int]] = {}
+        self.unclaimed_runs: dict[TaskKey, dict[BackendRuns, int]] = {}
         self.freed_count = 0
         self._effects = effects
         self._run_count = 0
@@ -100,6 +100,7 @@
         have reached the new incarnation.
         """
         self.log_event('Back end has a new incarnation.', backend)
+        self.forget_unclaimed(old, set())
         runs = self.open_incarnation(backend, now)
         if old.run_by_task:
             runs.lease_end_s = old.lease_end_s
@@ -156,10 +157,9 @@
         self, runs: BackendRuns, listed_tasks: set[TaskKey]
     ) -> None:
         """Forgets unclaimed runs that a back end does not list any more."""
-        backend_id = runs.listed.backend_id
         for task, unclaimed in list(self.unclaimed_runs.items()):
             if task not in listed_tasks:
-                unclaimed.pop(backend_id, None)
+                unclaimed.pop(runs, None)
             if not unclaimed:
                 self.unclaimed_runs.pop(task)
 
--- a/tests/core/test_back_end_incarnations.py
+++ b/tests/core/test_back_end_incarnations.py
@@ -73,3 +73,62 @@
     rig.run_for(0.5)
     assert len(backend.noted) == 8
     assert TaskKey(FIRST_JOB, 0, 0) in {entry.task for entry in backend.noted}
+
+
+def lose_owner_with_ended_task(rig):
+    """A transient task ends, and its owner is lost before it hears of that."""
+    rig.submit(make_job(FIRST_JOB, cpu=CPU, estimate_ms=300))
+    rig.run_for(RUN_S - 0.05)
+    rig.lose_pending_answers()
+    for backend in rig.backend_by_id.values():
+        backend.advance(rig.now + 0.1)
+    rig.take_over('m#2')
+
+
+def restart(rig, backend):
+    backend.restart_s = 0.05
+    rig.run_for(0.02)
+    backend.crash(rig.now)
+    rig.run_for(0.15)
+    rig.list_backends()
+    rig.run_for(0.02)
+
+
+def test_unclaimed_end_is_acknowledged_to_the_next_incarnation():
+    rig, (backend,) = make_site()
+    lose_owner_with_ended_task(rig)
+    restart(rig, backend)
+    accept(rig, LATER_JOB, 1)
+    rig.run_for(3)
+    assert start_counts([backend], LATER_JOB) == {TaskKey(LATER_JOB, 0, 0): 1}
+    assert [entry.task.job_id for entry in backend.noted] == [LATER_JOB]
+
+
+def test_reported_unclaimed_end_is_acknowledged_to_the_next_incarnation():
+    rig, (backend,) = make_site()
+    lose_owner_with_ended_task(rig)
+    restart(rig, backend)
+    accept(rig, LATER_JOB, 1)
+    job = make_job(FIRST_JOB, cpu=CPU, estimate_ms=300)
+    rig.submit(job, may_have_run=True)
+    rig.run_for(3)
+    assert [report.is_done for report in rig.reports] == [True]
+    assert start_counts([backend], FIRST_JOB) == {TaskKey(FIRST_JOB, 0, 0): 1}
+    assert start_counts([backend], LATER_JOB) == {TaskKey(LATER_JOB, 0, 0): 1}
+
+
+def test_run_of_the_former_incarnation_is_adopted_on_the_next():
+    rig, (backend,) = make_site()
+    backend.run_s = 5.0
+    job = make_job(FIRST_JOB, cpu=CPU, estimate_ms=5000)
+    rig.submit(job)
+    rig.run_for(0.1)
+    rig.take_over('m#2')
+    rig.run_for(0.02)
+    backend.is_silent = True
+    restart(rig, backend)
+    rig.submit(job, may_have_run=True)
+    assert TaskKey(FIRST_JOB, 0, 0) not in rig.cell.registry.backends_by_task
+    backend.is_silent = False
+    rig.run_for(2)
+    assert start_counts([backend], FIRST_JOB) == {TaskKey(FIRST_JOB, 0, 0): 2}
