Keep all unclaimed ends of a task, not the last one only

Callers could see a transient task run again although a run of it had ended done, if its owner was lost after two runs of it had ended; and its back end kept all its later ends listed, since an end of it was never acknowledged.

Cause: ends whose job the new owner does not know yet were kept by their task, so that the second one replaced the first.

Change: all are kept, reported and acknowledged.

Measured: the four new tests fail before and pass.

--- a/src/camphorlink/internal/core/process/completion_handler.py
+++ b/src/camphorlink/internal/core/process/completion_handler.py
@@ -115,7 +115,7 @@
         self._context = context
         self._resend_until_s = now + ASSIGNMENT_RESEND_S
         self._listed_by_run: dict[tuple[TaskKey, int], ListedCompletion] = {}
-        self._unclaimed_by_task: dict[TaskKey, ListedCompletion] = {}
+        self._unclaimed_by_task: dict[TaskKey, list[ListedCompletion]] = {}
 
     def is_handed_over(self, now: float) -> bool:
         """Returns whether the time to resend earlier assignments is over."""
@@ -149,8 +149,8 @@
             live.checkpoint_by_task[task] = completion.checkpoint
         if live is None:
             if run is None and not self.is_handed_over(now):
-                unclaimed = ListedCompletion(runs, completion)
-                self._unclaimed_by_task[task] = unclaimed
+                unclaimed = self._unclaimed_by_task.setdefault(task, [])
+                unclaimed.append(ListedCompletion(runs, completion))
                 return CompletionAction.KEEP
             return CompletionAction.ACKNOWLEDGE
         if live.is_task_done(task) or live.has_failed(task, completion.run):
@@ -195,26 +195,26 @@
     def report_unclaimed(
         self, live: LiveJob, task: TaskKey, now: float
     ) -> bool:
-        """Reports a kept completion to the coordinator that resent its task.
+        """Reports kept completions to the coordinator that resent their task.
 
         Returns:
-            Whether the task has ended by that completion.
+            Whether the task has ended by one of them.
         """
-        unclaimed = self._unclaimed_by_task.pop(task, None)
-        if unclaimed is None:
-            return False
-        self._complete_transient(
-            unclaimed.runs, unclaimed.completion, None, live, now
-        )
-        unclaimed.acknowledge()
-        return self._context.transient.has_ended(task)
+        unclaimed = self._unclaimed_by_task.pop(task, [])
+        for listed in unclaimed:
+            self._complete_transient(
+                listed.runs, listed.completion, None, live, now
+            )
+            listed.acknowledge()
+        return bool(unclaimed) and self._context.transient.has_ended(task)
 
     def tick(self, now: float) -> None:
         """Acknowledges kept completions when no coordinator resent them."""
         if not self._unclaimed_by_task or not self.is_handed_over(now):
             return
         for unclaimed in self._unclaimed_by_task.values():
-            unclaimed.acknowledge()
+            for listed in unclaimed:
+                listed.acknowledge()
         self._unclaimed_by_task.clear()
 
     def record_stored(self, change: CompletionsStored, now: float) -> None:
--- a/tests/core/test_back_end_incarnations.py
+++ b/tests/core/test_back_end_incarnations.py
@@ -6,6 +6,10 @@
 
 import pytest
 
+from camphorlink.internal.core.connection.backend_commands import (
+    FinishedRun,
+    RunResult,
+)
 from camphorlink.internal.core.process.job_table import JobState
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.job_records import JobAccepted
@@ -132,3 +136,40 @@
     backend.is_silent = False
     rig.run_for(2)
     assert start_counts([backend], FIRST_JOB) == {TaskKey(FIRST_JOB, 0, 0): 2}
+
+
+def list_two_ends(rig, *, is_done_first):
+    """Two back ends list ends of one task to an owner that doesn't know it."""
+    task = TaskKey(FIRST_JOB, 0, 0)
+    results = [RunResult.DONE, RunResult.LAPSED]
+    if not is_done_first:
+        results.reverse()
+    for run, backend in enumerate(rig.backend_by_id.values(), 1):
+        number = next(backend.numbers)
+        result = results[run - 1]
+        end = FinishedRun(number, task, run, result, '')
+        backend.finished.append(end)
+    rig.take_over('m#2')
+    rig.run_for(0.1)
+
+
+@pytest.mark.parametrize('is_done_first', [False, True])
+def test_second_unclaimed_end_of_a_task_is_never_acknowledged(is_done_first):
+    rig, backends = make_site(2)
+    list_two_ends(rig, is_done_first=is_done_first)
+    rig.run_for(1)
+    assert [len(backend.noted) for backend in backends] == [1, 1]
+
+
+@pytest.mark.parametrize('is_done_first', [False, True])
+def test_task_runs_again_though_one_of_its_unclaimed_ends_is_done(
+    is_done_first,
+):
+    rig, backends = make_site(2)
+    list_two_ends(rig, is_done_first=is_done_first)
+    job = make_job(FIRST_JOB, cpu=CPU, estimate_ms=300)
+    rig.submit(job, may_have_run=True)
+    rig.run_for(2)
+    assert [report.is_done for report in rig.reports] == [True]
+    assert not start_counts(backends, FIRST_JOB)
+    assert [len(backend.noted) for backend in backends] == [1, 1]
