Acknowledge nothing to a back end that may have restarted

Callers could see a task start again after an end done that its back end was told to forget, if a late start had run on a back end's next incarnation before the first call to it.

Cause: the first call after a silence carried the number up to which the former incarnation's ends were handled.

Change: after a silence, calls acknowledge nothing until the back end has answered, as each answer names its incarnation.

Measured: the test fails before (the first call acknowledges 8) and passes.

--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -289,11 +289,13 @@
     ) -> int:
         self._renewal_count += 1
         self._sent_s_by_renewal[self._renewal_count] = now
+        is_in_contact = runs.silent_since_s is None
         self._effects.append(
             RenewLeases(
                 runs.listed,
                 self.term,
-                runs.acknowledged,
+                # After a silence, the next incarnation may receive the call.
+                runs.acknowledged if is_in_contact else 0,
                 lease_ms,
                 wait_ms,
                 self._renewal_count,
--- a/tests/core/test_back_end_incarnations.py
+++ b/tests/core/test_back_end_incarnations.py
@@ -8,6 +8,7 @@
 
 from camphorlink.internal.core.connection.backend_commands import (
     FinishedRun,
+    RenewLeases,
     RunResult,
 )
 from camphorlink.internal.core.process.job_table import JobState
@@ -173,3 +174,29 @@
     assert [report.is_done for report in rig.reports] == [True]
     assert not start_counts(backends, FIRST_JOB)
     assert [len(backend.noted) for backend in backends] == [1, 1]
+
+
+@pytest.mark.parametrize('is_listed', [False, True])
+def test_numbers_of_the_former_incarnation_are_acknowledged_to_the_next(
+    is_listed,
+):
+    rig, (backend,) = make_site()
+    accept(rig, FIRST_JOB, 8)
+    rig.run_for(RUN_S + 0.3)
+    assert len(backend.noted) == 8
+    backend.crash(rig.now)
+    acknowledged = []
+    execute = backend.execute
+
+    def note_acknowledged(command, now):
+        if isinstance(command, RenewLeases):
+            acknowledged.append(command.acknowledged)
+        return execute(command, now)
+
+    backend.execute = note_acknowledged
+    if is_listed:
+        rig.run_for(DOWN_S)
+        rig.list_backends()
+    rig.run_for(DOWN_S + 0.3)
+    assert acknowledged
+    assert not any(acknowledged)
