Count answers of a back end's former incarnation, and don't apply them

Callers could see two runs of one task: the confirmation of a stop by a back end's former incarnation counted for the next one, which may still receive the start that was stopped.

Cause: answers to starts and stops were applied to whatever incarnation the back end's identifier names now: its clock, its contact, and the state of a run that was carried over. A list that names an earlier incarnation was applied, too.

Change: the answer to a command that was sent to a former incarnation is counted (stale_answers). A rejected start does not exist on either; all else is left to the next incarnation's list. A list of an earlier incarnation is counted and dropped.

--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -244,9 +244,14 @@
         if answer.verdict is StartVerdict.UNANSWERED:
             runs.record_no_answer(sent_s, renews=True)
             self.registry.count('lost_orders', 'start')
-            if run.state is RunState.COMMANDED:
-                run.change_state(RunState.UNCERTAIN, now)
-                self.registry.list_runs(runs, now)
+            _doubt_start(self.registry, runs, run, now)
+            return
+        if _is_stale(self.registry, command, runs):
+            # The next incarnation lists the run if it has received the start.
+            if answer.verdict is StartVerdict.STARTED:
+                _doubt_start(self.registry, runs, run, now)
+            elif run.state is not RunState.RUNNING:
+                self._drop_lost_run(runs, run, RunLoss.REJECTED, now)
             return
         if _names_ended_incarnation(command, answer, runs):
             self.registry.count('rejected_starts', answer.verdict.value)
@@ -294,7 +299,7 @@
     ) -> None:
         """Processes the answer to a stop command."""
         runs = self.registry.runs_by_backend.get(command.backend.backend_id)
-        if runs is None:
+        if runs is None or _is_stale(self.registry, command, runs):
             return
         if not is_answered:
             runs.record_no_answer(sent_s, renews=False)
@@ -331,7 +336,9 @@
             is_reset = answer.verdict is RenewalVerdict.RESET
             runs.record_no_answer(sent_s, renews, now if is_reset else None)
         must_pause = (
-            runs.has_unstored_completions or runs.silent_since_s is not None
+            runs.has_unstored_completions
+            or runs.silent_since_s is not None
+            or not runs.has_listed_runs
         )
         if is_regular_renewal and not must_pause:
             runs.renewal_due_s = now
@@ -381,6 +388,9 @@
             self._effects.append(ReadBackends())
             self._replace_incarnation(runs, newer, now)
             return
+        if 0 < answer.started_ms < runs.listed.started_ms:
+            self.registry.count('stale_answers', 'former-incarnation')
+            return
         self.crashes.record_answer(runs)
         if runs.silent_since_s is not None:
             self.registry.log_event('Back end answers again.', runs.listed)
@@ -506,6 +516,28 @@
             self._drop_lost_run(runs, run, loss, now)
 
 
+def _is_stale(
+    registry: RunRegistry, command: StartRun | StopRun, runs: BackendRuns
+) -> bool:
+    """Returns whether a command was sent to a former incarnation.
+
+    The answer does not tell which of the two has carried it out.
+    """
+    is_stale = command.backend.started_ms != runs.listed.started_ms
+    if is_stale:
+        registry.count('stale_answers', 'former-incarnation')
+    return is_stale
+
+
+def _doubt_start(
+    registry: RunRegistry, runs: BackendRuns, run: Run, now: float
+) -> None:
+    """Looks for a run whose start may not have been carried out."""
+    if run.state is RunState.COMMANDED:
+        run.change_state(RunState.UNCERTAIN, now)
+        registry.list_runs(runs, now)
+
+
 def _names_ended_incarnation(
     command: StartRun, answer: StartAnswer, runs: BackendRuns
 ) -> bool:
--- a/tests/core/test_back_end_incarnations.py
+++ b/tests/core/test_back_end_incarnations.py
@@ -10,7 +10,12 @@
     FinishedRun,
     RenewLeases,
     RunResult,
+    StartAnswer,
+    StartRun,
+    StartVerdict,
+    StopRun,
 )
+from camphorlink.internal.core.connection.backend_runs import RunState
 from camphorlink.internal.core.process.job_table import JobState
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.job_records import JobAccepted
@@ -200,3 +205,58 @@
     rig.run_for(DOWN_S + 0.3)
     assert acknowledged
     assert not any(acknowledged)
+
+
+def test_stop_of_the_former_incarnation_confirms_one_on_the_next():
+    rig, (backend,) = make_site()
+    accept(rig, FIRST_JOB, 1)
+    (task,) = start_counts([backend], FIRST_JOB)
+    former = rig.cell.registry.runs_by_backend['i-0']
+    run = former.run_by_task[task]
+    stop = StopRun(former.listed, rig.cell.term, task, run.number)
+    rig.cell.registry.stop(former, run, rig.now)
+    backend.crash(rig.now)
+    backend.down_until_s = rig.now
+    rig.list_backends()
+    assert rig.cell.registry.runs_by_backend['i-0'].run_by_task[task] is run
+    rig.cell.commander.handle_stop_answer(stop, True, rig.now, rig.now)
+    assert run.state is RunState.STOPPING
+
+
+@pytest.mark.parametrize('verdict', list(StartVerdict))
+def test_answer_to_a_start_sets_the_clock_of_the_next_incarnation(verdict):
+    rig, (backend,) = make_site()
+    accept(rig, FIRST_JOB, 1)
+    (task,) = start_counts([backend], FIRST_JOB)
+    former = rig.cell.registry.runs_by_backend['i-0']
+    run = former.run_by_task[task]
+    start = StartRun(
+        former.listed, rig.cell.term, task, run.number, 'x', 1000, ''
+    )
+    backend.crash(rig.now)
+    backend.down_until_s = rig.now
+    rig.list_backends()
+    later = rig.cell.registry.runs_by_backend['i-0']
+    rig.cell.commander.handle_start_answer(
+        start, StartAnswer(verdict, 10**9), rig.now, rig.now
+    )
+    assert later.clock is None
+    assert run.state is not RunState.RUNNING
+    is_open = verdict in {StartVerdict.STARTED, StartVerdict.UNANSWERED}
+    assert (task in later.run_by_task) == is_open
+
+
+def test_list_of_the_former_incarnation_is_applied_to_the_next():
+    rig, (backend,) = make_site()
+    accept(rig, FIRST_JOB, 1)
+    (task,) = start_counts([backend], FIRST_JOB)
+    entry = backend.listed._replace(started_ms=2)
+    rig.cell.update_backends({'i-0': entry}, rig.now)
+    rig.execute_effects()
+    later = rig.cell.registry.runs_by_backend['i-0']
+    rig.run_for(1)
+    assert not later.has_listed_runs
+    assert later.acknowledged == 0
+    assert 'stale_answers' in {count.family for count in rig.counts}
+    assert FIRST_JOB in rig.table.live_by_id
+    assert start_counts([backend], FIRST_JOB) == {task: 1}
