Store the cancellation of a job that is not known

A caller that handed the work in anew had it done twice. Transient jobs ran on after their cancel as well.

Cause: "no such job" was concluded from the log as read by one VM, and nothing was recorded. An acceptance that was not read yet, whose append was open elsewhere, or of a transient job went on.

Change: the cancellation of an unknown job is a record. The order of the log decides: the job is cancelled if it was accepted before, and an acceptance that follows ends as cancelled. Owners and coordinators end transient jobs by the same record.

It works because all VMs fold the log in one order, and the answer is given only when the cancellation is a part of it.

--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -43,6 +43,7 @@
     CompletionsStored,
     JobEnded,
     JobTable,
+    JobWithdrawn,
     LiveJob,
     OwnerChanged,
     TasksDue,
@@ -194,6 +195,7 @@
                 self._deferred_tasks,
                 self._enqueue,
                 self._starter.rank_usable,
+                table.withdrawn_by_id,
                 self._effects,
             )
         )
@@ -255,6 +257,10 @@
                 self.waiting.discard(task)
                 self.registry.stop_task(task, now)
 
+    @handle_change.register
+    def _drop_withdrawn_job(self, change: JobWithdrawn, now: float) -> None:
+        self.assignments.drop_job(change.job_id, now)
+
     # Back ends.
 
     def update_backends(
--- a/src/camphorlink/internal/core/process/job_snapshot.py
+++ b/src/camphorlink/internal/core/process/job_snapshot.py
@@ -32,8 +32,9 @@
 
 _STATES = tuple(JobState)
 #: Number of rows that every snapshot has.  Those of earlier versions lack the row
-#: of inherited back ends.
+#: of inherited back ends, or that of withdrawn jobs.
 TABLE_ROWS = 6
+WITHDRAWN_ROW = 7
 EMPTY: Mapping[str, Any] = MappingProxyType({})
 
 
@@ -128,7 +129,10 @@
     try:
         rows = cbor2.loads(body)
         table = _build_table(parts[0].offset, *rows[:TABLE_ROWS])
-        table.inherited_by_cell = _read_inherited(*rows[TABLE_ROWS:])
+        table.inherited_by_cell = _read_inherited(
+            *rows[TABLE_ROWS:WITHDRAWN_ROW]
+        )
+        table.withdrawn_by_id = dict(*rows[WITHDRAWN_ROW:])
     except DECODE_ERRORS as exc:
         raise JobRecordError(f'cannot decode job snapshot: {exc!r}') from exc
     return table
@@ -146,6 +150,7 @@
         ],
         [encode_crash(crash) for crash in table.crashes.records],
         table.inherited_by_cell,
+        table.withdrawn_by_id,
     ]
 
 
--- a/src/camphorlink/internal/core/process/job_table.py
+++ b/src/camphorlink/internal/core/process/job_table.py
@@ -174,6 +174,16 @@
     state: JobState
 
 
+class JobWithdrawn(NamedTuple):
+    """Reports that a job was cancelled that is not stored, or not yet.
+
+    Attributes:
+        job_id: Identifier of the job, which may be transient.
+    """
+
+    job_id: str
+
+
 class TasksGivenUp(NamedTuple):
     """Reports that tasks don't run again, as back ends crash under them.
 
@@ -196,7 +206,14 @@
     owner: Owner
 
 
-Change = TasksDue | CompletionsStored | JobEnded | TasksGivenUp | OwnerChanged
+Change = (
+    TasksDue
+    | CompletionsStored
+    | JobEnded
+    | JobWithdrawn
+    | TasksGivenUp
+    | OwnerChanged
+)
 
 
 class EndedJob(NamedTuple):
@@ -219,6 +236,8 @@
     Attributes:
         live_by_id: Jobs that have not ended.
         ended_by_id: Ended jobs that callers may still query.
+        withdrawn_by_id: Offset of the cancellation of each job that was cancelled
+            and is not stored.  If it is stored after all, it never runs.
         owner_by_cell: The last owner of each cell.
         commanded_by_cell: For each cell, start time in ms of the last known
             incarnation of each back end that its owners sent commands to.
@@ -235,6 +254,7 @@
         """Creates an empty table at the beginning of the log."""
         self.live_by_id: dict[str, LiveJob] = {}
         self.ended_by_id: dict[str, EndedJob] = {}
+        self.withdrawn_by_id: dict[str, int] = {}
         self.owner_by_cell: dict[str, Owner] = {}
         self.commanded_by_cell: dict[str, dict[str, int]] = {}
         self.inherited_by_cell: dict[str, dict[str, InheritedBackend]] = {}
@@ -278,6 +298,13 @@
                 return
             self.ended_by_id.pop(job_id)
 
+    def forget_withdrawn(self, offset: int) -> None:
+        """Removes jobs that were cancelled before an offset of the log."""
+        for job_id, cancelled_at in list(self.withdrawn_by_id.items()):
+            if cancelled_at >= offset:
+                return
+            self.withdrawn_by_id.pop(job_id)
+
     @singledispatchmethod
     def _fold(self, record: Record) -> list[Change]:
         raise TypeError(record)
@@ -287,6 +314,11 @@
         job_id = record.job.job_id
         if job_id in self.live_by_id or job_id in self.ended_by_id:
             return []
+        if self.withdrawn_by_id.pop(job_id, None) is not None:
+            self.ended_by_id[job_id] = EndedJob(
+                JobState.CANCELLED, record.job.accepted_ms
+            )
+            return []
         live = LiveJob(record.job, record.cells, self.next_offset)
         self.live_by_id[job_id] = live
         return [TasksDue(live, tuple(live.due_tasks()), is_first_start=True)]
@@ -306,8 +338,14 @@
 
     @_fold.register
     def _fold_cancelled(self, record: JobCancelled) -> list[Change]:
-        live = self.live_by_id.get(record.job_id)
-        return [] if live is None else [self._end_job(live, JobState.CANCELLED)]
+        job_id = record.job_id
+        live = self.live_by_id.get(job_id)
+        if live is not None:
+            return [self._end_job(live, JobState.CANCELLED)]
+        if job_id in self.ended_by_id or job_id in self.withdrawn_by_id:
+            return []
+        self.withdrawn_by_id[job_id] = self.next_offset
+        return [JobWithdrawn(job_id)]
 
     @_fold.register
     def _fold_claimed(self, record: CellClaimed) -> list[Change]:
--- a/src/camphorlink/internal/core/process/transient_assignments.py
+++ b/src/camphorlink/internal/core/process/transient_assignments.py
@@ -2,7 +2,7 @@
 
 import itertools
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 from functools import singledispatchmethod
 from typing import NamedTuple
 
@@ -73,6 +73,7 @@
         deferred: Tasks that an earlier owner may have started.
         enqueue: Queues a task unless it runs.
         rank_usable: Returns the usable back ends with their speeds.
+        withdrawn: Identifiers of cancelled jobs, whose tasks don't start.
         effects: List that effects are appended to.
     """
 
@@ -85,6 +86,7 @@
     deferred: DeferredTasks
     enqueue: Callable[[LiveJob, TaskKey], None]
     rank_usable: Callable[[float], Sequence[RatedBackend]]
+    withdrawn: Container[str]
     effects: list[CellEffect]
 
 
@@ -123,10 +125,14 @@
             coordinator: Member that receives the reports.
             now: Time in seconds.
         """
+        context = self._context
+        if assignment.job.job_id in context.withdrawn:
+            # Its coordinator ends the job when it reads of the cancellation.
+            context.effects.append(CountEvent('dropped_tasks', 'cancelled'))
+            return
         unfinished = self._repeat_reports(assignment, coordinator)
         if not unfinished:
             return
-        context = self._context
         known = context.transient.get(assignment.job.job_id)
         open_tasks = set() if known is None else known.open_tasks.copy()
         accepted = context.transient.accept(
--- a/src/camphorlink/internal/core/request/job_records.py
+++ b/src/camphorlink/internal/core/request/job_records.py
@@ -52,7 +52,11 @@
 
 
 class JobCancelled(NamedTuple):
-    """Records that a caller cancelled a job."""
+    """Records that a caller cancelled a job.
+
+    The job may be unknown: its acceptance may follow, from a VM that had lost the
+    store, and then it does not run.
+    """
 
     job_id: str
 
--- a/src/camphorlink/internal/shell/process/coordinator.py
+++ b/src/camphorlink/internal/shell/process/coordinator.py
@@ -44,6 +44,7 @@
 from camphorlink.internal.shell.process.load_waiters import LoadWaiters
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.steady_clock import now_s
+from camphorlink.internal.shell.process.waiting_callers import WaitingCallers
 
 #: Sends a command for a cell to the owner of the cell.
 SendToCell = Callable[[str, CellCommand], None]
@@ -59,6 +60,7 @@
         planner: Admits jobs and chooses their cells.
         contacts: Contacts with the owners of cells.
         selector: Selects cells by their reported load.
+        callers: Callers that wait for the end of a job.
     """
 
     def __init__(
@@ -90,9 +92,7 @@
         self._load_received_s_by_cell: dict[tuple[str, str], float] = {}
         #: Time of the first load report after a time without any, in seconds.
         self._first_load_s = -math.inf
-        self._completion_by_id: dict[
-            str, asyncio.Future[TransientJobEnded | JobRefused]
-        ] = {}
+        self.callers = WaitingCallers()
         self._load_waiters = LoadWaiters()
         self._dispatch = self._carry_out
         self._due_effects: collections.deque[TransientEffect] = (
@@ -118,7 +118,7 @@
     @property
     def open_job_count(self) -> int:
         """Number of jobs that have a waiting caller."""
-        return len(self._completion_by_id)
+        return len(self.callers)
 
     def __contains__(self, job_id: str) -> bool:
         """Returns whether a job is open on this VM."""
@@ -237,10 +237,7 @@
             The completion of the job, or its refusal.  The completion has no
             state if the job did not end in time or no cell could continue it.
         """
-        completion: asyncio.Future[TransientJobEnded | JobRefused] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._completion_by_id[job.job_id] = completion
+        completion = self.callers.add(job.job_id)
         started_s = now_s()
         try:
             await self._load_waiters.wait_while(
@@ -264,8 +261,7 @@
                 job.job_id, None, self._jobs.objective_s(job.job_id)
             )
         finally:
-            if self._completion_by_id.get(job.job_id) is completion:
-                self._completion_by_id.pop(job.job_id)
+            if self.callers.remove(job.job_id, completion):
                 self._carry_out_all(self._jobs.drop(job.job_id))
 
     def _carry_out_all(self, effects: list[TransientEffect]) -> None:
@@ -291,6 +287,4 @@
     def _resolve_completion(
         self, effect: TransientJobEnded | JobRefused
     ) -> None:
-        completion = self._completion_by_id.get(effect.job_id)
-        if completion is not None and not completion.done():
-            completion.set_result(effect)
+        self.callers.answer(effect)
--- a/src/camphorlink/internal/shell/process/job_log.py
+++ b/src/camphorlink/internal/shell/process/job_log.py
@@ -16,6 +16,7 @@
     read_snapshot,
 )
 from camphorlink.internal.core.process.job_table import Change, JobTable
+from camphorlink.internal.core.process.offset_marks import OffsetMarks
 from camphorlink.internal.core.request.job_record_codec import (
     decode_record,
     encode_record,
@@ -29,7 +30,7 @@
 from camphorlink.internal.shell.process.job_appender import JobAppender
 from camphorlink.internal.shell.process.logs import PartLog, describe_error
 from camphorlink.internal.shell.process.stack_owner import StackOwner
-from camphorlink.internal.shell.process.steady_clock import now_s
+from camphorlink.internal.shell.process.steady_clock import now_s, wall_ms
 from camphorlink.store_errors import (
     JobRecordError,
     StoreError,
@@ -59,6 +60,9 @@
 #: Period of snapshots, in seconds: a third of the shortest time for which the
 #: store keeps records.
 SNAPSHOT_PERIOD_S = 5.0
+#: Time for which the state of an ended job is kept, in seconds: slightly longer
+#: than the platform's limit for reading it.
+ENDED_JOB_RETENTION_S = 130.0
 
 
 class JobLogListener(Protocol):
@@ -77,6 +81,21 @@
         """Called to send peers the records that this VM has appended."""
 
 
+class JobRetention:
+    """Forgets the jobs of a table that ended, or were withdrawn, long ago."""
+
+    def __init__(self, table: JobTable) -> None:
+        """Creates the retention of a table."""
+        self._table = table
+        self._marks = OffsetMarks(ENDED_JOB_RETENTION_S)
+
+    def forget_ended(self) -> None:
+        """Forgets what is older than ``ENDED_JOB_RETENTION_S``."""
+        table = self._table
+        table.forget_before(wall_ms() - int(ENDED_JOB_RETENTION_S * 1000))
+        table.forget_withdrawn(self._marks.advance(now_s(), table.next_offset))
+
+
 class JobLog(StackOwner):
     """Applies the records of the job log to the job table.
 
--- a/src/camphorlink/internal/shell/process/job_node.py
+++ b/src/camphorlink/internal/shell/process/job_node.py
@@ -16,6 +16,7 @@
     Change,
     JobEnded,
     JobTable,
+    JobWithdrawn,
     OwnerChanged,
     TasksGivenUp,
 )
@@ -36,7 +37,11 @@
     CompletionWaiters,
 )
 from camphorlink.internal.shell.process.coordinator import Coordinator
-from camphorlink.internal.shell.process.job_log import JobLog
+from camphorlink.internal.shell.process.job_log import (
+    ENDED_JOB_RETENTION_S,
+    JobLog,
+    JobRetention,
+)
 from camphorlink.internal.shell.process.logs import PartLog
 from camphorlink.internal.shell.process.node_message_handler import (
     NodeMessageHandler,
@@ -51,7 +56,7 @@
 )
 from camphorlink.internal.shell.process.published_state import PublishedState
 from camphorlink.internal.shell.process.stack_owner import StackOwner
-from camphorlink.internal.shell.process.steady_clock import now_s, wall_ms
+from camphorlink.internal.shell.process.steady_clock import now_s
 
 #: Period of heartbeats to peers, in seconds: a fraction of the time after which
 #: a silent peer is considered lost.
@@ -66,9 +71,6 @@
 STOP_MARGIN_S = 0.7
 #: Period of checking whether all answers are sent, in seconds.
 ANSWERS_POLL_PERIOD_S = 0.02
-#: Time for which the state of an ended job is kept, in seconds: slightly longer
-#: than the platform's limit for reading it.
-ENDED_JOB_RETENTION_S = 130.0
 
 
 class Platform(NamedTuple):
@@ -139,6 +141,7 @@
             self.published.drains.get,
         )
         self.job_log = JobLog(platform.log, self.peers.member, self)
+        self._retention = JobRetention(self.table)
         self.cells = CellManager(
             self.peers,
             settings,
@@ -279,6 +282,8 @@
         if isinstance(change, TasksGivenUp):
             for task in change.tasks:
                 self.coordinator.record_completion(task, is_done=False)
+        elif isinstance(change, JobWithdrawn):
+            self.coordinator.callers.cancel(change.job_id)
         elif isinstance(change, OwnerChanged):
             self.peers.link_owners(self.table.owners)
             self._handle_owner(change.cell)
@@ -288,6 +293,8 @@
     def handle_reset(self) -> None:
         """Releases all cells, because the job table was replaced."""
         self.cells.release_all()
+        for job_id in self.table.withdrawn_by_id:
+            self.coordinator.callers.cancel(job_id)
         self.peers.link_owners(self.table.owners)
         for cell in self.table.owner_by_cell:
             self._handle_owner(cell)
@@ -358,7 +365,7 @@
         self._send_heartbeat()
         self.coordinator.move_lost_tasks()
         self.cells.write_snapshot_if_due()
-        self.table.forget_before(wall_ms() - int(ENDED_JOB_RETENTION_S * 1000))
+        self._retention.forget_ended()
         self._speeds.relax()
         self.published.is_owner = bool(self.cells.host_by_cell)
         self.coordinator.selector.coordinators = len(self.peers.listed) + 1
--- a/src/camphorlink/internal/shell/request/job_handler.py
+++ b/src/camphorlink/internal/shell/request/job_handler.py
@@ -36,10 +36,13 @@
 from camphorlink.internal.shell.process.steady_clock import now_s, wall_ms
 from camphorlink.store_errors import JobNotStoredError
 
-#: Longest age of the last full read of the log for which "no such job" is
-#: answered without reading the log again, in seconds: below the bound for the
-#: visibility of a job.
+#: Longest age of the last full read of the log for which a job that is not known
+#: is read as "no such job" without reading the log again, in seconds: below the
+#: bound for the visibility of a job.
 LOG_READ_FRESH_S = 0.05
+#: Number of jobs that were cancelled without being known, and are remembered, from
+#: which on further ones are refused: they would fill the snapshots.
+MAX_WITHDRAWN_JOBS = 5000
 #: How long a read waits for the completion of a job, in seconds: completions
 #: are stored within 0.02 s, and callers that read too early poll again much
 #: later.
@@ -90,6 +93,12 @@
     reason='store-away',
     retry_after_s=STORE_RETRY_AFTER_S,
 )
+#: Callers cancel too many jobs that don't exist.
+TOO_MANY_CANCELLED = JobAnswer(
+    Verdict.REFUSED,
+    reason='too-many-unknown-jobs-cancelled',
+    retry_after_s=STORE_RETRY_AFTER_S,
+)
 #: No listed back end can run the job; one may be added later.
 NO_BACKEND = JobAnswer(
     Verdict.REFUSED,
@@ -148,7 +157,7 @@
     """
     if not isinstance(completion, TransientJobEnded):
         return NOT_ENDED
-    if completion.state is None:
+    if completion.state in {None, JobState.CANCELLED}:
         return NOT_ENDED
     if completion.state is JobState.FAILED:
         return FAILED
@@ -182,6 +191,7 @@
         """
         self._node = node
         self._log = PartLog('jobs')
+        self._cancelling_by_id: dict[str, asyncio.Task[JobAnswer]] = {}
 
     async def submit(self, job: DurableJob, wait_s: float) -> JobAnswer:
         """Stores a durable job, or refuses it so that it never runs.
@@ -230,6 +240,8 @@
         if self._node.is_closed:
             return self._refuse(VM_LEAVING)
         given_up = self._node.table.crashes.find_given_up(job.job_id)
+        if job.job_id in self._node.table.withdrawn_by_id:
+            return JobAnswer(Verdict.DONE, JobState.CANCELLED)
         if given_up is not None:
             self._log.info(
                 'job failed: back ends crash under its task',
@@ -279,6 +291,8 @@
             event = 'job abandoned'
         elif completion.state is JobState.FAILED:
             event = 'job failed'
+        elif completion.state is JobState.CANCELLED:
+            event = 'job cancelled'
         self._log.info(
             event,
             extra={
@@ -305,22 +319,48 @@
     async def cancel(self, job_id: str, wait_s: float) -> JobAnswer:
         """Cancels a job; a job that has ended keeps its state.
 
+        A job that is not known may be stored later, by a VM that has lost the
+        store, or run as a transient one.  Its cancellation is stored, too, so
+        that the answer that there is no such job stays true.
+
         Args:
             job_id: Identifier of the job.
             wait_s: Timeout for the store's answer, in seconds.
         """
-        if not await self._ensure_current(job_id):
-            return self._refuse(STORE_UNAVAILABLE)
         table = self._node.table
         if job_id in table.ended_by_id:
             return DONE
-        if job_id not in table.live_by_id:
+        if job_id in table.withdrawn_by_id:
             return JobAnswer(Verdict.NO_SUCH_JOB)
-        stored = self._node.job_log.append(JobCancelled(job_id))
+        known = self._cancelling_by_id.get(job_id)
+        if known is None:
+            if job_id not in table.live_by_id:
+                if not self._is_store_available():
+                    return self._refuse(STORE_UNAVAILABLE)
+                if len(table.withdrawn_by_id) >= MAX_WITHDRAWN_JOBS:
+                    return self._refuse(TOO_MANY_CANCELLED)
+            known = asyncio.create_task(self._store_cancelled(job_id))
+            self._cancelling_by_id[job_id] = known
         try:
-            await asyncio.wait_for(asyncio.shield(stored), wait_s)
+            return await asyncio.wait_for(asyncio.shield(known), wait_s)
         except TimeoutError:
             return JobAnswer(Verdict.UNKNOWN, reason='store-unanswered')
+
+    async def _store_cancelled(self, job_id: str) -> JobAnswer:
+        """Stores the cancellation of a job, and applies the log up to it."""
+        job_log = self._node.job_log
+        table = self._node.table
+        is_known = job_id in table.live_by_id
+        try:
+            offset = await job_log.append(JobCancelled(job_id), is_known)
+            if table.next_offset <= offset:
+                await job_log.catch_up()
+        except JobNotStoredError:
+            return self._refuse(STORE_UNAVAILABLE)
+        finally:
+            self._cancelling_by_id.pop(job_id)
+        if job_id in table.withdrawn_by_id:
+            return JobAnswer(Verdict.NO_SUCH_JOB)
         return DONE
 
     def _is_known(self, job_id: str) -> bool:
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -13,6 +13,7 @@
 
 from camphorlink.internal.core.process.job_table import JobState
 from camphorlink.internal.shell.process import peers
+from camphorlink.internal.shell.process.steady_clock import wall_ms
 from camphorlink.internal.shell.request.job_handler import (
     JobAnswer,
     JobHandler,
@@ -38,6 +39,9 @@
 RESEND_S = 1.3
 MAX_SUBMISSIONS = 4
 JOB_TIMEOUT_S = 8.0
+#: Time for which callers wait until a job, or its cancellation, is stored, in
+#: seconds.
+STORE_TIMEOUT_S = 1.5
 READY_TIMEOUT_S = 10.0
 POLL_S = 0.02
 
@@ -75,6 +79,7 @@
         self.listed_by_id = {}
         self.crashing_jobs = set()
         self._attempts_by_vm = collections.defaultdict(dict)
+        self._handler_by_vm = {}
         self._job_numbers = itertools.count(1)
         numbers = itertools.count(1)
         for zone in self.zones:
@@ -251,6 +256,27 @@
         self.answers.append(Answered(start_s, self.now_s, job.job_id, answer))
         return answer
 
+    async def store_job(self, job, vm_name):
+        """Submits a durable job to a VM; returns the answer."""
+        job = job._replace(accepted_ms=wall_ms())
+        return await self._request(vm_name, 'submit', job, STORE_TIMEOUT_S)
+
+    async def cancel(self, job_id, vm_name):
+        """Cancels a job at a VM; returns the answer."""
+        return await self._request(vm_name, 'cancel', job_id, STORE_TIMEOUT_S)
+
+    async def _request(self, vm_name, method, *args):
+        vm = self.vm_by_name[vm_name]
+        handler = self._handler_by_vm.setdefault(vm, JobHandler(vm.node))
+        return await vm.create_task(getattr(handler, method)(*args))
+
+    def states_of(self, job_id):
+        """Returns the states that the live VMs know of a durable job."""
+        return {
+            getattr(vm.node.table.ended_by_id.get(job_id), 'state', None)
+            for vm in self.live_vms()
+        }
+
     def break_connections(self, vm_name):
         """Breaks the connections of a VM's callers, which the VM notices."""
         for attempt in self._attempts_by_vm[vm_name].copy():
