Count failures by incarnation of a back end

Callers could wait for up to 4 s for a back end that had just started again: the next incarnation was paused after the first failed job, and as long as the former one, which had failed all its runs.

Cause: failures and pauses were kept by the back end's identifier.

Change: they are kept with the record of the incarnation, and end with it.

Measured: the new test fails before and passes. A call of a test names the incarnation now instead of the identifier.

--- a/src/camphorlink/internal/core/connection/backend_monitor.py
+++ b/src/camphorlink/internal/core/connection/backend_monitor.py
@@ -12,6 +12,7 @@
 
 import math
 from collections.abc import Container
+from weakref import WeakKeyDictionary
 
 from camphorlink.internal.core.connection.backend_runs import (
     BackendRuns,
@@ -45,32 +46,40 @@
 LONGEST_PAUSE_S = 4.0
 
 
+class _Failures:
+    """Failures on one incarnation of a back end since its last success."""
+
+    __slots__ = ('job_ids', 'pause_s')
+
+    def __init__(self) -> None:
+        self.job_ids: set[str] = set()
+        self.pause_s = FIRST_PAUSE_S
+
+
 class BackendMonitor:
     """Pauses back ends on which the runs of several jobs fail."""
 
     def __init__(self) -> None:
         """Creates a monitor without recorded failures."""
-        self._failed_jobs_by_id: dict[str, set[str]] = {}
-        self._pause_s_by_id: dict[str, float] = {}
+        self._failures_by_runs: WeakKeyDictionary[BackendRuns, _Failures] = (
+            WeakKeyDictionary()
+        )
 
-    def record_success(self, backend_id: str) -> None:
+    def record_success(self, runs: BackendRuns) -> None:
         """Records a successful run, which resets failures and back-off."""
-        self._failed_jobs_by_id.pop(backend_id, None)
-        self._pause_s_by_id.pop(backend_id, None)
+        self._failures_by_runs.pop(runs, None)
 
     def record_failure(
         self, runs: BackendRuns, job_id: str, now: float
     ) -> bool:
         """Records a failed run and returns whether it pauses the back end."""
-        backend_id = runs.listed.backend_id
-        jobs = self._failed_jobs_by_id.setdefault(backend_id, set())
-        jobs.add(job_id)
-        if len(jobs) < MIN_FAILED_JOBS:
+        failures = self._failures_by_runs.setdefault(runs, _Failures())
+        failures.job_ids.add(job_id)
+        if len(failures.job_ids) < MIN_FAILED_JOBS:
             return False
-        jobs.clear()
-        pause_s = self._pause_s_by_id.get(backend_id, FIRST_PAUSE_S)
-        self._pause_s_by_id[backend_id] = min(pause_s * 2, LONGEST_PAUSE_S)
-        runs.pause_until_s = max(runs.pause_until_s, now + pause_s)
+        failures.job_ids.clear()
+        runs.pause_until_s = max(runs.pause_until_s, now + failures.pause_s)
+        failures.pause_s = min(failures.pause_s * 2, LONGEST_PAUSE_S)
         return True
 
 
--- a/src/camphorlink/internal/core/process/completion_handler.py
+++ b/src/camphorlink/internal/core/process/completion_handler.py
@@ -276,7 +276,7 @@
             or not run.is_started_by_owner
         ):
             return
-        backend_monitor.record_success(runs.listed.backend_id)
+        backend_monitor.record_success(runs)
         step = live.job.steps[completion.task.step]
         self._context.speeds.record(
             RunTime(
--- a/tests/core/test_backend_monitor.py
+++ b/tests/core/test_backend_monitor.py
@@ -8,6 +8,7 @@
 import pytest
 
 from camphorlink.internal.core.connection.backend_monitor import (
+    FIRST_PAUSE_S,
     BackendMonitor,
     estimate_slowdown,
     find_stalled_runs,
@@ -108,13 +109,24 @@
     for number in range(4):
         backend_monitor.record_failure(runs, f'job-{number}', 0.0)
     second_s = runs.pause_until_s
-    backend_monitor.record_success(runs.listed.backend_id)
+    backend_monitor.record_success(runs)
     runs.pause_until_s = 0.0
     backend_monitor.record_failure(runs, 'a', 0.0)
     backend_monitor.record_failure(runs, 'b', 0.0)
     assert runs.pause_until_s < second_s
 
 
+def test_failures_of_the_former_incarnation_pause_the_next():
+    backend_monitor = BackendMonitor()
+    former = make_runs()
+    for number in range(5):
+        backend_monitor.record_failure(former, f'job-{number}', 0.0)
+    later = make_runs()
+    assert not backend_monitor.record_failure(later, 'a', 0.0)
+    assert backend_monitor.record_failure(later, 'b', 0.0)
+    assert later.pause_until_s == FIRST_PAUSE_S
+
+
 def test_stalled_tasks_are_moved_to_another_back_end():
     backends = [SimulatedBackend(listed(f'i-{n}')) for n in range(2)]
     rig = CellRig(backends)
