Learn the speed of a back end anew if it comes back as another kind

Callers could see tasks start on a slower back end than a free one: the speed that was learned on one kind of back end was used for the next incarnation, of another kind, under the same identifier.

Cause: the speed was kept by the identifier, and the kind beside it was not compared.

Change: a speed that was learned on another kind is not used, and the first run on the new kind begins it anew.

Measured: the new test fails before and passes.

--- a/src/camphorlink/internal/core/connection/run_speeds.py
+++ b/src/camphorlink/internal/core/connection/run_speeds.py
@@ -97,11 +97,14 @@
             run.kind, _Average(scale_log)
         )
         kind_speed.add(measured, LEARNING_RATE)
+        if self._kind_by_backend.get(run.backend_id) != run.kind:
+            # Its former incarnation was of another kind.
+            self._kind_by_backend[run.backend_id] = run.kind
+            self._speed_by_backend.pop(run.backend_id, None)
         own_speed = self._speed_by_backend.setdefault(
             run.backend_id, _Average(kind_speed.log)
         )
         own_speed.add(measured, BACKEND_RATE)
-        self._kind_by_backend[run.backend_id] = run.kind
         factors = self._factor_by_queue.values()
         self._scale_log = sum(known.log for known in factors) / len(factors)
 
@@ -116,7 +119,7 @@
         kind_speed = self._speed_by_kind.get(kind)
         kind_log = self._scale_log if kind_speed is None else kind_speed.log
         own_speed = self._speed_by_backend.get(backend_id)
-        if own_speed is None:
+        if own_speed is None or self._kind_by_backend[backend_id] != kind:
             return kind_log
         weight = own_speed.count / (own_speed.count + FIRST_RUNS)
         return own_speed.log * weight + kind_log * (1 - weight)
--- a/tests/core/test_backend_monitor.py
+++ b/tests/core/test_backend_monitor.py
@@ -127,6 +127,22 @@
     assert later.pause_until_s == FIRST_PAUSE_S
 
 
+def test_speed_of_another_kind_counts_for_the_next_incarnation():
+    speeds = RunSpeeds()
+    for _ in range(50):
+        speeds.record(RunTime('q', 'slow', 'i-1', 1.0, 4.0))
+        speeds.record(RunTime('q', 'fast', 'i-2', 1.0, 1.0))
+    assert speeds.speed_of('slow', 'i-1') < speeds.speed_of('fast', 'i-2') / 2
+    assert speeds.speed_of('fast', 'i-1') == pytest.approx(
+        speeds.speed_of('fast', 'i-3')
+    )
+    speeds.record(RunTime('q', 'fast', 'i-1', 1.0, 1.0))
+    speeds.relax()
+    assert speeds.speed_of('fast', 'i-1') == pytest.approx(
+        speeds.speed_of('fast', 'i-2'), rel=0.1
+    )
+
+
 def test_stalled_tasks_are_moved_to_another_back_end():
     backends = [SimulatedBackend(listed(f'i-{n}')) for n in range(2)]
     rig = CellRig(backends)
