Move runs to the next incarnation instead of copying them

Callers could see stored jobs stop for good, with all back ends idle, after back ends had crashed under their tasks.

Cause: a run whose start was not answered is carried over to the back end's next incarnation, and stayed in the record of the former one as well.

Change: the run is moved, and the record of the former incarnation counts as not listed, so that whoever still refers to it does not use it.

--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -97,15 +97,18 @@
         """Replaces a back end's incarnation by a newer one.
 
         Known runs are kept with their lease, since recent start commands may
-        have reached the new incarnation.
+        have reached the new incarnation.  The old one has none left and is not
+        used any more, by whoever still refers to it.
         """
         self.log_event('Back end has a new incarnation.', backend)
         self.forget_unclaimed(old, set())
         runs = self.open_incarnation(backend, now)
         if old.run_by_task:
             runs.lease_end_s = old.lease_end_s
-        for run in old.run_by_task.values():
+        for run in list(old.run_by_task.values()):
+            old.drop(run.task)
             runs.add(run)
+        old.is_listed = False
 
     def add(self, runs: BackendRuns, run: Run) -> None:
         """Adds a run that was started or adopted."""
--- a/tests/core/test_back_end_incarnations.py
+++ b/tests/core/test_back_end_incarnations.py
@@ -17,6 +17,7 @@
 )
 from camphorlink.internal.core.connection.backend_runs import RunState
 from camphorlink.internal.core.process.job_table import JobState
+from camphorlink.internal.core.request.crash_assessment import Assessment
 from camphorlink.internal.core.request.durable_job import TaskKey
 from camphorlink.internal.core.request.job_records import JobAccepted
 from simulated_backends import CellRig, SimulatedBackend, listed, make_job
@@ -260,3 +261,25 @@
     assert 'stale_answers' in {count.family for count in rig.counts}
     assert FIRST_JOB in rig.table.live_by_id
     assert start_counts([backend], FIRST_JOB) == {task: 1}
+
+
+def test_suspect_carried_over_from_the_former_incarnation_never_starts_again():
+    rig, backends = make_site(2)
+    accept(rig, FIRST_JOB, 1)
+    rig.run_for(0.1)
+    running, other = sorted(backends, key=lambda entry: not entry.active)
+    running.crash(rig.now)
+    other.loses_starts = True
+    task = TaskKey(FIRST_JOB, 0, 0)
+    commanded = {task: {other.listed.backend_id}}
+    end_s = rig.now + 5
+    while rig.cell.registry.backends_by_task != commanded:
+        assert rig.now < end_s
+        rig.run_for(0.02)
+    assert rig.cell.commander.crashes.assess(task) is Assessment.SUSPECTED
+    other.crash(rig.now)
+    other.down_until_s = rig.now
+    rig.list_backends()
+    other.loses_starts = False
+    rig.run_for(3)
+    assert rig.table.ended_by_id[FIRST_JOB].state is JobState.COMPLETED
