Withhold a task longer with each further crash that is not certain

Callers could see more back ends lost to one task than the platform allows, if they never came back, as a task was withheld for the same time after each crash. Not seen outside tests.

Change: the wait doubles with each further crash.

Measured: a task that crashes each of its back ends for good has five starts in 60 s; the platform's limit is six.

--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -29,6 +29,7 @@
 )
 from camphorlink.internal.core.process.run_registry import RunRegistry
 from camphorlink.internal.core.request.crash_assessment import (
+    MIN_CRASHES,
     Assessment,
     Crash,
     CrashKind,
@@ -49,8 +50,9 @@
 #: run has hardly ended unnoticed: after a reset connection, the next call is sent
 #: within 0.1 s.
 MAX_SILENCE_S = 0.25
-#: Time in seconds for which a task is withheld after the latest crash under it
-#: that is not certain: a crashed back end has mostly started again by then.
+#: Time in seconds for which a task is withheld after the second crash under it, if
+#: one is not certain: a crashed back end has mostly started again by then.  It
+#: doubles with each further crash, as ever fewer are likely to be retracted.
 VERDICT_WAIT_S = 6.0
 
 
@@ -132,12 +134,14 @@
         """
         if self.assess(task) is not Assessment.WITHHELD:
             return False
+        crashes = self._crashes_of(task)
         since_s = [
             self._uncertain_since_s.setdefault(incarnation, now)
-            for incarnation, crash in self._crashes_of(task).items()
+            for incarnation, crash in crashes.items()
             if not crash.is_certain
         ]
-        return now - max(since_s) < VERDICT_WAIT_S
+        wait_s = VERDICT_WAIT_S * 2 ** (len(crashes) - MIN_CRASHES)
+        return now - max(since_s) < wait_s
 
     def _crashes_of(self, task: TaskKey) -> dict[Incarnation, Crash]:
         crashes = self._stored.crashes_of(task) | self._observed.crashes_of(
--- a/tests/core/test_uncertain_crashes.py
+++ b/tests/core/test_uncertain_crashes.py
@@ -109,6 +109,20 @@
     assert rig.table.ended_by_id[JOB].state is JobState.COMPLETED
 
 
+def test_task_that_crashes_back_ends_for_good_is_restarted_without_end():
+    rig, backends = make_site(8)
+    for backend in backends:
+        backend.crashing_jobs.add(JOB)
+        backend.restart_s = FOR_GOOD_S
+    accept(rig)
+    rig.run_for(60)
+    starts_s = sorted(entry[2] for b in backends for entry in b.starts)
+    assert len(starts_s) == 5
+    for number, wait_s in enumerate((1, 2, 4), 2):
+        pause_s = starts_s[number] - starts_s[number - 1]
+        assert pause_s > wait_s * VERDICT_WAIT_S
+
+
 @pytest.mark.parametrize('is_taken_over', [False, True])
 def test_crashes_that_become_certain_are_not_counted(is_taken_over):
     rig, backends = make_site()
