Retract crashes of back ends that publish a later clock

Callers could see a stored job as failed after back ends had refused connections, run on until its runs had ended, and crashed before they answered again: their next life made crashes certain under which no run was left.

Cause: a certain crash says that an incarnation has ended, and counted from the first refused connection.

Change: back ends publish their clocks in the platform's store about every 1.5 s. One that was read 0.5 s or more after the first refusal shows that the back end ran on: its crash is retracted, and a later one accuses none of the tasks that were there.

It works because a crashed process publishes nothing, and the clocks compared are of the same back end and incarnation, so that late reads of the list don't matter.

Measured: the new test fails without the reports.

--- a/src/camphorlink/internal/core/connection/backend_commands.py
+++ b/src/camphorlink/internal/core/connection/backend_commands.py
@@ -10,6 +10,18 @@
 from camphorlink.internal.core.request.durable_job import Resources, TaskKey
 
 
+class ReportedClock(NamedTuple):
+    """A reading of a back end's clock that it has published itself.
+
+    Attributes:
+        started_ms: Start time of the incarnation, in ms.
+        read_ms: The reading, in ms.
+    """
+
+    started_ms: int
+    read_ms: int
+
+
 class ListedBackend(NamedTuple):
     """Entry of a back end in the platform's directory.
 
--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -11,6 +11,7 @@
 
 from camphorlink.internal.core.connection.backend_commands import (
     ListedBackend,
+    ReportedClock,
 )
 from camphorlink.internal.core.connection.backend_runs import (
     BackendRuns,
@@ -50,6 +51,10 @@
 #: run has hardly ended unnoticed: after a reset connection, the next call is sent
 #: within 0.1 s.
 MAX_SILENCE_S = 0.25
+#: Time in ms after the first refused connection from which on a report of a back
+#: end shows that it has run on: the answer from which its clock is known may have
+#: been under way for some time.
+REPORT_MARGIN_MS = 500
 #: Time in seconds for which a task is withheld after the second crash under it, if
 #: one is not certain: a crashed back end has mostly started again by then.  It
 #: doubles with each further crash, as ever fewer are likely to be retracted.
@@ -116,6 +121,8 @@
         self._doubtful: dict[Incarnation, BackendCrashed] = {}
         self._doubted_tasks: set[TaskKey] = set()
         self._uncertain_since_s: dict[Incarnation, float] = {}
+        #: Incarnations that refuse connections and are known to run on.
+        self._cut_off: set[Incarnation] = set()
 
     def assess(self, task: TaskKey) -> Assessment:
         """Assesses a task by stored crashes and by those observed here.
@@ -165,7 +172,9 @@
         incarnation = _incarnation_of(runs)
         if incarnation in self._recorded or incarnation in self._doubtful:
             return
-        if runs.listed.is_draining or not _find_present(runs):
+        if incarnation in self._cut_off or runs.listed.is_draining:
+            return
+        if not _find_present(runs):
             return
         crash = self._describe(runs, now)
         if runs.outage(now).refused_s >= 0:
@@ -207,17 +216,46 @@
         incarnation = _incarnation_of(runs)
         if self._doubtful.pop(incarnation, None) is not None:
             self._update_doubted()
+        self._cut_off.discard(incarnation)
         is_certain = self._stored.is_certain(incarnation)
         if self._is_recorded(incarnation) and not is_certain:
-            self._recorded.discard(incarnation)
-            self._uncertain_since_s.pop(incarnation, None)
-            self._retracted.add(incarnation)
-            survived = BackendSurvived(*incarnation)
-            self._observed.retract(survived)
-            self._effects.append(AppendRecord(survived))
-            self._registry.log_event(
-                'Back end had not crashed; its crash is retracted.', runs.listed
+            self._retract(incarnation)
+
+    def record_reports(
+        self, clock_by_id: Mapping[str, ReportedClock], now: float
+    ) -> None:
+        """Handles the clocks that back ends have published.
+
+        One that is cut off may still publish it.  A later crash of it tells
+        nothing of the runs that were there when it was cut off.
+        """
+        for crash in self._observed.uncertain():
+            incarnation = Incarnation(crash.backend_id, crash.started_ms)
+            runs = self._registry.runs_by_backend.get(crash.backend_id)
+            clock = clock_by_id.get(crash.backend_id)
+            if runs is None or clock is None:
+                continue
+            is_same = clock.started_ms == crash.started_ms
+            if is_same and _has_run_on(runs, incarnation, clock.read_ms, now):
+                self._cut_off.add(incarnation)
+                self._retract(incarnation)
+
+    def _retract(self, incarnation: Incarnation) -> None:
+        self._recorded.discard(incarnation)
+        self._uncertain_since_s.pop(incarnation, None)
+        self._retracted.add(incarnation)
+        survived = BackendSurvived(*incarnation)
+        self._observed.retract(survived)
+        self._effects.append(AppendRecord(survived))
+        self._effects.append(
+            LogEvent(
+                'Back end had not crashed; its crash is retracted.',
+                {
+                    'backend': incarnation.backend_id,
+                    'is_cut_off': incarnation in self._cut_off,
+                },
             )
+        )
 
     def report_unobserved(self, ended_ms_by_backend: Mapping[str, int]) -> None:
         """Logs and counts crashes whose runs were known to a lost owner only.
@@ -252,7 +290,10 @@
         kind = CrashKind.OBSERVED
         if have_common_cause(runs, self._registry.runs_by_backend.values()):
             kind = CrashKind.COMMON
-        elif runs.outage(now).silent_s > MAX_SILENCE_S:
+        elif (
+            runs.outage(now).silent_s > MAX_SILENCE_S
+            or _incarnation_of(runs) in self._cut_off
+        ):
             kind = CrashKind.SILENT
         return BackendCrashed(
             *_incarnation_of(runs),
@@ -325,6 +366,19 @@
     ]
 
 
+def _has_run_on(
+    runs: BackendRuns, incarnation: Incarnation, read_ms: int, now: float
+) -> bool:
+    """Returns whether a back end read its clock after it refused connections."""
+    refused_s = runs.outage(now).refused_s
+    if _incarnation_of(runs) != incarnation or refused_s < 0:
+        return False
+    if runs.clock is None:
+        return False
+    at_refusal_ms = runs.clock.estimate_ms(now - refused_s)
+    return read_ms > at_refusal_ms + REPORT_MARGIN_MS
+
+
 def _is_confirmed(run: Run) -> bool:
     """Returns whether a run was certainly there when it was last heard of.
 
--- a/src/camphorlink/internal/shell/ports.py
+++ b/src/camphorlink/internal/shell/ports.py
@@ -13,6 +13,7 @@
     ListedBackend,
     RenewalAnswer,
     RenewLeases,
+    ReportedClock,
     StartAnswer,
     StartRun,
     StopRun,
@@ -191,11 +192,13 @@
         backends_topic: Topic of the list of back ends.
         counts: Number of skipped entries by their kind; an invalid version
             of the configuration counts as ``config``.
+        clock_by_id: The clock that each back end has last reported.
     """
 
     config_topic: str
     backends_topic: str
     counts: collections.Counter[str]
+    clock_by_id: dict[str, ReportedClock]
 
     def decode_config(self, records: Sequence[bytes]) -> JobConfig | None:
         """Returns the last valid configuration in records, or ``None``."""
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -9,6 +9,7 @@
 from camphorlink.internal.core.connection.backend_commands import (
     ListedBackend,
     RenewLeases,
+    ReportedClock,
     StartRun,
     StopRun,
 )
@@ -134,12 +135,15 @@
         self._place_tasks()
 
     def update_backends(
-        self, listed_by_id: Mapping[str, ListedBackend]
+        self,
+        listed_by_id: Mapping[str, ListedBackend],
+        clock_by_id: Mapping[str, ReportedClock],
     ) -> None:
         """Updates the cell's back ends.
 
         Args:
             listed_by_id: All back ends that the platform lists, of all zones.
+            clock_by_id: The clock that each back end has last reported.
         """
         own_backend_by_id = {
             backend_id: backend
@@ -147,6 +151,7 @@
             if backend.zone == self.cell.name
         }
         self.cell.update_backends(own_backend_by_id, now_s())
+        self.cell.commander.crashes.record_reports(clock_by_id, now_s())
         self._carry_out_effects()
 
     def run_transient(self, assignment: AssignTasks, coordinator: str) -> None:
--- a/src/camphorlink/internal/shell/process/cell_manager.py
+++ b/src/camphorlink/internal/shell/process/cell_manager.py
@@ -118,7 +118,7 @@
         published = self._shared.published
         for host in self.host_by_cell.values():
             host.cell.waiting.apply_shares(published.share_by_queue)
-            host.update_backends(published.listed_by_id)
+            host.update_backends(published.listed_by_id, published.clock_by_id)
 
     def handle_lost_member(self, member: str) -> None:
         """Stops the transient jobs that a lost member coordinated."""
@@ -226,7 +226,9 @@
         self.host_by_cell[cell] = host
         host.__enter__()
         host.cell.waiting.apply_shares(shared.published.share_by_queue)
-        host.update_backends(shared.published.listed_by_id)
+        host.update_backends(
+            shared.published.listed_by_id, shared.published.clock_by_id
+        )
 
     def _release(self, cell: str) -> None:
         self.host_by_cell.pop(cell).__exit__(None, None, None)
--- a/src/camphorlink/internal/shell/process/published_state.py
+++ b/src/camphorlink/internal/shell/process/published_state.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from types import TracebackType
 from typing import Self
 
-from camphorlink.internal.core.connection.backend_commands import ListedBackend
+from camphorlink.internal.core.connection.backend_commands import (
+    ListedBackend,
+    ReportedClock,
+)
 from camphorlink.internal.shell.ports import (
     DirectoryPort,
     JobConfig,
@@ -127,6 +130,11 @@
             if queue.share is not None
         }
 
+    @property
+    def clock_by_id(self) -> Mapping[str, ReportedClock]:
+        """The clock that each back end has last reported."""
+        return self._directory.clock_by_id
+
     async def _follow_config(self) -> None:
         offset: int | None = None
         while True:
--- a/src/camphorlink/platform/directory.py
+++ b/src/camphorlink/platform/directory.py
@@ -9,7 +9,10 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
-from camphorlink.internal.core.connection.backend_commands import ListedBackend
+from camphorlink.internal.core.connection.backend_commands import (
+    ListedBackend,
+    ReportedClock,
+)
 from camphorlink.internal.core.request.durable_job import Resources
 from camphorlink.internal.core.request.queue_checks import (
     InvalidQueueError,
@@ -39,6 +42,7 @@
 _STATES = frozenset(('ready', 'draining'))
 #: The only fields that change with each report of a runner that has no news.
 _COUNTERS = re.compile(rb'"(?:sequence|clock_ms)":\s*\d+')
+_CLOCK = re.compile(rb'"clock_ms":\s*(\d{1,15})\b')
 
 
 class _Report(NamedTuple):
@@ -60,6 +64,7 @@
         config_topic: Topic of the configuration and of zone drains.
         backends_topic: Topic of the list of runners.
         counts: Number of skipped entries by their kind.
+        clock_by_id: The clock that each runner has last reported.
     """
 
     config_topic = 'keyed.op'
@@ -68,6 +73,7 @@
     def __init__(self) -> None:
         """Initializes the decoder with zero counts."""
         self.counts: collections.Counter[str] = collections.Counter()
+        self.clock_by_id: dict[str, ReportedClock] = {}
         self._report_by_id: dict[str, _Report] = {}
         self._invalid_config = b''
         self._log = PartLog('directory')
@@ -128,9 +134,12 @@
             backend_by_id[entry.key] = None
             if not entry.content:
                 self._report_by_id.pop(entry.key, None)
+                self.clock_by_id.pop(entry.key, None)
                 continue
             try:
-                backend_by_id[entry.key] = self._read_report(entry)
+                backend = self._read_report(entry)
+                backend_by_id[entry.key] = backend
+                self._read_clock(entry, backend)
             except Exception as exc:
                 # Entries of other writers may hold anything; none of them
                 # removes the runner, or keeps the others from being read.
@@ -151,6 +160,13 @@
         self._report_by_id[entry.key] = _Report(content, backend)
         return backend
 
+    def _read_clock(self, entry: KeyedRecord, backend: ListedBackend) -> None:
+        reading = _CLOCK.search(entry.content)
+        if reading is not None:
+            self.clock_by_id[entry.key] = ReportedClock(
+                backend.started_ms, int(reading[1])
+            )
+
     def _count_skipped(self, entry_kind: str, exc: Exception) -> None:
         self.counts[entry_kind] += 1
         self._log.warning(
--- a/tests/core/test_uncertain_crashes.py
+++ b/tests/core/test_uncertain_crashes.py
@@ -17,7 +17,13 @@
     BackendCrashed,
     JobAccepted,
 )
-from simulated_backends import CellRig, SimulatedBackend, listed, make_job
+from simulated_backends import (
+    REPORT_PERIOD_S,
+    CellRig,
+    SimulatedBackend,
+    listed,
+    make_job,
+)
 
 JOB = 'a' * 16
 TASK = TaskKey(JOB, 0, 0)
@@ -90,6 +96,37 @@
     assert [report.is_done for report in rig.reports] == [True]
 
 
+def test_back_ends_that_crash_long_after_they_were_cut_off_fail_a_job():
+    rig, backends = make_site()
+    accept(rig)
+    cut_off = [
+        cut_under_task(rig, backends, FOR_GOOD_S),
+        cut_under_task(rig, backends, FOR_GOOD_S),
+    ]
+    # Each of them reports once more, and its run ends.
+    play(rig, 2.5)
+    for backend in cut_off:
+        assert not backend.active
+        backend.restart_s = 1.0
+        backend.crash(rig.now)
+    play(rig, 5)
+    assert rig.table.ended_by_id[JOB].state is JobState.COMPLETED
+    assert not rig.table.crashes.records
+
+
+def test_report_from_before_the_refusal_retracts_a_crash():
+    rig, backends = make_site()
+    # The last report before the crash is read after it.
+    rig.run_for(REPORT_PERIOD_S - DELAY_S)
+    accept(rig)
+    rig.run_for(DELAY_S)
+    (running,) = [backend for backend in backends if backend.active]
+    running.crash(rig.now)
+    play(rig, 1)
+    (crash,) = rig.table.crashes.uncertain()
+    assert crash.backend_id == running.listed.backend_id
+
+
 def test_third_back_end_is_risked_before_the_crashes_are_certain():
     rig, backends = make_site()
     accept(rig)
--- a/tests/cover/test_cell_host.py
+++ b/tests/cover/test_cell_host.py
@@ -121,7 +121,7 @@
         )
         backend = listed('i-1', cpu=32_000)
         with host:
-            host.update_backends({'i-1': backend})
+            host.update_backends({'i-1': backend}, {})
             await asyncio.sleep(0.05)
             clock.now_s += suspended_s
             requested_s_by_zone = dict.fromkeys(drained_zones, clock.now_s)
--- a/tests/cover/test_platform_decoding.py
+++ b/tests/cover/test_platform_decoding.py
@@ -4,6 +4,7 @@
 import pytest
 
 from camphorlink.errors import JobError, SettingsError
+from camphorlink.internal.core.connection.backend_commands import ReportedClock
 from camphorlink.internal.core.version.zone_drains import DrainRecord
 from camphorlink.internal.shell.ports import JobConfig
 from camphorlink.internal.shell.process.published_drains import (
@@ -36,6 +37,20 @@
     assert not backend.is_draining
 
 
+def test_clock_is_read_from_each_repeated_report():
+    directory = Directory()
+    for read_ms in (100, 1600):
+        document = RUNNER | {'clock_ms': read_ms}
+        directory.decode_backends([keyed_record('i-1', document)])
+        assert directory.clock_by_id == {'i-1': ReportedClock(17, read_ms)}
+    for odd in ('1', -5, None, [1], 10**15):
+        document = RUNNER | {'clock_ms': odd}
+        directory.decode_backends([keyed_record('i-1', document)])
+        assert directory.clock_by_id == {'i-1': ReportedClock(17, 1600)}
+    directory.decode_backends([keyed_record('i-1', b'')])
+    assert not directory.clock_by_id
+
+
 def test_removed_runners_are_none_and_draining_ones_are_marked():
     directory = Directory()
     assert directory.decode_backends([keyed_record('i-1', b'')]) == {
--- a/tests/simulated_backends.py
+++ b/tests/simulated_backends.py
@@ -11,6 +11,7 @@
     RenewalAnswer,
     RenewalVerdict,
     RenewLeases,
+    ReportedClock,
     RunResult,
     StartAnswer,
     StartRun,
@@ -55,6 +56,8 @@
 CRASH_DELAY_S = 0.01
 #: Time from a crash to the next incarnation, in seconds.
 RESTART_S = 3.0
+#: Period of a back end's reports to the platform, in seconds.
+REPORT_PERIOD_S = 1.5
 
 
 def make_job(job_id='a' * 16, count=1, cpu=14_000, **fields):
@@ -118,6 +121,7 @@
         overloads: Starts that exceeded the capacity.
         noted: Completions of all incarnations that were acknowledged.
         restart_s: Time from a crash to the next incarnation, in seconds.
+        clock: The clock that it has last reported to the platform.
         has_other_identifier: Whether starts are answered by another back end at
             its address.
     """
@@ -134,6 +138,9 @@
         self.has_other_identifier = False
         self.is_dark = False
         self.down_until_s = 0.0
+        self.clock = ReportedClock(entry.started_ms, 0)
+        self._reports_from_s = 0.0
+        self._reported_s = 0.0
         self._crash_s = float('inf')
         self.listed = entry
         self._former = entry
@@ -174,6 +181,7 @@
         self.fence = 0
         self.lease_end_s = 0.0
         self.down_until_s = now + self.restart_s
+        self._reports_from_s = self.down_until_s
         self._former = self.listed
         self.listed = self.listed._replace(
             started_ms=self.listed.started_ms + 1
@@ -183,6 +191,7 @@
         """Ends runs that are done, and kills runs with a lapsed lease."""
         if now >= self._crash_s:
             self.crash(now)
+        self._report(now)
         for task, (run, end_s) in sorted(self.active.items()):
             if now > self.lease_end_s:
                 self._end(task, run, RunResult.LAPSED)
@@ -190,6 +199,11 @@
                 result = RunResult.FAILED if self.fails else RunResult.DONE
                 self._end(task, run, result)
 
+    def _report(self, now):
+        if now >= max(self._reports_from_s, self._reported_s + REPORT_PERIOD_S):
+            self._reported_s = now
+            self.clock = ReportedClock(self.listed.started_ms, int(now * 1000))
+
     def _end(self, task, run, result):
         self.active.pop(task)
         self.highest_stopped[task] = max(run, self.highest_stopped.get(task, 0))
@@ -325,6 +339,11 @@
             for backend_id, backend in self.backend_by_id.items()
         }
         self.cell.update_backends(entries, self.now)
+        clock_by_id = {
+            backend_id: backend.clock
+            for backend_id, backend in self.backend_by_id.items()
+        }
+        self.cell.commander.crashes.record_reports(clock_by_id, self.now)
         self.execute_effects()
 
     def submit(
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -140,6 +140,7 @@
     def __init__(self, listed_by_id):
         self._listed_by_id = listed_by_id
         self.counts = collections.Counter()
+        self.clock_by_id = {}
 
     def decode_config(self, records):
         return JobConfig(1, (), 1 << 20) if records else None
