Ask in one place whether a call was sent to a former incarnation

The answer to a start was compared with the incarnation twice, the second time in vain since the first one returns, and renewals had the comparison written out. Renewals to a former incarnation are counted as stale answers now, as OPERATIONS.md says; nothing else changes.

--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -253,7 +253,7 @@
             elif run.state is not RunState.RUNNING:
                 self._drop_lost_run(runs, run, RunLoss.REJECTED, now)
             return
-        if _names_ended_incarnation(command, answer, runs):
+        if answer.verdict is StartVerdict.OTHER_INCARNATION:
             self.registry.count('rejected_starts', answer.verdict.value)
             runs.record_no_answer(sent_s, renews=False)
             # The start was answered by another process, so that the task was not
@@ -321,7 +321,7 @@
         self._callbacks.expire_coordinators(now)
         sent_s = self.registry.pop_sent_s(command)
         runs = self.registry.runs_by_backend.get(command.backend.backend_id)
-        if runs is None or command.backend.started_ms != runs.listed.started_ms:
+        if runs is None or _is_stale(self.registry, command, runs):
             return
         is_regular_renewal = runs.renewal_number == command.number
         if is_regular_renewal:
@@ -517,7 +517,9 @@
 
 
 def _is_stale(
-    registry: RunRegistry, command: StartRun | StopRun, runs: BackendRuns
+    registry: RunRegistry,
+    command: StartRun | StopRun | RenewLeases,
+    runs: BackendRuns,
 ) -> bool:
     """Returns whether a command was sent to a former incarnation.
 
@@ -536,13 +538,3 @@
     if run.state is RunState.COMMANDED:
         run.change_state(RunState.UNCERTAIN, now)
         registry.list_runs(runs, now)
-
-
-def _names_ended_incarnation(
-    command: StartRun, answer: StartAnswer, runs: BackendRuns
-) -> bool:
-    """Returns whether a start shows that the known incarnation has ended."""
-    return (
-        answer.verdict is StartVerdict.OTHER_INCARNATION
-        and command.backend.started_ms == runs.listed.started_ms
-    )
