Let a crash name its incarnation and its possible tasks

The incarnation was put together from a crash in seven places, its tasks in four, and each log line of the crash monitor was built by hand. CrashTable.record returns the crash as remembered, which the job table looked up again, and whether a task is withheld takes one look at its crashes instead of two. No change in behaviour.

--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -21,13 +21,9 @@
 from camphorlink.internal.core.process.cell_effects import (
     AppendRecord,
     CellEffect,
-    CountEvent,
     LogEvent,
 )
-from camphorlink.internal.core.process.crash_table import (
-    CrashTable,
-    Incarnation,
-)
+from camphorlink.internal.core.process.crash_table import CrashTable
 from camphorlink.internal.core.process.run_registry import RunRegistry
 from camphorlink.internal.core.request.crash_assessment import (
     MIN_CRASHES,
@@ -40,6 +36,7 @@
 from camphorlink.internal.core.request.job_records import (
     BackendCrashed,
     BackendSurvived,
+    Incarnation,
 )
 
 #: Longest time between the first unanswered calls to back ends that failed at
@@ -139,9 +136,9 @@
 
         The wait is limited, as a back end may be lost for good.
         """
-        if self.assess(task) is not Assessment.WITHHELD:
-            return False
         crashes = self._crashes_of(task)
+        if assess(crashes.values()) is not Assessment.WITHHELD:
+            return False
         since_s = [
             self._uncertain_since_s.setdefault(incarnation, now)
             for incarnation, crash in crashes.items()
@@ -204,9 +201,7 @@
         for crash in (*self._stored.uncertain(), *self._observed.uncertain()):
             listed = listed_by_id.get(crash.backend_id)
             if listed is not None and listed.started_ms > crash.started_ms:
-                self._make_certain(
-                    Incarnation(crash.backend_id, crash.started_ms)
-                )
+                self._make_certain(crash.incarnation)
 
     def record_answer(self, runs: BackendRuns) -> None:
         """Handles a back end that answers again: it did not crash.
@@ -230,7 +225,7 @@
         nothing of the runs that were there when it was cut off.
         """
         for crash in self._observed.uncertain():
-            incarnation = Incarnation(crash.backend_id, crash.started_ms)
+            incarnation = crash.incarnation
             runs = self._registry.runs_by_backend.get(crash.backend_id)
             clock = clock_by_id.get(crash.backend_id)
             if runs is None or clock is None:
@@ -247,14 +242,10 @@
         survived = BackendSurvived(*incarnation)
         self._observed.retract(survived)
         self._effects.append(AppendRecord(survived))
-        self._effects.append(
-            LogEvent(
-                'Back end had not crashed; its crash is retracted.',
-                {
-                    'backend': incarnation.backend_id,
-                    'is_cut_off': incarnation in self._cut_off,
-                },
-            )
+        self._log(
+            'Back end had not crashed; its crash is retracted.',
+            incarnation,
+            is_cut_off=incarnation in self._cut_off,
         )
 
     def report_unobserved(self, ended_ms_by_backend: Mapping[str, int]) -> None:
@@ -271,13 +262,8 @@
             if incarnation in self._recorded or self._stored.knows(incarnation):
                 continue
             self._recorded.add(incarnation)
-            self._effects.append(CountEvent('backend_crashes', 'unobserved'))
-            self._effects.append(
-                LogEvent(
-                    'Back end crashed while its owner was lost.',
-                    {'backend': incarnation.backend_id},
-                )
-            )
+            self._registry.count('backend_crashes', 'unobserved')
+            self._log('Back end crashed while its owner was lost.', incarnation)
 
     def _describe(self, runs: BackendRuns, now: float) -> BackendCrashed:
         by_start = sorted(
@@ -317,43 +303,39 @@
         if crash is None or crash.is_certain:
             return
         self._uncertain_since_s.pop(incarnation, None)
-        certain = crash._replace(is_certain=True)
-        self._recorded.add(incarnation)
-        self._observed.record(certain)
-        self._effects.append(AppendRecord(certain))
-        self._effects.append(CountEvent('certain_crashes', crash.kind.value))
-        self._effects.append(
-            LogEvent(
-                'Crash of a back end is certain.',
-                {'backend': incarnation.backend_id},
-            )
-        )
+        self._store(crash._replace(is_certain=True))
+        self._registry.count('certain_crashes', crash.kind.value)
+        self._log('Crash of a back end is certain.', incarnation)
 
     def _record(self, crash: BackendCrashed) -> None:
-        incarnation = Incarnation(crash.backend_id, crash.started_ms)
-        self._recorded.add(incarnation)
-        self._retracted.discard(incarnation)
+        self._retracted.discard(crash.incarnation)
+        self._store(crash)
+        self._registry.count('backend_crashes', crash.kind.value)
+        self._log(
+            'Back end crashed under tasks.',
+            crash.incarnation,
+            kind=crash.kind.value,
+            is_certain=crash.is_certain,
+            tasks=[list(task) for task in crash.tasks],
+            unconfirmed=[list(task) for task in crash.unconfirmed],
+        )
+
+    def _store(self, crash: BackendCrashed) -> None:
+        self._recorded.add(crash.incarnation)
         self._observed.record(crash)
         self._effects.append(AppendRecord(crash))
-        self._effects.append(CountEvent('backend_crashes', crash.kind.value))
-        self._effects.append(
-            LogEvent(
-                'Back end crashed under tasks.',
-                {
-                    'backend': crash.backend_id,
-                    'kind': crash.kind.value,
-                    'is_certain': crash.is_certain,
-                    'tasks': [list(task) for task in crash.tasks],
-                    'unconfirmed': [list(task) for task in crash.unconfirmed],
-                },
-            )
-        )
+
+    def _log(
+        self, event: str, incarnation: Incarnation, **facts: object
+    ) -> None:
+        facts = {'backend': incarnation.backend_id, **facts}
+        self._effects.append(LogEvent(event, facts))
 
     def _update_doubted(self) -> None:
         self._doubted_tasks = {
             task
             for crash in self._doubtful.values()
-            for task in (*crash.tasks, *crash.unconfirmed)
+            for task in crash.possible_tasks
         }
 
 
--- a/src/camphorlink/internal/core/process/crash_table.py
+++ b/src/camphorlink/internal/core/process/crash_table.py
@@ -4,8 +4,6 @@
 from the job log and from an owner's own observations.
 """
 
-from typing import NamedTuple
-
 from camphorlink.internal.core.request.crash_assessment import (
     Assessment,
     Crash,
@@ -16,6 +14,7 @@
 from camphorlink.internal.core.request.job_records import (
     BackendCrashed,
     BackendSurvived,
+    Incarnation,
 )
 
 #: Number of crashes that are remembered: 300 back ends that crash every 4 s do
@@ -23,18 +22,6 @@
 MAX_CRASHES_KEPT = 1000
 
 
-class Incarnation(NamedTuple):
-    """Identifies one incarnation of a back end.
-
-    Attributes:
-        backend_id: Identifier of the back end.
-        started_ms: Start time of the incarnation, in ms.
-    """
-
-    backend_id: str
-    started_ms: int
-
-
 class CrashTable:
     """Remembers the latest crashes, by incarnation and by job."""
 
@@ -49,18 +36,29 @@
         """The remembered crashes, oldest first."""
         return list(self._crash_by_incarnation.values())
 
-    def record(self, crash: BackendCrashed) -> None:
-        """Records a crash; of a known one, only whether it is certain."""
-        incarnation = Incarnation(crash.backend_id, crash.started_ms)
-        known = self._crash_by_incarnation.get(incarnation)
-        if known is not None:
-            if crash.is_certain:
-                self._make_certain(incarnation, known)
-            return
+    def record(self, crash: BackendCrashed) -> BackendCrashed:
+        """Records a crash; of a known one, only whether it is certain.
+
+        Returns:
+            The crash as it is remembered.
+        """
+        incarnation = crash.incarnation
+        known = self.get(incarnation)
+        if known is None:
+            self._add(crash)
+            return crash
+        if crash.is_certain:
+            known = known._replace(is_certain=True)
+            self._crash_by_incarnation[incarnation] = known
+            self._uncertain.discard(incarnation)
+        return known
+
+    def _add(self, crash: BackendCrashed) -> None:
+        incarnation = crash.incarnation
         self._crash_by_incarnation[incarnation] = crash
         if not crash.is_certain:
             self._uncertain.add(incarnation)
-        for task in (*crash.tasks, *crash.unconfirmed):
+        for task in crash.possible_tasks:
             self._incarnations_by_job.setdefault(task.job_id, set()).add(
                 incarnation
             )
@@ -89,9 +87,8 @@
 
     def retract(self, survived: BackendSurvived) -> None:
         """Forgets a crash that did not happen; a certain one has happened."""
-        incarnation = Incarnation(survived.backend_id, survived.started_ms)
-        if not self.is_certain(incarnation):
-            self._forget(incarnation)
+        if not self.is_certain(survived.incarnation):
+            self._forget(survived.incarnation)
 
     def crashes_of(self, task: TaskKey) -> dict[Incarnation, Crash]:
         """Returns the crashes under a task, by incarnation."""
@@ -100,7 +97,7 @@
                 self._crash_by_incarnation[incarnation], task
             )
             for incarnation in self._incarnations_by_job.get(task.job_id, ())
-            if _concerns(self._crash_by_incarnation[incarnation], task)
+            if task in self._crash_by_incarnation[incarnation].possible_tasks
         }
 
     def assess(self, task: TaskKey) -> Assessment:
@@ -120,17 +117,10 @@
                 return task
         return None
 
-    def _make_certain(
-        self, incarnation: Incarnation, known: BackendCrashed
-    ) -> None:
-        certain = known._replace(is_certain=True)
-        self._crash_by_incarnation[incarnation] = certain
-        self._uncertain.discard(incarnation)
-
     def _forget(self, incarnation: Incarnation) -> None:
         self._uncertain.discard(incarnation)
         crash = self._crash_by_incarnation.pop(incarnation, None)
-        tasks = () if crash is None else (*crash.tasks, *crash.unconfirmed)
+        tasks = () if crash is None else crash.possible_tasks
         for task in tasks:
             incarnations = self._incarnations_by_job.get(task.job_id, set())
             incarnations.discard(incarnation)
@@ -138,10 +128,6 @@
                 self._incarnations_by_job.pop(task.job_id, None)
 
 
-def _concerns(crash: BackendCrashed, task: TaskKey) -> bool:
-    return task in crash.tasks or task in crash.unconfirmed
-
-
 def _describe(crash: BackendCrashed, task: TaskKey) -> Crash:
     # Of an inferred crash, only tasks that may have been there are known.
     is_known = crash.kind is not CrashKind.INFERRED
--- a/src/camphorlink/internal/core/process/job_table.py
+++ b/src/camphorlink/internal/core/process/job_table.py
@@ -6,10 +6,7 @@
 from functools import singledispatchmethod
 from typing import NamedTuple
 
-from camphorlink.internal.core.process.crash_table import (
-    CrashTable,
-    Incarnation,
-)
+from camphorlink.internal.core.process.crash_table import CrashTable
 from camphorlink.internal.core.request.crash_assessment import Assessment
 from camphorlink.internal.core.request.durable_job import (
     DurableJob,
@@ -380,12 +377,10 @@
 
     @_fold.register
     def _fold_crashed(self, record: BackendCrashed) -> list[Change]:
-        self.crashes.record(record)
-        incarnation = Incarnation(record.backend_id, record.started_ms)
-        known = self.crashes.get(incarnation) or record
+        crash = self.crashes.record(record)
         given_up = tuple(
             task
-            for task in known.tasks
+            for task in crash.tasks
             if self.crashes.assess(task) is Assessment.GIVEN_UP
         )
         if not given_up:
--- a/src/camphorlink/internal/core/request/job_records.py
+++ b/src/camphorlink/internal/core/request/job_records.py
@@ -101,6 +101,18 @@
     tasks: tuple[TaskKey, ...]
 
 
+class Incarnation(NamedTuple):
+    """Identifies one incarnation of a back end.
+
+    Attributes:
+        backend_id: Identifier of the back end.
+        started_ms: Start time of the incarnation, in ms.
+    """
+
+    backend_id: str
+    started_ms: int
+
+
 class BackendCrashed(NamedTuple):
     """Records that a back end crashed, and the tasks that were there.
 
@@ -125,6 +137,16 @@
     unconfirmed: tuple[TaskKey, ...] = ()
     is_certain: bool = False
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation that ended."""
+        return Incarnation(self.backend_id, self.started_ms)
+
+    @property
+    def possible_tasks(self) -> tuple[TaskKey, ...]:
+        """The tasks that were there or may have been there."""
+        return (*self.tasks, *self.unconfirmed)
+
 
 class BackendSurvived(NamedTuple):
     """Records that a back end had not crashed although it was recorded.
@@ -137,6 +159,11 @@
     backend_id: str
     started_ms: int
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation that has not ended."""
+        return Incarnation(self.backend_id, self.started_ms)
+
 
 class SnapshotTaken(NamedTuple):
     """Records that a snapshot covers all records before an offset."""
