Forget unclaimed runs with every record of an incarnation

They were forgotten when an incarnation was replaced or ended, and kept when its back end left the list; a check at their use told these apart. They go with the record now, so that the check is not needed, and a drained cell is not taken for busy by such a run.

--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -163,6 +163,7 @@
             is_silent = runs.silent_since_s is not None
             if not runs.is_listed and is_silent and not runs.run_by_task:
                 self.registry.runs_by_backend.pop(backend_id)
+                self.registry.forget_unclaimed(runs, set())
                 self.registry.log_event(
                     'Back end was removed from the list.', runs.listed
                 )
@@ -471,8 +472,7 @@
         """
         unclaimed = self.registry.unclaimed_runs.pop(task, {})
         for runs, number in unclaimed.items():
-            known = self.registry.runs_by_backend.get(runs.listed.backend_id)
-            if known is runs and task not in runs.run_by_task:
+            if task not in runs.run_by_task:
                 self._adopt(runs, task, number, needs, now)
         return task in self.registry.backends_by_task
 
