Pass listed back ends and their clocks to a cell in one call

The host of a cell reached through it for the clocks, the test rig repeated that, and the manager of the cells passed what is published in two places. No change in behaviour.

--- a/src/camphorlink/internal/core/connection/backend_commands.py
+++ b/src/camphorlink/internal/core/connection/backend_commands.py
@@ -5,6 +5,8 @@
 """
 
 import enum
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from camphorlink.internal.core.request.durable_job import Resources, TaskKey
@@ -22,6 +24,9 @@
     read_ms: int
 
 
+NO_CLOCKS: Mapping[str, ReportedClock] = MappingProxyType({})
+
+
 class ListedBackend(NamedTuple):
     """Entry of a back end in the platform's directory.
 
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -8,12 +8,14 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
 
 from camphorlink.internal.core.connection.backend_commands import (
+    NO_CLOCKS,
     FinishedRun,
     ListedBackend,
+    ReportedClock,
 )
 from camphorlink.internal.core.connection.backend_monitor import (
     BackendMonitor,
@@ -267,9 +269,17 @@
         self,
         listed_by_id: dict[str, ListedBackend],
         now: float,
+        clock_by_id: Mapping[str, ReportedClock] = NO_CLOCKS,
     ) -> None:
-        """Applies the platform's current list of this cell's back ends."""
+        """Applies the platform's current list of this cell's back ends.
+
+        Args:
+            listed_by_id: The back ends of the cell.
+            now: Time in seconds.
+            clock_by_id: The clock that each back end has last reported.
+        """
         self.commander.update_backends(listed_by_id, now)
+        self.commander.crashes.record_clocks(clock_by_id, now)
         self._recorder.record(now)
 
     def dequeue_task(self, task: TaskKey) -> Resources | None:
--- a/src/camphorlink/internal/core/process/crash_monitor.py
+++ b/src/camphorlink/internal/core/process/crash_monitor.py
@@ -216,7 +216,7 @@
         if self._is_recorded(incarnation) and not is_certain:
             self._retract(incarnation)
 
-    def record_reports(
+    def record_clocks(
         self, clock_by_id: Mapping[str, ReportedClock], now: float
     ) -> None:
         """Handles the clocks that back ends have published.
--- a/src/camphorlink/internal/shell/process/cell_host.py
+++ b/src/camphorlink/internal/shell/process/cell_host.py
@@ -150,8 +150,7 @@
             for backend_id, backend in listed_by_id.items()
             if backend.zone == self.cell.name
         }
-        self.cell.update_backends(own_backend_by_id, now_s())
-        self.cell.commander.crashes.record_reports(clock_by_id, now_s())
+        self.cell.update_backends(own_backend_by_id, now_s(), clock_by_id)
         self._carry_out_effects()
 
     def run_transient(self, assignment: AssignTasks, coordinator: str) -> None:
--- a/src/camphorlink/internal/shell/process/cell_manager.py
+++ b/src/camphorlink/internal/shell/process/cell_manager.py
@@ -115,10 +115,13 @@
 
     def update_backends(self) -> None:
         """Passes a new list of back ends to all hosts."""
-        published = self._shared.published
         for host in self.host_by_cell.values():
-            host.cell.waiting.apply_shares(published.share_by_queue)
-            host.update_backends(published.listed_by_id, published.clock_by_id)
+            self._update_host(host)
+
+    def _update_host(self, host: CellHost) -> None:
+        published = self._shared.published
+        host.cell.waiting.apply_shares(published.share_by_queue)
+        host.update_backends(published.listed_by_id, published.clock_by_id)
 
     def handle_lost_member(self, member: str) -> None:
         """Stops the transient jobs that a lost member coordinated."""
@@ -225,10 +228,7 @@
         )
         self.host_by_cell[cell] = host
         host.__enter__()
-        host.cell.waiting.apply_shares(shared.published.share_by_queue)
-        host.update_backends(
-            shared.published.listed_by_id, shared.published.clock_by_id
-        )
+        self._update_host(host)
 
     def _release(self, cell: str) -> None:
         self.host_by_cell.pop(cell).__exit__(None, None, None)
--- a/tests/simulated_backends.py
+++ b/tests/simulated_backends.py
@@ -338,12 +338,11 @@
             backend_id: backend.entry_at(self.now)
             for backend_id, backend in self.backend_by_id.items()
         }
-        self.cell.update_backends(entries, self.now)
         clock_by_id = {
             backend_id: backend.clock
             for backend_id, backend in self.backend_by_id.items()
         }
-        self.cell.commander.crashes.record_reports(clock_by_id, self.now)
+        self.cell.update_backends(entries, self.now, clock_by_id)
         self.execute_effects()
 
     def submit(
