--- a/src/camphorlink/internal/core/process/withheld_tasks.py
+++ b/src/camphorlink/internal/core/process/withheld_tasks.py
@@ -47,7 +47,7 @@
         assessment = self._crashes.assess(task)
         if assessment is Assessment.GIVEN_UP:
             self._give_up(task)
-        if assessment.may_run or assessment is Assessment.GIVEN_UP:
+        if assessment is not Assessment.WITHHELD:
             return assessment
         if not self._crashes.must_withhold(task, now):
             return Assessment.SUSPECTED
--- a/src/camphorlink/internal/shell/request/job_handler.py
+++ b/src/camphorlink/internal/shell/request/job_handler.py
@@ -239,9 +239,10 @@
         """
         if self._node.is_closed:
             return self._refuse(VM_LEAVING)
-        given_up = self._node.table.crashes.find_given_up(job.job_id)
-        if job.job_id in self._node.table.withdrawn_by_id:
+        table = self._node.table
+        if job.job_id in table.withdrawn_by_id:
             return JobAnswer(Verdict.DONE, JobState.CANCELLED)
+        given_up = table.crashes.find_given_up(job.job_id)
         if given_up is not None:
             self._log.info(
                 'job failed: back ends crash under its task',
@@ -332,17 +333,19 @@
             return DONE
         if job_id in table.withdrawn_by_id:
             return JobAnswer(Verdict.NO_SUCH_JOB)
-        known = self._cancelling_by_id.get(job_id)
-        if known is None:
-            if job_id not in table.live_by_id:
-                if not self._is_store_available():
-                    return self._refuse(STORE_UNAVAILABLE)
-                if len(table.withdrawn_by_id) >= MAX_WITHDRAWN_JOBS:
-                    return self._refuse(TOO_MANY_CANCELLED)
-            known = asyncio.create_task(self._store_cancelled(job_id))
-            self._cancelling_by_id[job_id] = known
+        cancelling = self._cancelling_by_id
+        is_known = job_id in table.live_by_id or job_id in cancelling
+        if not is_known and not self._is_store_available():
+            return self._refuse(STORE_UNAVAILABLE)
+        if not is_known and len(table.withdrawn_by_id) >= MAX_WITHDRAWN_JOBS:
+            return self._refuse(TOO_MANY_CANCELLED)
+        if job_id not in cancelling:
+            cancelling[job_id] = asyncio.create_task(
+                self._store_cancelled(job_id)
+            )
+        stored = asyncio.shield(cancelling[job_id])
         try:
-            return await asyncio.wait_for(asyncio.shield(known), wait_s)
+            return await asyncio.wait_for(stored, wait_s)
         except TimeoutError:
             return JobAnswer(Verdict.UNKNOWN, reason='store-unanswered')
 
