--- a/tests/core/test_crashes_and_stored_jobs.py
+++ b/tests/core/test_crashes_and_stored_jobs.py
@@ -30,6 +30,7 @@
     SimulatedBackend,
     listed,
     make_job,
+    play,
 )
 
 JOB = 'a' * 16
@@ -52,14 +53,6 @@
     rig.store(JobAccepted(make_job(JOB, **fields), (('z',),)))
 
 
-def play(rig, duration_s):
-    """Runs a rig; the platform lists each new incarnation within 0.5 s."""
-    end_s = rig.now + duration_s
-    while rig.now < end_s:
-        rig.run_for(0.5)
-        rig.list_backends()
-
-
 def lose_owner_beside(rig, backend):
     """A back end crashes, and its owner is lost before it notices that."""
     backend.crash(rig.now)
--- a/tests/core/test_crashing_tasks.py
+++ b/tests/core/test_crashing_tasks.py
@@ -16,7 +16,13 @@
     BackendSurvived,
     JobAccepted,
 )
-from simulated_backends import CellRig, SimulatedBackend, listed, make_job
+from simulated_backends import (
+    CellRig,
+    SimulatedBackend,
+    listed,
+    make_job,
+    play,
+)
 
 #: Starts of one task after three back ends have crashed under it that the
 #: platform counts as a fault.
@@ -38,14 +44,6 @@
     return rig, backends
 
 
-def play(rig, duration_s):
-    """Runs a rig; the platform lists each new incarnation within 0.5 s."""
-    end_s = rig.now + duration_s
-    while rig.now < end_s:
-        rig.run_for(0.5)
-        rig.list_backends()
-
-
 def starts_of_job(backends, job_id):
     return sorted(
         start_s
--- a/tests/core/test_restarts_in_outages.py
+++ b/tests/core/test_restarts_in_outages.py
@@ -7,10 +7,7 @@
 
 import pytest
 
-from camphorlink.internal.core.connection.backend_commands import (
-    RenewLeases,
-    RunResult,
-)
+from camphorlink.internal.core.connection.backend_commands import RunResult
 from camphorlink.internal.core.request.job_records import (
     JobAccepted,
     JobCancelled,
@@ -28,27 +25,27 @@
     """Notes starts of tasks after an end as done was acknowledged.
 
     Attributes:
-        noted_tasks: Tasks with such an end on any back end.
         wrong_starts: Task, run and time of each such start.
     """
 
-    noted_tasks: set
-    wrong_starts: list
+    def __init__(self, entry, run_s, noted_tasks):
+        super().__init__(entry, run_s)
+        self.wrong_starts = []
+        #: Tasks with such an end on any back end.
+        self._noted_tasks = noted_tasks
 
     def execute(self, command, now):
-        if isinstance(command, RenewLeases) and command.term >= self.fence:
-            self.noted_tasks.update(
-                entry.task
-                for entry in self.finished
-                if entry.number <= command.acknowledged
-                and entry.result is RunResult.DONE
-            )
-        known = len(self.starts)
+        ends, starts = len(self.noted), len(self.starts)
         answer = super().execute(command, now)
+        self._noted_tasks.update(
+            entry.task
+            for entry in self.noted[ends:]
+            if entry.result is RunResult.DONE
+        )
         self.wrong_starts += [
             start
-            for start in self.starts[known:]
-            if start[0] in self.noted_tasks
+            for start in self.starts[starts:]
+            if start[0] in self._noted_tasks
         ]
         return answer
 
@@ -70,13 +67,11 @@
         self._random = random
         self._jobs = []
         self._transient_by_id = {}
+        noted_tasks = set()
         self.backends = [
-            WatchedBackend(listed(f'i-{number}'), RUN_S) for number in range(4)
+            WatchedBackend(listed(f'i-{number}'), RUN_S, noted_tasks)
+            for number in range(4)
         ]
-        noted_tasks = set()
-        for backend in self.backends:
-            backend.noted_tasks = noted_tasks
-            backend.wrong_starts = []
         self.rig = CellRig(self.backends)
         self.rig.run_for(0.1)
 
--- a/tests/core/test_uncertain_crashes.py
+++ b/tests/core/test_uncertain_crashes.py
@@ -23,6 +23,7 @@
     SimulatedBackend,
     listed,
     make_job,
+    play,
 )
 
 JOB = 'a' * 16
@@ -48,13 +49,6 @@
     rig.store(JobAccepted(job, (('z',),)))
 
 
-def play(rig, duration_s):
-    end_s = rig.now + duration_s
-    while rig.now < end_s:
-        rig.run_for(0.5)
-        rig.list_backends()
-
-
 def cut_under_task(rig, backends, cut_s=CUT_S):
     """Lets the back end that runs the task next refuse connections."""
     deadline_s = rig.now + 3
--- a/tests/simulated_backends.py
+++ b/tests/simulated_backends.py
@@ -539,3 +539,11 @@
 
     def done_tasks(self):
         return [report.task for report in self.reports if report.is_done]
+
+
+def play(rig, duration_s):
+    """Runs a rig; the platform lists each new incarnation within 0.5 s."""
+    end_s = rig.now + duration_s
+    while rig.now < end_s:
+        rig.run_for(0.5)
+        rig.list_backends()
