--- a/review/harness-3/platform_standin.py
+++ b/review/harness-3/platform_standin.py
@@ -243,10 +243,10 @@
             app, access_log=None, shutdown_timeout=0.01
         )
         await self.web_runner.setup()
-        site = web.TCPSite(
+        self.site = web.TCPSite(
             self.web_runner, HOST, self.port, reuse_address=True, backlog=512
         )
-        await site.start()
+        await self.site.start()
         self.port = self.web_runner.addresses[0][1]
         self.is_up = True
         self.register()
@@ -257,6 +257,11 @@
         for task in list(self.active):
             run, *_ = self.active.pop(task)
             self.platform.note('end', self, task, run, how)
+        # As after the kill of a process: nobody listens, all channels are reset.
+        await self.site.stop()
+        for connection in self.web_runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
         await self.web_runner.cleanup()
 
     def register(self):
--- a/review/harness-3/small_site.py
+++ b/review/harness-3/small_site.py
@@ -10,6 +10,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -120,18 +121,19 @@
 
 
 def _free_ports(count):
-    """Returns the first of ``count`` neighbouring free ports."""
+    """Returns the first of ``count`` neighbouring free ports.
+
+    They lie below the range from which outgoing connections take theirs, as a
+    VM that is started again needs the same ones.
+    """
     for _ in range(200):
+        base = random.randrange(10_000, 32_000 - count)
         with contextlib.ExitStack() as stack:
             try:
-                first = stack.enter_context(socket.socket())
-                first.bind((HOST, 0))
-                base = first.getsockname()[1]
-                for number in range(1, count):
-                    stack.enter_context(socket.socket()).bind(
-                        (HOST, base + number)
-                    )
-            except (OSError, OverflowError):
+                for port in range(base, base + count):
+                    listener = stack.enter_context(socket.socket())
+                    listener.bind((HOST, port))
+            except OSError:
                 continue
             return base
     raise CaseError('no free ports')
