--- a/review/harness-3/platform_standin.py
+++ b/review/harness-3/platform_standin.py
@@ -219,6 +219,7 @@
         self.labels = labels
         self.port = 0
         self.is_up = False
+        self.is_cut = False
         self.is_draining = False
         self.sequence = 0
         self.heard_ms = now_ms()
@@ -235,6 +236,12 @@
         self.count = 0
         self.highest = {}
         self.ended = asyncio.Event()
+        self.is_up = True
+        if not self.is_cut:
+            await self.listen()
+        self.register()
+
+    async def listen(self):
         app = web.Application(middlewares=[self.check_instance])
         app.router.add_post('/v1/run-start', self.run_start)
         app.router.add_post('/v1/run-stop', self.run_stop)
@@ -248,8 +255,28 @@
         )
         await self.site.start()
         self.port = self.web_runner.addresses[0][1]
-        self.is_up = True
-        self.register()
+
+    async def refuse(self):
+        """Lets nobody listen, and resets all channels."""
+        if self.web_runner is None:
+            return
+        await self.site.stop()
+        for connection in self.web_runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        web_runner, self.web_runner = self.web_runner, None
+        await web_runner.cleanup()
+
+    async def cut_off(self):
+        """Refuses all connections and reaches no store, but runs on."""
+        self.is_cut = True
+        await self.refuse()
+
+    async def heal(self):
+        self.is_cut = False
+        if self.is_up:
+            await self.listen()
+            self.register()
 
     async def crash(self, how='crashed'):
         """Ends this life with all that runs on it."""
@@ -257,14 +284,11 @@
         for task in list(self.active):
             run, *_ = self.active.pop(task)
             self.platform.note('end', self, task, run, how)
-        # As after the kill of a process: nobody listens, all channels are reset.
-        await self.site.stop()
-        for connection in self.web_runner.server.connections:
-            if connection.transport is not None:
-                connection.transport.abort()
-        await self.web_runner.cleanup()
+        await self.refuse()
 
     def register(self):
+        if self.is_cut:
+            return
         self.sequence += 1
         self.heard_ms = now_ms()
         entry = {
@@ -297,8 +321,24 @@
         expected = request.headers.get('Camphorlink-Expect-Instance')
         if expected not in {None, self.runner_id}:
             return self.answer(421)
+        if request.path == '/v1/run-start' and self.platform.holds_next_start():
+            command = json.loads(await request.read())
+            self.platform.note(
+                'order-held', self, command['task'], command['run_id'], ''
+            )
+            self.platform.run_later(
+                self.platform.late_s, self.start_late, command
+            )
+            # The caller gives up; its channel is never answered.
+            await asyncio.sleep(2)
+            raise web.HTTPServiceUnavailable
         return await handler(request)
 
+    async def start_late(self, command):
+        """Carries out an order that got no answer, if the runner is up."""
+        if self.is_up:
+            self.begin(command)
+
     def accepts(self, command):
         token = command.get('fencing_token', 0)
         if token < self.token:
@@ -310,7 +350,9 @@
         return True
 
     async def run_start(self, request):
-        command = json.loads(await request.read())
+        return self.begin(json.loads(await request.read()))
+
+    def begin(self, command):
         if not self.accepts(command):
             return self.answer(409, reason='fence')
         task, run = command['task'], command['run_id']
@@ -397,6 +439,11 @@
         self.store = Store(options.keep_s)
         self.service = options.service
         self.record = []
+        self.later = set()
+        self.late_until_ms = 0
+        self.late_each = 1
+        self.late_s = 0
+        self.starts_seen = 0
         self.runners = {}
         for row in json.loads(options.runners):
             self.runners[row['id']] = Runner(
@@ -416,6 +463,8 @@
         control.router.add_post('/control/store', self.set_store)
         control.router.add_post('/control/crash', self.crash)
         control.router.add_post('/control/drain', self.drain)
+        control.router.add_post('/control/late', self.hold_starts)
+        control.router.add_post('/control/cut', self.cut)
         ports = []
         for each in (store_app, control):
             web_runner = web.AppRunner(each, access_log=None)
@@ -441,7 +490,7 @@
             await asyncio.sleep(HEARTBEAT_S)
             for runner in list(self.runners.values()):
                 silent_s = (now_ms() - runner.heard_ms) / 1000
-                if runner.is_up:
+                if runner.is_up and not runner.is_cut:
                     runner.register()
                 elif silent_s > SILENT_HEARTBEATS * HEARTBEAT_S:
                     self.store.publish('keyed.servers', runner.runner_id, None)
@@ -464,11 +513,39 @@
         runner = self.runners[document['runner']]
         await runner.crash()
         if document.get('down_s') is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(
-                document['down_s'],
-                lambda: asyncio.ensure_future(runner.start()),
-            )
+            self.run_later(document['down_s'], runner.start)
+        return web.json_response({})
+
+    def run_later(self, delay_s, call, *arguments):
+        async def run():
+            await asyncio.sleep(delay_s)
+            await call(*arguments)
+
+        task = asyncio.ensure_future(run())
+        self.later.add(task)
+        task.add_done_callback(self.later.discard)
+
+    def holds_next_start(self):
+        """Returns whether a start gets no answer and is carried out late."""
+        if now_ms() > self.late_until_ms:
+            return False
+        self.starts_seen += 1
+        return self.starts_seen % self.late_each == 0
+
+    async def hold_starts(self, request):
+        """Leaves each n-th start unanswered for a while, as ``late`` orders."""
+        document = await request.json()
+        self.late_each = document['each']
+        self.late_s = document['late_s']
+        self.late_until_ms = now_ms() + document['for_s'] * 1000
+        return web.json_response({})
+
+    async def cut(self, request):
+        """Cuts a runner off for ``for_s``; it refuses connections."""
+        document = await request.json()
+        runner = self.runners[document['runner']]
+        await runner.cut_off()
+        self.run_later(document['for_s'], runner.heal)
         return web.json_response({})
 
     async def drain(self, request):
@@ -484,7 +561,7 @@
             self.store.publish('keyed.servers', runner.runner_id, None)
             runner.heard_ms = float('inf')
 
-        self.leaving = asyncio.ensure_future(leave())
+        self.run_later(0, leave)
         return web.json_response({})
 
 
