--- a/review/harness-3/platform_standin.py
+++ b/review/harness-3/platform_standin.py
@@ -5,7 +5,8 @@
 time and keeps the highest fencing token.  Where the page is silent it behaves
 like a sound server.
 
-The duration and the size of a task stand in its ``spec``: ``ms=300 cpu=500``.
+The duration and the size of a task stand in its ``spec``: ``ms=300 cpu=500``, and
+how many of its first runs fail: ``fails=1``.
 Every start and every end is recorded with its time; ``/control`` serves the
 record and injects the disruptions.
 """
@@ -37,6 +38,8 @@
 #: Intervals of silence after which the entry of a runner is removed.
 SILENT_HEARTBEATS = 3
 TICK_S = 0.005
+#: Longer than any caller waits for an answer.
+SILENCE_S = 10
 
 
 def now_ms():
@@ -220,6 +223,7 @@
         self.port = 0
         self.is_up = False
         self.is_cut = False
+        self.is_silent = False
         self.is_draining = False
         self.sequence = 0
         self.heard_ms = now_ms()
@@ -235,6 +239,7 @@
         self.finished = []
         self.count = 0
         self.highest = {}
+        self.failing = set()
         self.ended = asyncio.Event()
         self.is_up = True
         if not self.is_cut:
@@ -267,14 +272,22 @@
         web_runner, self.web_runner = self.web_runner, None
         await web_runner.cleanup()
 
-    async def cut_off(self):
-        """Refuses all connections and reaches no store, but runs on."""
-        self.is_cut = True
-        await self.refuse()
+    async def cut_off(self, how):
+        """Cuts the runner off from the VMs; it runs on.
+
+        With ``refuse`` it refuses connections and is cut off from the store as
+        well; with ``silent`` it answers nothing.
+        """
+        if how == 'silent':
+            self.is_silent = True
+        else:
+            self.is_cut = True
+            await self.refuse()
 
     async def heal(self):
-        self.is_cut = False
-        if self.is_up:
+        self.is_silent = False
+        was_cut, self.is_cut = self.is_cut, False
+        if self.is_up and was_cut:
             await self.listen()
             self.register()
 
@@ -319,6 +332,9 @@
     @web.middleware
     async def check_instance(self, request, handler):
         expected = request.headers.get('Camphorlink-Expect-Instance')
+        if self.is_silent:
+            await asyncio.sleep(SILENCE_S)
+            raise web.HTTPServiceUnavailable
         if expected not in {None, self.runner_id}:
             return self.answer(421)
         if request.path == '/v1/run-start' and self.platform.holds_next_start():
@@ -332,7 +348,10 @@
             # The caller gives up; its channel is never answered.
             await asyncio.sleep(2)
             raise web.HTTPServiceUnavailable
-        return await handler(request)
+        response = await handler(request)
+        if self.is_silent:
+            await asyncio.sleep(SILENCE_S)
+        return response
 
     async def start_late(self, command):
         """Carries out an order that got no answer, if the runner is up."""
@@ -369,6 +388,11 @@
         if sum(entry[3] for entry in self.active.values()) + cpu > self.cpu:
             return self.answer(409, reason='room')
         start_ms = now_ms()
+        # The first runs of a task end as failed, as many as its spec says.
+        number = self.platform.runs_by_task[task]
+        self.platform.runs_by_task[task] += 1
+        if number < int(facts.get('fails', 0)):
+            self.failing.add((task, run))
         self.active[task] = (run, start_ms, start_ms + int(facts['ms']), cpu)
         self.platform.note('start', self, task, run, '')
         return self.answer(200)
@@ -427,9 +451,10 @@
         if has_lapsed:
             for task in list(self.active):
                 self.end(task, 'lapsed')
-        for task, (_, _, end_ms, _) in list(self.active.items()):
+        for task, (run, _, end_ms, _) in list(self.active.items()):
             if now_ms() >= end_ms:
-                self.end(task, 'done')
+                has_failed = (task, run) in self.failing
+                self.end(task, 'failed' if has_failed else 'done')
 
 
 class Platform:
@@ -440,6 +465,7 @@
         self.service = options.service
         self.record = []
         self.later = set()
+        self.runs_by_task = collections.Counter()
         self.late_until_ms = 0
         self.late_each = 1
         self.late_s = 0
@@ -541,10 +567,10 @@
         return web.json_response({})
 
     async def cut(self, request):
-        """Cuts a runner off for ``for_s``; it refuses connections."""
+        """Cuts a runner off for ``for_s``."""
         document = await request.json()
         runner = self.runners[document['runner']]
-        await runner.cut_off()
+        await runner.cut_off(document['how'])
         self.run_later(document['for_s'], runner.heal)
         return web.json_response({})
 
--- a/review/harness-3/small_site.py
+++ b/review/harness-3/small_site.py
@@ -120,21 +120,28 @@
         return 0, {}
 
 
-def _free_ports(count):
+def _reserve_ports(count, stack):
     """Returns the first of ``count`` neighbouring free ports.
 
     They lie below the range from which outgoing connections take theirs, as a
-    VM that is started again needs the same ones.
+    VM that is started again needs the same ones.  They stay bound, without
+    listening, until the site ends, so that no other site takes them.
     """
     for _ in range(200):
         base = random.randrange(10_000, 32_000 - count)
-        with contextlib.ExitStack() as stack:
+        with contextlib.ExitStack() as attempt:
             try:
                 for port in range(base, base + count):
-                    listener = stack.enter_context(socket.socket())
-                    listener.bind((HOST, port))
+                    with socket.socket() as probe:
+                        probe.bind((HOST, port))
+                    holder = attempt.enter_context(socket.socket())
+                    holder.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
+                    )
+                    holder.bind((HOST, port))
             except OSError:
                 continue
+            stack.enter_context(attempt.pop_all())
             return base
     raise CaseError('no free ports')
 
@@ -142,10 +149,9 @@
 class Vm:
     """One entry VM, whose process can be ended and started again."""
 
-    def __init__(self, folder, name, zone, zones, store_port):
+    def __init__(self, folder, name, zone, zones, store_port, base):
         self.name = name
         self.zone = zone
-        base = _free_ports(6)
         self.port = base
         self.ready_port = base + 1
         self._folder = folder
@@ -254,12 +260,16 @@
             for zone in self.zones:
                 for number in range(self._vms_per_zone):
                     vm = Vm(self.folder, f'edge-{zone}-{number + 1}', zone,
-                            self.zones, ports['store'])  # fmt: skip
+                            self.zones, ports['store'],
+                            _reserve_ports(6, stack))  # fmt: skip
                     self.vms.append(vm)
                     vm.start()
                     stack.callback(lambda vm=vm: self._end(vm.process))
-            self.wait(lambda: all(vm.is_ready() for vm in self.vms), 30,
-                      'all VMs are ready')  # fmt: skip
+            try:
+                self.wait(lambda: all(vm.is_ready() for vm in self.vms), 30,
+                          'all VMs are ready')  # fmt: skip
+            except CaseError as exc:
+                raise CaseError(f'{exc}; {self._describe_vms()}') from exc
             # Owners of cells report their load some moments after that.
             time.sleep(3)
             self.record.write('site is ready')
@@ -271,6 +281,15 @@
             self.update_runs()
         self._stack.close()
 
+    def _describe_vms(self):
+        """Returns the VMs that are not ready, with the ends of their logs."""
+        return [
+            (vm.name, vm.process.poll(),
+             (Path(self.folder) / f'{vm.name}.log').read_text()[-300:])
+            for vm in self.vms
+            if not vm.is_ready()
+        ]  # fmt: skip
+
     @staticmethod
     def _end(process):
         if process is not None and process.poll() is None:
