--- a/review/harness-3/platform_standin.py
+++ b/review/harness-3/platform_standin.py
@@ -275,8 +275,8 @@
     async def cut_off(self, how):
         """Cuts the runner off from the VMs; it runs on.
 
-        With ``refuse`` it refuses connections and is cut off from the store as
-        well; with ``silent`` it answers nothing.
+        With ``refuse`` it refuses connections; with ``silent`` it answers
+        nothing.  It reaches the store.
         """
         if how == 'silent':
             self.is_silent = True
@@ -300,8 +300,6 @@
         await self.refuse()
 
     def register(self):
-        if self.is_cut:
-            return
         self.sequence += 1
         self.heard_ms = now_ms()
         entry = {
@@ -513,10 +511,11 @@
 
     async def beat_forever(self):
         while True:
+            self.next_beat_ms = now_ms() + HEARTBEAT_S * 1000
             await asyncio.sleep(HEARTBEAT_S)
             for runner in list(self.runners.values()):
                 silent_s = (now_ms() - runner.heard_ms) / 1000
-                if runner.is_up and not runner.is_cut:
+                if runner.is_up:
                     runner.register()
                 elif silent_s > SILENT_HEARTBEATS * HEARTBEAT_S:
                     self.store.publish('keyed.servers', runner.runner_id, None)
@@ -525,6 +524,7 @@
     async def show_record(self, request):
         return web.json_response({
             'now_ms': now_ms(),
+            'next_beat_ms': self.next_beat_ms,
             'record': self.record[int(request.query.get('from', 0)) :],
             'largest_refused_append': self.store.refused_bytes,
         })  # fmt: skip
