Keep the ends of a task that wait to be stored by run

Cause: the completion handler kept the tasks with an end that waits as a set. A run whose lease had lapsed behind a cut was followed by another one, and both ends waited in an outage of the store. Storing the failed one removed the task's only mark, and the task started before the next record, its end done, was applied.

Change: the runs whose ends wait are kept by task; a change that makes a task due removes none of them.

It works because each record removes only its own run, and each one that leaves the task open makes it due again, so that the last one decides.

--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -237,7 +237,6 @@
     def _add_due_tasks(self, change: TasksDue, now: float) -> None:
         for task in change.tasks:
             if change.live.cell_of(task) == self.name:
-                self._completions.tasks_being_stored.discard(task)
                 if change.is_first_start or self._predecessor.is_settled(now):
                     self._enqueue(change.live, task)
                 else:
@@ -391,7 +390,7 @@
         if task in self.registry.backends_by_task:
             return
         is_open = self._jobs.find_by_task(task) is live
-        if not is_open or task in self._completions.tasks_being_stored:
+        if not is_open or self._completions.is_being_stored(task):
             return
         assessment = self._withheld.assess(live, task, self._now)
         if not assessment.may_run:
--- a/src/camphorlink/internal/core/process/completion_handler.py
+++ b/src/camphorlink/internal/core/process/completion_handler.py
@@ -97,12 +97,7 @@
 
 
 class CompletionHandler:
-    """Stores completions, reports them, or keeps them for a coordinator.
-
-    Attributes:
-        tasks_being_stored: Tasks with a completion that is being appended to
-            the log.
-    """
+    """Stores completions, reports them, or keeps them for a coordinator."""
 
     def __init__(self, context: CompletionContext, now: float) -> None:
         """Creates the handler at the start of a term.
@@ -111,9 +106,9 @@
             context: Components of the cell.
             now: Time in seconds.
         """
-        self.tasks_being_stored: set[TaskKey] = set()
         self._context = context
         self._resend_until_s = now + ASSIGNMENT_RESEND_S
+        self._unstored_runs_by_task: dict[TaskKey, set[int]] = {}
         self._listed_by_run: dict[tuple[TaskKey, int], ListedCompletion] = {}
         self._unclaimed_by_task: dict[TaskKey, list[ListedCompletion]] = {}
 
@@ -121,6 +116,14 @@
         """Returns whether the time to resend earlier assignments is over."""
         return now >= self._resend_until_s
 
+    def is_being_stored(self, task: TaskKey) -> bool:
+        """Returns whether a completion of a task is being appended to the log.
+
+        A task may have several: a run whose lease has lapsed is followed by
+        another one, and its completion is listed after all.
+        """
+        return task in self._unstored_runs_by_task
+
     def handle_completion(
         self,
         runs: BackendRuns,
@@ -162,7 +165,7 @@
             return CompletionAction.ACKNOWLEDGE
         self._record_run_result(runs, run, completion, live, now)
         self._context.waiting.discard(task)
-        self.tasks_being_stored.add(task)
+        self._unstored_runs_by_task.setdefault(task, set()).add(completion.run)
         key = (task, completion.run)
         self._listed_by_run[key] = ListedCompletion(runs, completion)
         context = self._context
@@ -220,7 +223,7 @@
     def record_stored(self, change: CompletionsStored, now: float) -> None:
         """Acknowledges completions that are now stored in the log."""
         for completion in change.completions:
-            self.tasks_being_stored.discard(completion.task)
+            self._forget_unstored(completion)
             listed = self._listed_by_run.pop(
                 (completion.task, completion.run), None
             )
@@ -228,6 +231,12 @@
                 listed.acknowledge()
                 listed.runs.renewal_due_s = now
 
+    def _forget_unstored(self, completion: RunCompletion) -> None:
+        unstored = self._unstored_runs_by_task.get(completion.task, set())
+        unstored.discard(completion.run)
+        if not unstored:
+            self._unstored_runs_by_task.pop(completion.task, None)
+
     def _complete_transient(
         self,
         runs: BackendRuns,
