Stop the second run of a task when the end of the first is noted

Callers saw nothing wrong but time: a run whose lease had lapsed behind a cut had ended done, its task had started again, and the second run kept its place on a back end until its end although the first end had been noted.

Cause: an end closed its task; the other runs of the task were left alone unless the job ended with it.

Change: when an end that closes a task is stored, or reported for a transient task, the task's other runs are stopped. Their end has no deadline, so that no lease is withheld from their neighbours if a stop is lost.

It works because the runs of a task are known by back end, and the stop asks for no retry.

Measured: test_run_goes_on_beside_the_noted_end_of_its_task fails before for stored and for transient jobs, and passes.

--- a/src/camphorlink/internal/core/process/completion_handler.py
+++ b/src/camphorlink/internal/core/process/completion_handler.py
@@ -6,6 +6,7 @@
 coordinators may still resend the tasks assigned to the earlier owner.
 """
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -224,6 +225,8 @@
         """Acknowledges completions that are now stored in the log."""
         for completion in change.completions:
             self._forget_unstored(completion)
+            if completion.is_done:
+                self._stop_other_runs(completion.task, now)
             listed = self._listed_by_run.pop(
                 (completion.task, completion.run), None
             )
@@ -261,6 +264,15 @@
                 self._context.requeue(live, run)
             return
         self._report_completion(task, is_done)
+        self._stop_other_runs(task, now)
+
+    def _stop_other_runs(self, task: TaskKey, now: float) -> None:
+        """Stops the runs of a task that has ended by another run.
+
+        They started after the lease of that run had lapsed.  Nothing depends on
+        when they end, so that the leases of their back ends are renewed.
+        """
+        self._context.registry.stop_task(task, now, must_end_s=math.inf)
 
     def _report_completion(self, task: TaskKey, is_done: bool) -> None:
         self._context.waiting.discard(task)
--- a/tests/core/test_open_runs_of_one_task.py
+++ b/tests/core/test_open_runs_of_one_task.py
@@ -10,6 +10,11 @@
 
 from camphorlink.internal.core.connection.backend_commands import RunResult
 from camphorlink.internal.core.process.job_table import JobState
+from camphorlink.internal.core.request.durable_job import (
+    Resources,
+    Step,
+    TaskKey,
+)
 from camphorlink.internal.core.request.job_records import JobAccepted
 from simulated_backends import CellRig, SimulatedBackend, listed, make_job
 
@@ -85,6 +90,34 @@
     assert not any(backend.finished for backend in backends)
 
 
+def leave_second_run_beside_an_end(rig, backends):
+    """The first run of a task ends as done unseen, and the second one runs."""
+    rig.run_for(0.1)
+    silent = max(backends, key=lambda entry: len(entry.active))
+    silent.is_silent = True
+    rig.run_for(LAPSE_S)
+    silent.is_silent = False
+    for backend in backends:
+        backend.run_s = 10.0
+    rig.run_for(0.3)
+
+
+@pytest.mark.parametrize('is_stored', [True, False])
+def test_run_goes_on_beside_the_noted_end_of_its_task(is_stored):
+    rig, backends = make_site()
+    step = Step(1, Resources(CPU), 1000)
+    # The job goes on after the task.
+    job = make_job(JOB, steps=(step, step._replace(after=(0,))))
+    if is_stored:
+        rig.store(JobAccepted(job, (('z',), ('z',))))
+    else:
+        rig.submit(job, tasks=[TaskKey(JOB, 0, 0)])
+    leave_second_run_beside_an_end(rig, backends)
+    assert count_starts(backends) == (3 if is_stored else 2)
+    assert TaskKey(JOB, 0, 0) not in rig.running_tasks()
+    assert not any(backend.finished for backend in backends)
+
+
 class RecordingBackend(SimulatedBackend):
     """Records when runs end, when leases lapse and when ends are noted.
 
