Give each incarnation of a back end its own fencing token

Cause: a start that got no answer was stopped, and counted as settled, in the life that confirmed the stop. The next life bears the same identifier, had seen neither the stop nor a run number, and got the same token in all calls, the owner's term. It carried the start out 10 s after it was sent. A late renewal does harm in the same way: it acknowledges the former life's numbers to the next one, which forgets ends that nobody has handled.

Change: the token of a call is the term times ten million plus a number that rises with each incarnation that the owner gets to know. Answers are matched to incarnations by it.

It works because the first call to an incarnation, the list of its runs, raises the token that it has seen over all those that its predecessor was sent, by this owner or an earlier one; what comes later under a lower token is rejected, whatever it is, and needs no memory. A call that arrives before that first one is still carried out (postmortem).

--- a/src/camphorlink/internal/core/connection/backend_commands.py
+++ b/src/camphorlink/internal/core/connection/backend_commands.py
@@ -162,10 +162,13 @@
 
 
 class StartRun(NamedTuple):
-    """Command to start a run under a lease."""
+    """Command to start a run under a lease.
+
+    ``token`` is the fencing token of the incarnation, as in all commands.
+    """
 
     backend: ListedBackend
-    term: int
+    token: int
     task: TaskKey
     run: int
     spec: str
@@ -177,7 +180,7 @@
     """Command to stop a run, and to reject its start if that comes later."""
 
     backend: ListedBackend
-    term: int
+    token: int
     task: TaskKey
     run: int
 
@@ -187,7 +190,7 @@
 
     Attributes:
         backend: The back end.
-        term: Fencing token.
+        token: Fencing token of the incarnation.
         acknowledged: Completions up to this number are stored, so that the
             back end may delete them.
         lease_until_clock_ms: New end of the leases, or ``None`` to only list
@@ -197,7 +200,7 @@
     """
 
     backend: ListedBackend
-    term: int
+    token: int
     acknowledged: int
     lease_until_clock_ms: int | None
     wait_ms: int
--- a/src/camphorlink/internal/core/connection/backend_runs.py
+++ b/src/camphorlink/internal/core/connection/backend_runs.py
@@ -220,9 +220,16 @@
         acknowledged: Completions up to this number are stored or need not be.
     """
 
-    def __init__(self, listed: ListedBackend, now: float) -> None:
-        """Creates the record of an incarnation whose runs are unknown."""
+    def __init__(self, listed: ListedBackend, now: float, token: int) -> None:
+        """Creates the record of an incarnation whose runs are unknown.
+
+        Args:
+            listed: Directory entry of the back end.
+            now: Time in seconds.
+            token: Fencing token of the commands to the incarnation.
+        """
         self.listed = listed
+        self._token = token
         self.run_by_task: dict[TaskKey, Run] = {}
         self.first_listed_s = now
         self.free = listed.capacity
@@ -246,6 +253,11 @@
         self._known_completions: set[int] = set()
         self._unanswered_s = -math.inf
 
+    @property
+    def token(self) -> int:
+        """Fencing token of the commands to the incarnation."""
+        return self._token
+
     def is_usable(self, now: float) -> bool:
         """Returns whether new runs may be started on the back end now."""
         return (
@@ -384,13 +396,6 @@
         if clock_ms is not None:
             self.clock = ClockReading(clock_ms, now)
 
-    def has_lapsed(self, now: float) -> bool:
-        """Returns whether the lease of all confirmed runs has lapsed.
-
-        They have then ended although the back end does not answer.
-        """
-        return self.silent_since_s is not None and now > self.lease_end_s
-
     def new_completions(self, answer: RenewalAnswer) -> list[FinishedRun]:
         """Returns the completions that were not listed before."""
         unseen = [
@@ -422,6 +427,14 @@
             self.acknowledged = first_number - 1
 
 
+def has_lapsed(runs: BackendRuns, now: float) -> bool:
+    """Returns whether the lease of all confirmed runs has lapsed.
+
+    They have then ended although the back end does not answer.
+    """
+    return runs.silent_since_s is not None and now > runs.lease_end_s
+
+
 def needs_storing(completion: FinishedRun) -> bool:
     """Returns whether a completion is final and so belongs in the log."""
     return completion.result in {RunResult.DONE, RunResult.FAILED}
--- a/src/camphorlink/internal/core/process/cell.py
+++ b/src/camphorlink/internal/core/process/cell.py
@@ -1,7 +1,7 @@
 """Schedules tasks on the back ends of a cell and handles their completions.
 
 A cell consists of the back ends of one availability zone.  Only the owner of
-the cell sends commands to them, with the owner's term as the fencing token.
+the cell sends commands to them, with fencing tokens of the owner's term.
 Durable tasks come from the job table, and their completions are stored before
 they are acknowledged.  Transient tasks come from the VMs that coordinate their
 jobs, and their completions are reported to these VMs.
@@ -87,7 +87,7 @@
 
     Attributes:
         name: Name of the availability zone.
-        term: Fencing token of the owner.
+        term: Term of the owner.
         waiting: Tasks that wait for free capacity.
         transient: Transient jobs with open tasks in this cell.
         assignments: Runs the tasks of transient jobs.
@@ -116,7 +116,7 @@
 
         Args:
             name: Name of the availability zone.
-            term: Fencing token of the owner.
+            term: Term of the owner.
             table: Durable jobs.
             speeds: Measured speeds of back ends.
             leases: Leases of the coordinators.
--- a/src/camphorlink/internal/core/process/commander.py
+++ b/src/camphorlink/internal/core/process/commander.py
@@ -120,7 +120,7 @@
         """Creates a commander without back ends.
 
         Args:
-            term: Fencing token of the owner.
+            term: Term of the owner.
             callbacks: Receives completions and lost runs.
             predecessor: Back ends that an earlier owner commanded.
             stored_crashes: Crashes that the job log holds.
@@ -525,7 +525,7 @@
 
     The answer does not tell which of the two has carried it out.
     """
-    is_stale = command.backend.started_ms != runs.listed.started_ms
+    is_stale = command.token != runs.token
     if is_stale:
         registry.count('stale_answers', 'former-incarnation')
     return is_stale
--- a/src/camphorlink/internal/core/process/lease_monitor.py
+++ b/src/camphorlink/internal/core/process/lease_monitor.py
@@ -9,6 +9,7 @@
     Run,
     RunLoss,
     RunState,
+    has_lapsed,
 )
 from camphorlink.internal.core.process.crash_monitor import CrashMonitor
 from camphorlink.internal.core.process.predecessor import is_ownership_confirmed
@@ -152,7 +153,7 @@
         """
         silent_since_s = runs.silent_since_s or now
         must_have_ended = confirmed_s - silent_since_s > PRESUMED_ENDED_AFTER_S
-        if not must_have_ended and not runs.has_lapsed(confirmed_s):
+        if not must_have_ended and not has_lapsed(runs, confirmed_s):
             self._request_ownership_check(runs, now)
             return
         runs.is_confirmation_requested = False
@@ -164,7 +165,7 @@
 
     def _request_ownership_check(self, runs: BackendRuns, now: float) -> None:
         """Requests one read of the log per lapsed lease; a read takes 4 ms."""
-        if not runs.has_lapsed(now) or not runs.run_by_task:
+        if not has_lapsed(runs, now) or not runs.run_by_task:
             return
         if not runs.is_confirmation_requested:
             runs.is_confirmation_requested = True
--- a/src/camphorlink/internal/core/process/run_registry.py
+++ b/src/camphorlink/internal/core/process/run_registry.py
@@ -34,15 +34,16 @@
 #: The same in ms for a call that only lists the runs, because the lease must not
 #: be renewed for now.
 LIST_WAIT_MS = 100
-#: Number of run numbers per term; those of the next term are higher.
-RUNS_PER_TERM = 10_000_000
+#: Number of run numbers, and of fencing tokens, per term; those of the next term
+#: are higher.
+NUMBERS_PER_TERM = 10_000_000
 
 
 class RunRegistry:
     """Runs of one term, and the commands that start, stop and list them.
 
     Attributes:
-        term: Fencing token.
+        term: Term of the owner.
         coordinator_lease_end_s: Returns the time in seconds until which a
             task's coordinator lets it run.
         runs_by_backend: Known state of each back end.
@@ -63,7 +64,7 @@
         """Creates a registry without back ends.
 
         Args:
-            term: Fencing token of the owner.
+            term: Term of the owner.
             coordinator_lease_end_s: Returns the time in seconds until which a
                 task's coordinator lets it run.
             effects: List that commands are appended to.
@@ -76,14 +77,21 @@
         self.freed_count = 0
         self._effects = effects
         self._run_count = 0
+        self._incarnation_count = 0
         self._renewal_count = 0
         self._sent_s_by_renewal: dict[int, float] = {}
 
     def open_incarnation(
         self, backend: ListedBackend, now: float
     ) -> BackendRuns:
-        """Adds an incarnation of a back end and requests a list of its runs."""
-        runs = BackendRuns(backend, now)
+        """Adds an incarnation of a back end and requests a list of its runs.
+
+        The incarnation gets a higher fencing token than those before: it has seen
+        none, and commands to its predecessor may reach it for some seconds.
+        """
+        self._incarnation_count += 1
+        token = self.term * NUMBERS_PER_TERM + self._incarnation_count
+        runs = BackendRuns(backend, now, token)
         self.runs_by_backend[backend.backend_id] = runs
         self.list_runs(runs, now)
         return runs
@@ -137,7 +145,7 @@
     ) -> Run:
         """Sends a command to start a task on a back end."""
         self._run_count += 1
-        number = self.term * RUNS_PER_TERM + self._run_count
+        number = self.term * NUMBERS_PER_TERM + self._run_count
         run = Run(task, number, needs, now)
         run.is_alone = is_alone
         self.add(runs, run)
@@ -146,7 +154,7 @@
         self._effects.append(
             StartRun(
                 runs.listed,
-                self.term,
+                runs.token,
                 task,
                 number,
                 spec,
@@ -205,7 +213,7 @@
 
     def send_stop(self, runs: BackendRuns, task: TaskKey, run: int) -> None:
         """Sends a command to stop a run, which may be unknown here."""
-        self._effects.append(StopRun(runs.listed, self.term, task, run))
+        self._effects.append(StopRun(runs.listed, runs.token, task, run))
 
     def renew_leases(
         self, runs: BackendRuns, now: float, may_renew: bool
@@ -296,7 +304,7 @@
         self._effects.append(
             RenewLeases(
                 runs.listed,
-                self.term,
+                runs.token,
                 # After a silence, the next incarnation may receive the call.
                 runs.acknowledged if is_in_contact else 0,
                 lease_ms,
--- a/src/camphorlink/platform/runner_client.py
+++ b/src/camphorlink/platform/runner_client.py
@@ -80,7 +80,7 @@
             'run_id': command.run,
             'spec': command.spec,
             'deadline_ms': command.lease_until_clock_ms,
-            'fencing_token': command.term,
+            'fencing_token': command.token,
         }
         if command.checkpoint:
             body['checkpoint'] = command.checkpoint
@@ -109,7 +109,7 @@
         body = {
             'task': _task_name(command.task),
             'run_id': command.run,
-            'fencing_token': command.term,
+            'fencing_token': command.token,
         }
         answer = await self._post(
             command.backend,
@@ -124,7 +124,7 @@
     async def renew_leases(self, command: RenewLeases) -> RenewalAnswer:
         """Lists a runner's runs and renews their lease if requested."""
         body: dict[str, int] = {
-            'fencing_token': command.term,
+            'fencing_token': command.token,
             'acknowledged': command.acknowledged,
         }
         if command.lease_until_clock_ms is not None:
